--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,111 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+func TestLimit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limit")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// demandOf returns the demand of nodes b, c, ... for organisation "acme".
+func demandOf(heardAt time.Time, tokens ...float64) *blackboard.Demand {
+	d := &blackboard.Demand{ByNode: make(map[string]blackboard.NodeDemand)}
+	for i, t := range tokens {
+		name := string(rune('b' + i))
+		d.ByNode[name] = blackboard.NodeDemand{
+			HeardAt:         heardAt,
+			TokensPerSecond: map[string]float64{"acme": t},
+		}
+	}
+	return d
+}
+
+var _ = Describe("Proportional", func() {
+	share := func(local float64, members int, demand *blackboard.Demand) float64 {
+		return Proportional{}.Share(ShareInput{
+			Self: "a", Organisation: "acme", Members: members, Demand: demand,
+			LocalDemand: local, Now: start, DemandLifetime: 5 * time.Second,
+		})
+	}
+
+	It("gives nearly the whole limit to the only node with demand", func() {
+		// Guards against refusing an organisation that uses one node only.
+		Expect(share(100, 3, demandOf(start, 0, 0))).To(BeNumerically(">", 0.9))
+	})
+
+	It("falls back to the equal share when no peer is heard", func() {
+		// Guards against three isolated nodes granting three times the limit.
+		Expect(share(100, 3, nil)).To(BeNumerically("~", 1.0/3, 1e-9))
+		Expect(share(100, 3, demandOf(start.Add(-time.Minute), 0, 0))).To(BeNumerically("~", 1.0/3, 1e-9))
+	})
+
+	DescribeTable("never grants more than the limit in total",
+		func(demands []float64) {
+			// Guards against an overrun when every node sees the same demand.
+			total := 0.0
+			for i := range demands {
+				others := append(append([]float64{}, demands[:i]...), demands[i+1:]...)
+				total += share(demands[i], len(demands), demandOf(start, others...))
+			}
+			Expect(total).To(BeNumerically("<=", 1+1e-9))
+		},
+		Entry("no demand", []float64{0, 0, 0}),
+		Entry("one node", []float64{50, 0, 0}),
+		Entry("uneven", []float64{500, 20, 1}),
+	)
+
+	It("keeps the equal shares of silent members unused", func() {
+		// Guards against two halves of a partition using the limit twice.
+		half := share(10, 4, demandOf(start, 10))
+		Expect(2*half).To(BeNumerically("<=", 0.5+1e-9))
+	})
+})
+
+var _ = Describe("Limiter", func() {
+	It("refuses above the limit as not run, with a time after which it admits", func() {
+		// Guards against refusals whose advice to retry is wrong.
+		board := &blackboard.Board{}
+		board.Configuration.Publish(&fleet.Configuration{Organisations: []fleet.Organisation{
+			{Name: "acme", TokensPerSecond: 100},
+		}})
+		l := NewLimiter(board, Config{}, metrics.NewRegistry())
+		now := start
+		l.now = func() time.Time { return now }
+		l.update()
+
+		_, err := l.Admit(context.Background(), "acme", 300)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = l.Admit(context.Background(), "acme", 1)
+		refusal := verdict.Of(err)
+		Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+		Expect(refusal.RetryAfter).To(BeNumerically(">", time.Second))
+
+		now = now.Add(refusal.RetryAfter)
+		_, err = l.Admit(context.Background(), "acme", 1)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("returns unused tokens", func() {
+		// Guards against charging the asked maximum instead of the real use.
+		b := newBucket(10, 20, start)
+		_, ok := b.take(20, start)
+		Expect(ok).To(BeTrue())
+		(&Admission{bucket: b, taken: 20}).Done(5)
+		_, ok = b.take(1, start)
+		Expect(ok).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/limit/limiter.go
@@ -0,0 +1,194 @@
+package limit
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// Defaults of Config.
+const (
+	DefaultInterval       = 500 * time.Millisecond
+	DefaultDemandLifetime = 5 * time.Second
+	DefaultBurst          = 2 * time.Second
+)
+
+// minBurst is the smallest burst, in tokens, so that a small share still admits
+// a request from time to time.
+const minBurst = 1.0
+
+// Config holds the bounds of a Limiter. Zero fields take their defaults.
+type Config struct {
+	// Interval is the time between updates of the shares.
+	Interval time.Duration
+	// DemandLifetime is the age at which a peer's demand no longer counts.
+	DemandLifetime time.Duration
+	// Burst is how much of the rate may be used at once, as a time.
+	Burst time.Duration
+	// Policy splits limits over nodes; nil means Proportional.
+	Policy SharePolicy
+}
+
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	if c.Interval == 0 {
+		c.Interval = DefaultInterval
+	}
+	if c.DemandLifetime == 0 {
+		c.DemandLifetime = DefaultDemandLifetime
+	}
+	if c.Burst == 0 {
+		c.Burst = DefaultBurst
+	}
+	if c.Policy == nil {
+		c.Policy = Proportional{}
+	}
+	return c
+}
+
+// buckets maps organisations to their buckets. A published map is not modified.
+type buckets map[string]*bucket
+
+// Limiter admits requests within the organisations' limits. Admit reads the
+// buckets through an atomic pointer; Run replaces them.
+type Limiter struct {
+	board    *blackboard.Board
+	config   Config
+	now      func() time.Time
+	buckets  atomic.Pointer[buckets]
+	admitted metrics.Counter
+	refused  metrics.Counter
+}
+
+// NewLimiter returns a Limiter on the board's configuration and demand.
+func NewLimiter(board *blackboard.Board, config Config, registry metrics.Registry) *Limiter {
+	l := &Limiter{
+		board:    board,
+		config:   config.withDefaults(),
+		now:      time.Now,
+		admitted: metrics.GetOrRegisterCounter("limit.admitted", registry),
+		refused:  metrics.GetOrRegisterCounter("limit.refused", registry),
+	}
+	l.buckets.Store(&buckets{})
+	return l
+}
+
+// Run updates the shares until ctx ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(l.config.Interval)
+	defer ticker.Stop()
+	for {
+		changed := l.board.Configuration.Changed()
+		l.update()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-changed:
+		}
+	}
+}
+
+// update recomputes the rate of every organisation's bucket.
+func (l *Limiter) update() {
+	configuration := l.board.Configuration.Load()
+	if configuration == nil {
+		return
+	}
+	now := l.now()
+	next := maps.Clone(*l.buckets.Load())
+	known := make(map[string]bool, len(configuration.Organisations))
+	for i := range configuration.Organisations {
+		organisation := &configuration.Organisations[i]
+		known[organisation.Name] = true
+		l.updateOne(next, organisation, now)
+	}
+	maps.DeleteFunc(next, func(name string, _ *bucket) bool { return !known[name] })
+	l.buckets.Store(&next)
+}
+
+// updateOne sets one organisation's rate to this node's share of its limit.
+func (l *Limiter) updateOne(next buckets, organisation *fleet.Organisation, now time.Time) {
+	b := next[organisation.Name]
+	demand := 0.0
+	if b != nil {
+		demand = b.sampleDemand(now)
+	}
+	rate := organisation.TokensPerSecond * l.share(organisation.Name, demand, now)
+	burst := max(rate*l.config.Burst.Seconds(), minBurst)
+	if b == nil {
+		next[organisation.Name] = newBucket(rate, burst, now)
+		return
+	}
+	b.setRate(rate, burst, now)
+}
+
+// share asks the policy for this node's part of an organisation's limit.
+func (l *Limiter) share(organisation string, demand float64, now time.Time) float64 {
+	in := ShareInput{
+		Organisation:   organisation,
+		Members:        1,
+		Demand:         l.board.Demand.Load(),
+		LocalDemand:    demand,
+		Now:            now,
+		DemandLifetime: l.config.DemandLifetime,
+	}
+	if members := l.board.Members.Load(); members != nil {
+		in.Self = members.Self
+		in.Members = max(len(members.Serving()), 1)
+	}
+	return l.config.Policy.Share(in)
+}
+
+// LocalDemand returns the smoothed demand of organisations at this node, in
+// tokens per second.
+func (l *Limiter) LocalDemand() map[string]float64 {
+	demand := make(map[string]float64)
+	for name, b := range *l.buckets.Load() {
+		b.mu.Lock()
+		if b.demand > 0 {
+			demand[name] = b.demand
+		}
+		b.mu.Unlock()
+	}
+	return demand
+}
+
+// Admission is an admitted request.
+type Admission struct {
+	bucket *bucket
+	taken  int
+}
+
+// Admit takes tokens from the organisation's share. A refusal is a NotRun
+// *verdict.Error with the time to try again. An organisation that Run has not
+// seen yet is admitted: the configuration was accepted less than one interval
+// ago.
+func (l *Limiter) Admit(_ context.Context, organisation string, tokens int) (*Admission, error) {
+	b := (*l.buckets.Load())[organisation]
+	if b == nil {
+		return &Admission{}, nil
+	}
+	wait, ok := b.take(float64(tokens), l.now())
+	if !ok {
+		l.refused.Inc(1)
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonLimitExceeded,
+			"organisation %s is over its limit of tokens per second", organisation).WithRetryAfter(wait)
+	}
+	l.admitted.Inc(1)
+	return &Admission{bucket: b, taken: tokens}, nil
+}
+
+// Done returns the tokens that were admitted but not used. It is called once.
+func (a *Admission) Done(used int) {
+	if a.bucket != nil {
+		a.bucket.giveBack(float64(a.taken - used))
+	}
+}
