--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -34,9 +34,9 @@
 	return d
 }
 
-var _ = Describe("Proportional", func() {
+var _ = Describe("ProportionalShare", func() {
 	share := func(local float64, members int, demand *blackboard.Demand) float64 {
-		return Proportional{}.Share(ShareInput{
+		return ProportionalShare{}.Share(ShareInput{
 			Self: "a", Organisation: "acme", Members: members, Demand: demand,
 			LocalDemand: local, Now: start, DemandLifetime: 5 * time.Second,
 		})
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -32,7 +32,7 @@
 	DemandLifetime time.Duration
 	// Burst is how much of the rate may be used at once, as a time.
 	Burst time.Duration
-	// Policy splits limits over nodes; nil means Proportional.
+	// Policy splits limits over nodes; nil means ProportionalShare.
 	Policy SharePolicy
 }
 
@@ -48,7 +48,7 @@
 		c.Burst = DefaultBurst
 	}
 	if c.Policy == nil {
-		c.Policy = Proportional{}
+		c.Policy = ProportionalShare{}
 	}
 	return c
 }
--- a/limit/proportional.go
+++ b/limit/proportional.go
@@ -5,14 +5,14 @@
 // to it before peers know of the demand.
 const reservedPart = 0.1
 
-// Proportional splits a limit in proportion to the nodes' demand. Without fresh
+// ProportionalShare splits a limit in proportion to the nodes' demand. Without fresh
 // demand of any peer it falls back to the equal share, so that nodes that are
 // cut off from each other do not exceed the limit together.
-type Proportional struct{}
+type ProportionalShare struct{}
 
 // Share implements SharePolicy.
-func (Proportional) Share(in ShareInput) float64 {
-	equal := Equal{}.Share(in)
+func (ProportionalShare) Share(in ShareInput) float64 {
+	equal := EqualShare{}.Share(in)
 	others, heard := otherDemand(in)
 	if heard+1 < in.Members {
 		// The demand of a silent member is unknown; its equal share stays its
