--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -71,7 +71,7 @@
 	It("keeps the equal shares of silent members unused", func() {
 		// Guards against two halves of a partition using the limit twice.
 		half := share(10, 4, demandOf(start, 10))
-		Expect(2*half).To(BeNumerically("<=", 0.5+1e-9))
+		Expect(2 * half).To(BeNumerically("<=", 0.5+1e-9))
 	})
 })
 
