--- /dev/null
+++ b/object/memory.go
@@ -0,0 +1,272 @@
+package object
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Faults are the failures that Memory simulates. The zero value is no fault.
+type Faults struct {
+	// Unavailable refuses every call before it takes effect.
+	Unavailable bool
+	// Delay is added before each call takes effect.
+	Delay time.Duration
+	// LoseWrites is the number of next writes that take effect although the
+	// call ends with ErrAmbiguous.
+	LoseWrites int
+	// DropWrites is the number of next writes that do not take effect and end
+	// with ErrAmbiguous. DropWrites are used up before LoseWrites.
+	DropWrites int
+	// LoseProbability is the chance, from 0 to 1, that any write takes effect
+	// and ends with ErrAmbiguous; Seed makes the choice repeatable.
+	LoseProbability float64
+	Seed            uint64
+}
+
+// Memory is a Store in memory, for tests and stand-ins. It numbers all writes
+// with one counter and is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	counter Version
+	kinds   map[string]*kindState
+	faults  Faults
+	random  *rand.Rand
+	// woken is closed when the faults change, so that pending watches fail.
+	woken chan struct{}
+}
+
+type kindState struct {
+	cursor  Version
+	objects map[string]Object
+	// changed is closed and replaced at every write of the kind.
+	changed chan struct{}
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store without faults.
+func NewMemory() *Memory {
+	return &Memory{
+		kinds:  make(map[string]*kindState),
+		random: rand.New(rand.NewPCG(0, 0)),
+		woken:  make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the simulated faults.
+func (m *Memory) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = f
+	m.random = rand.New(rand.NewPCG(f.Seed, 0))
+	close(m.woken)
+	m.woken = make(chan struct{})
+}
+
+// Get implements Store.
+func (m *Memory) Get(ctx context.Context, key Key) (Object, error) {
+	if err := m.begin(ctx); err != nil {
+		return Object{}, &OpError{"get", key, err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.kind(key.Kind).objects[key.Name]
+	if !ok {
+		return Object{}, &OpError{"get", key, ErrNotFound}
+	}
+	return copyOf(o), nil
+}
+
+// GetIfNewer implements Store.
+func (m *Memory) GetIfNewer(ctx context.Context, key Key, known Version) (Object, bool, error) {
+	return m.Watch(ctx, key, known, 0)
+}
+
+// List implements Store.
+func (m *Memory) List(ctx context.Context, kind string) ([]Object, error) {
+	if err := m.begin(ctx); err != nil {
+		return nil, &OpError{"list", Key{Kind: kind}, err}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.kind(kind).listing().Objects, nil
+}
+
+// Update implements Store.
+func (m *Memory) Update(ctx context.Context, key Key, expected Version, value []byte) (Version, error) {
+	if len(value) > MaxValueSize {
+		return 0, &OpError{"update", key, ErrTooLarge}
+	}
+	next := Object{Key: key, Value: append([]byte{}, value...)}
+	version, err := m.write(ctx, key, expected, &next)
+	if err != nil {
+		return 0, &OpError{"update", key, err}
+	}
+	return version, nil
+}
+
+// Delete implements Store.
+func (m *Memory) Delete(ctx context.Context, key Key, expected Version) error {
+	if expected == 0 {
+		return &OpError{"delete", key, ErrNotFound}
+	}
+	if _, err := m.write(ctx, key, expected, nil); err != nil {
+		return &OpError{"delete", key, err}
+	}
+	return nil
+}
+
+// write replaces the object, or removes it if next is nil.
+func (m *Memory) write(ctx context.Context, key Key, expected Version, next *Object) (Version, error) {
+	if err := m.begin(ctx); err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults.DropWrites > 0 {
+		m.faults.DropWrites--
+		return 0, ErrAmbiguous
+	}
+	kind := m.kind(key.Kind)
+	lost := m.loses()
+	if kind.objects[key.Name].Version != expected {
+		if lost {
+			return 0, ErrAmbiguous
+		}
+		return 0, ErrConflict
+	}
+	m.counter++
+	kind.cursor = m.counter
+	if next == nil {
+		delete(kind.objects, key.Name)
+	} else {
+		next.Version = m.counter
+		kind.objects[key.Name] = *next
+	}
+	close(kind.changed)
+	kind.changed = make(chan struct{})
+	if lost {
+		return 0, ErrAmbiguous
+	}
+	return m.counter, nil
+}
+
+// loses decides whether the answer of the present write is lost.
+func (m *Memory) loses() bool {
+	if m.faults.LoseWrites > 0 {
+		m.faults.LoseWrites--
+		return true
+	}
+	return m.faults.LoseProbability > 0 && m.random.Float64() < m.faults.LoseProbability
+}
+
+// Watch implements Store. A deleted object is returned with version 0.
+func (m *Memory) Watch(ctx context.Context, key Key, known Version, wait time.Duration) (Object, bool, error) {
+	var found Object
+	changed, err := m.await(ctx, key.Kind, wait, func(k *kindState) bool {
+		found = copyOf(k.objects[key.Name])
+		found.Key = key
+		return found.Version != known
+	})
+	if err != nil {
+		return Object{}, false, &OpError{"watch", key, err}
+	}
+	if !changed {
+		return Object{}, false, nil
+	}
+	return found, true, nil
+}
+
+// WatchKind implements Store.
+func (m *Memory) WatchKind(ctx context.Context, kind string, cursor Version, wait time.Duration) (Listing, error) {
+	listing := Listing{Cursor: cursor}
+	_, err := m.await(ctx, kind, wait, func(k *kindState) bool {
+		if k.cursor == cursor {
+			return false
+		}
+		listing = k.listing()
+		return true
+	})
+	if err != nil {
+		return Listing{}, &OpError{"watch", Key{Kind: kind}, err}
+	}
+	return listing, nil
+}
+
+// await calls done under the lock at once and after every write of the kind
+// until it returns true or wait has passed.
+func (m *Memory) await(ctx context.Context, kind string, wait time.Duration, done func(*kindState) bool) (bool, error) {
+	if err := m.begin(ctx); err != nil {
+		return false, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		k := m.kind(kind)
+		ok, down, changed, woken := done(k), m.faults.Unavailable, k.changed, m.woken
+		m.mu.Unlock()
+		if down {
+			return false, ErrUnavailable
+		}
+		if ok || wait <= 0 {
+			return ok, nil
+		}
+		select {
+		case <-changed:
+		case <-woken:
+		case <-timer.C:
+			return false, nil
+		case <-ctx.Done():
+			return false, unavailable(ctx.Err())
+		}
+	}
+}
+
+// begin applies the faults that come before a call takes effect.
+func (m *Memory) begin(ctx context.Context) error {
+	m.mu.Lock()
+	f := m.faults
+	m.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return unavailable(err)
+	}
+	if f.Unavailable {
+		return ErrUnavailable
+	}
+	return nil
+}
+
+// kind returns the state of a kind; m.mu is held.
+func (m *Memory) kind(name string) *kindState {
+	k, ok := m.kinds[name]
+	if !ok {
+		k = &kindState{objects: make(map[string]Object), changed: make(chan struct{})}
+		m.kinds[name] = k
+	}
+	return k
+}
+
+// listing copies the kind, sorted by name.
+func (k *kindState) listing() Listing {
+	l := Listing{Cursor: k.cursor, Changed: true, Objects: make([]Object, 0, len(k.objects))}
+	for _, o := range k.objects {
+		l.Objects = append(l.Objects, copyOf(o))
+	}
+	sort.Slice(l.Objects, func(i, j int) bool { return l.Objects[i].Key.Name < l.Objects[j].Key.Name })
+	return l
+}
+
+func copyOf(o Object) Object {
+	o.Value = append([]byte(nil), o.Value...)
+	return o
+}
--- /dev/null
+++ b/object/wire.go
@@ -0,0 +1,32 @@
+package object
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// ListBody is the JSON body of a kind list and of a kind watch.
+type ListBody struct {
+	Cursor  Version    `json:"cursor"`
+	Objects []ListItem `json:"objects"`
+}
+
+// ListItem is one object of a ListBody.
+type ListItem struct {
+	Name    string  `json:"name"`
+	Version Version `json:"version"`
+	Value   []byte  `json:"value"`
+}
+
+// ETag returns the entity tag of a version.
+func (v Version) ETag() string { return `"` + strconv.FormatUint(uint64(v), 10) + `"` }
+
+// ParseETag reads the version from an entity tag.
+func ParseETag(tag string) (Version, error) {
+	n, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("entity tag %q is not a version", tag)
+	}
+	return Version(n), nil
+}
