--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -42,14 +42,14 @@
 		ctx   context.Context
 		store *object.Memory
 		key   Key
-		body  BodyHash
+		body  string
 	)
 
 	BeforeEach(func() {
 		ctx = context.Background()
 		store = object.NewMemory()
 		key = Key{Organisation: "acme", Service: "front-desk", Key: "booking-1"}
-		body = BodyHash{1}
+		body = "call-1"
 	})
 
 	It("gives a repeat through another node the first answer", func() {
@@ -92,7 +92,7 @@
 		first, _, err := r.Begin(ctx, key, body)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(first.Answered(ctx, Answer{Status: 200})).To(Succeed())
-		_, _, err = r.Begin(ctx, key, BodyHash{2})
+		_, _, err = r.Begin(ctx, key, "call-2")
 		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
 		key.Organisation = "other"
 		claim, _, err := r.Begin(ctx, key, body)
--- a/claim/operation.go
+++ b/claim/operation.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/verdict"
@@ -37,7 +36,7 @@
 // beginOperation makes a claim if the key has none.
 type beginOperation struct {
 	name      string
-	body      BodyHash
+	hash      string
 	attempt   string
 	createdMs int64
 	full      bool
@@ -45,7 +44,7 @@
 
 func (o *beginOperation) apply(p *partition) (result, change) {
 	e, exists := p.entries[o.name]
-	if exists && e.State != stateReleased && !bytes.Equal(e.BodyHash, o.body[:]) {
+	if exists && e.State != stateReleased && e.Hash != o.hash {
 		return result{err: verdict.New(verdict.NotRun, verdict.ReasonKeyReused,
 			"the idempotency key was used for a different call")}, changeNone
 	}
@@ -61,7 +60,7 @@
 	}
 	p.entries[o.name] = entry{
 		Name:      o.name,
-		BodyHash:  o.body[:],
+		Hash:      o.hash,
 		State:     stateClaimed,
 		Attempt:   o.attempt,
 		CreatedMs: o.createdMs,
@@ -90,7 +89,7 @@
 // finishOperation moves a claim of this attempt to its last state.
 type finishOperation struct {
 	name      string
-	body      BodyHash
+	hash      string
 	attempt   string
 	createdMs int64
 	state     state
@@ -109,7 +108,7 @@
 	// so a delayed write of the claim itself fails.
 	p.entries[o.name] = entry{
 		Name:      o.name,
-		BodyHash:  o.body[:],
+		Hash:      o.hash,
 		State:     o.state,
 		Attempt:   o.attempt,
 		CreatedMs: o.createdMs,
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -26,9 +26,10 @@
 
 // entry is a stored claim.
 type entry struct {
-	Name     string `json:"k"`
-	BodyHash []byte `json:"b"`
-	State    state  `json:"s"`
+	Name string `json:"k"`
+	// Hash identifies the call that the key was used for.
+	Hash  string `json:"b"`
+	State state  `json:"s"`
 	// Attempt is the identity of the Begin call that owns the claim.
 	Attempt string `json:"a"`
 	// CreatedMs is the claiming node's wall clock, in Unix milliseconds. It is
--- a/claim/registry.go
+++ b/claim/registry.go
@@ -115,13 +115,13 @@
 func (r *Registry) Close() { r.stop() }
 
 // Begin implements Claims.
-func (r *Registry) Begin(ctx context.Context, key Key, body BodyHash) (Claim, *Answer, error) {
+func (r *Registry) Begin(ctx context.Context, key Key, hash string) (Claim, *Answer, error) {
 	name, index := key.locate()
 	h := &held{
 		registry:  r,
 		batcher:   r.partitions[index],
 		name:      name,
-		body:      body,
+		hash:      hash,
 		attempt:   uuid.NewString(),
 		createdMs: time.Now().UnixMilli(),
 	}
@@ -140,7 +140,7 @@
 	defer cancel()
 	return h.batcher.do(ctx, &beginOperation{
 		name:      h.name,
-		body:      h.body,
+		hash:      h.hash,
 		attempt:   h.attempt,
 		createdMs: h.createdMs,
 	})
@@ -173,7 +173,7 @@
 	registry  *Registry
 	batcher   *batcher
 	name      string
-	body      BodyHash
+	hash      string
 	attempt   string
 	createdMs int64
 }
@@ -217,7 +217,7 @@
 	defer cancel()
 	res := h.batcher.do(ctx, &finishOperation{
 		name:      h.name,
-		body:      h.body,
+		hash:      h.hash,
 		attempt:   h.attempt,
 		createdMs: h.createdMs,
 		state:     s,
--- a/claim/types.go
+++ b/claim/types.go
@@ -20,9 +20,6 @@
 	Key          string
 }
 
-// BodyHash is the SHA-256 of the call's method, path and body.
-type BodyHash [sha256.Size]byte
-
 // Answer is the first answer to a call, as it is given to repeats.
 type Answer struct {
 	Status int         `json:"status"`
@@ -32,10 +29,11 @@
 
 // Claims is what the request path needs of this package.
 type Claims interface {
-	// Begin makes a durable claim. Exactly one result is set: a Claim when the
-	// caller may send the call once, an Answer when the call ran before, or a
+	// Begin makes a durable claim for a call whose method, path and body have
+	// the given hash. Exactly one result is set: a Claim when the caller may
+	// send the call once, an Answer when the call ran before, or a
 	// *verdict.Error.
-	Begin(ctx context.Context, key Key, body BodyHash) (Claim, *Answer, error)
+	Begin(ctx context.Context, key Key, hash string) (Claim, *Answer, error)
 }
 
 // Claim is the right to send a call once. Exactly one of its methods is called
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -147,14 +147,13 @@
 	return l.config.Policy.Share(in)
 }
 
-// LocalDemand returns the smoothed demand of organisations at this node, in
-// tokens per second.
-func (l *Limiter) LocalDemand() map[string]float64 {
-	demand := make(map[string]float64)
+// LocalDemand returns the smoothed demand of organisations at this node.
+func (l *Limiter) LocalDemand() blackboard.NodeDemand {
+	demand := blackboard.NodeDemand{HeardAt: l.now(), TokensPerSecond: make(map[string]float64)}
 	for name, b := range *l.buckets.Load() {
 		b.mu.Lock()
 		if b.demand > 0 {
-			demand[name] = b.demand
+			demand.TokensPerSecond[name] = b.demand
 		}
 		b.mu.Unlock()
 	}
