--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,114 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// BackendFaults is the body of POST /control/faults at an engine or a plain
+// server. It replaces all faults; the zero value ends them. Counts name how
+// many of the next answers are affected.
+type BackendFaults struct {
+	// FreezeMs stops all answers and running streams for a time.
+	FreezeMs int64 `json:"freezeMs,omitempty"`
+	// FailSteps refuses the engine's part in collective steps.
+	FailSteps bool `json:"failSteps,omitempty"`
+	// DelayMs is added before each answer.
+	DelayMs int64 `json:"delayMs,omitempty"`
+	// Cross answers with the headers and the body of another attempt.
+	Cross int `json:"cross,omitempty"`
+	// CrossBody answers with the own headers and the body of another attempt.
+	CrossBody int `json:"crossBody,omitempty"`
+	// Double sends the whole answer twice.
+	Double int `json:"double,omitempty"`
+	// DoubleEvents sends each event of a stream twice.
+	DoubleEvents int `json:"doubleEvents,omitempty"`
+	// Truncate sends half of the answer: a stream ends without its end marker,
+	// another answer before its announced length.
+	Truncate int `json:"truncate,omitempty"`
+	// Lose runs the request and closes the connection instead of an answer.
+	Lose int `json:"lose,omitempty"`
+}
+
+// distortion is what happens to one answer.
+type distortion struct {
+	cross, crossBody, double, doubleEvents, truncate, lose bool
+}
+
+// faultState holds the faults of one backend server.
+type faultState struct {
+	mu     sync.Mutex
+	faults BackendFaults
+	thaw   time.Time
+}
+
+func (f *faultState) set(next BackendFaults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = next
+	f.thaw = time.Now().Add(time.Duration(next.FreezeMs) * time.Millisecond)
+}
+
+// serveSet handles POST /control/faults.
+func (f *faultState) serveSet(w http.ResponseWriter, r *http.Request) {
+	var next BackendFaults
+	if input(w, r, &next) {
+		f.set(next)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// awaitThaw returns when the server is not frozen.
+func (f *faultState) awaitThaw(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		left := time.Until(f.thaw)
+		f.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		// A short sleep lets an end of the fault take effect soon.
+		sleep(ctx, min(left, 20*time.Millisecond))
+	}
+}
+
+// slowed wraps a handler with freeze and delay. A request whose sender gave up
+// is still handled afterwards, as by a process that was paused.
+func (f *faultState) slowed(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f.awaitThaw(context.Background())
+		f.mu.Lock()
+		delay := time.Duration(f.faults.DelayMs) * time.Millisecond
+		f.mu.Unlock()
+		if delay > 0 {
+			sleep(context.Background(), delay)
+		}
+		next(w, r)
+	}
+}
+
+func (f *faultState) failsSteps() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults.FailSteps
+}
+
+// next uses up one count of each fault for an answer.
+func (f *faultState) next() distortion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	use := func(count *int) bool {
+		if *count <= 0 {
+			return false
+		}
+		*count--
+		return true
+	}
+	return distortion{
+		cross: use(&f.faults.Cross), crossBody: use(&f.faults.CrossBody),
+		double: use(&f.faults.Double), doubleEvents: use(&f.faults.DoubleEvents),
+		truncate: use(&f.faults.Truncate), lose: use(&f.faults.Lose),
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,184 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+// Set is the running stand-ins of one process.
+type Set struct {
+	// Platform is nil if the configuration has none.
+	Platform *Platform
+	Engines  []*Engine
+	Servers  []*Server
+	registry *registrar
+	logger   log.Logger
+	servers  []*http.Server
+	closers  []func()
+}
+
+// Start listens on all addresses and registers the instances. On error
+// everything is stopped.
+func Start(ctx context.Context, cfg Config, logger log.Logger) (*Set, error) {
+	s := &Set{logger: logger}
+	if err := s.start(ctx, cfg); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Set) start(ctx context.Context, cfg Config) error {
+	if cfg.Platform != nil {
+		s.Platform = NewPlatform(*cfg.Platform)
+		s.closers = append(s.closers, s.Platform.Close)
+		if err := s.listen(cfg.Platform.Address, s.Platform.Handler()); err != nil {
+			return err
+		}
+		if cfg.PlatformAddress == "" {
+			cfg.PlatformAddress = cfg.Platform.Address
+		}
+	}
+	registry := newRegistrar(cfg.PlatformAddress)
+	s.registry = registry
+	for _, pool := range cfg.Engines {
+		list, err := pool.instances()
+		if err != nil {
+			return err
+		}
+		for _, instance := range list {
+			engine := NewEngine(instance, pool, registry)
+			s.Engines = append(s.Engines, engine)
+			s.closers = append(s.closers, engine.Close)
+			if err := s.listen(instance.Address, engine.Handler()); err != nil {
+				return err
+			}
+			registry.add(instance)
+		}
+	}
+	for _, pool := range cfg.Servers {
+		list, err := pool.instances()
+		if err != nil {
+			return err
+		}
+		for _, instance := range list {
+			server := NewServer(instance, registry)
+			s.Servers = append(s.Servers, server)
+			if err := s.listen(instance.Address, server.Handler()); err != nil {
+				return err
+			}
+			registry.add(instance)
+		}
+	}
+	return registry.register(ctx)
+}
+
+func (s *Set) listen(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	s.servers = append(s.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			_ = s.logger.Log("msg", "listener failed", "address", address, "err", err)
+		}
+	}()
+	return nil
+}
+
+// Stop marks the instances as leaving, finishes requests in progress until ctx
+// ends, closes all listeners and removes the instances from the list. Engines
+// wait for the release of their role, unless the platform stops with them.
+func (s *Set) Stop(ctx context.Context) {
+	quick, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var gone []string
+	for _, e := range s.Engines {
+		_ = e.leave(quick)
+		gone = append(gone, e.instance.ID)
+	}
+	for _, p := range s.Servers {
+		_ = p.leave(quick)
+		gone = append(gone, p.instance.ID)
+	}
+	for _, e := range s.Engines {
+		for s.Platform == nil && ctx.Err() == nil && e.busy() {
+			sleep(ctx, 50*time.Millisecond)
+		}
+	}
+	if s.Platform == nil && s.registry != nil && len(gone) > 0 {
+		final, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		_ = s.registry.change(final, InstanceChange{Remove: gone})
+	}
+	// The platform is stopped last, so in reverse order of the start.
+	for i := len(s.servers) - 1; i >= 0; i-- {
+		if err := s.servers[i].Shutdown(ctx); err != nil {
+			_ = s.servers[i].Close()
+		}
+	}
+	s.Close()
+}
+
+// Close closes all listeners and connections at once, as a crash does.
+func (s *Set) Close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	for _, c := range s.closers {
+		c()
+	}
+	s.servers, s.closers = nil, nil
+}
+
+// answer writes body as JSON.
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// input reads a JSON body of at most 4 MB; it answers 400 and returns false on
+// an error.
+func input(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<20)).Decode(into); err != nil {
+		http.Error(w, fmt.Sprintf("body: %v", err), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// queryNumber reads an unsigned query parameter; a missing one is 0.
+func queryNumber(r *http.Request, name string) uint64 {
+	n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	return n
+}
+
+func queryWait(r *http.Request) time.Duration {
+	return time.Duration(queryNumber(r, "timeoutMs")) * time.Millisecond
+}
+
+// sever closes the connection without an answer.
+func sever() {
+	panic(http.ErrAbortHandler)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
