--- a/object/store_test.go
+++ b/object/store_test.go
@@ -314,9 +314,17 @@
 		at := serve(p.Handler().ServeHTTP)
 		DeferCleanup(p.Close)
 		p.SetFaults(standin.PlatformFaults{Hang: true})
-		c := object.NewClient(object.ClientConfig{Addresses: []string{at}, Timeout: 100 * time.Millisecond})
+		c := object.NewClient(object.ClientConfig{Addresses: []string{at}, Timeout: 500 * time.Millisecond})
 		_, err := c.Get(context.Background(), key)
 		Expect(err).To(MatchError(object.ErrUnavailable))
 		Expect(update(c)).To(MatchError(object.ErrAmbiguous))
+
+		By("letting a delayed write take effect after its caller gave up")
+		p.SetFaults(standin.PlatformFaults{DelayMs: 2000})
+		Expect(update(c)).To(MatchError(object.ErrAmbiguous))
+		Eventually(func() error {
+			_, err := p.Objects.Get(context.Background(), key)
+			return err
+		}, patient).Should(Succeed())
 	})
 })
