--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,191 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+	"unicode/utf8"
+
+	"github.com/rattanlanding/rattanlanding/internal/strictjson"
+)
+
+// Limits of the bounds that follow from the guarantees.
+const (
+	// wholeGroupBound is the time of R1 from a loss to the last request sent.
+	wholeGroupBound = 3 * time.Second
+	// sendTime is the part of R1's bound kept for sending a request.
+	sendTime = 500 * time.Millisecond
+	// maxConfirmation keeps a second of R8's 12 s for a node to stop.
+	maxConfirmation = 11 * time.Second
+)
+
+const (
+	minPeerKeyLength = 16
+	maxPeerKeyLength = 1024
+	maxAddresses     = 1000
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	logLevels   = []string{"debug", "info", "warn", "error"}
+)
+
+// durationRange is the allowed range of one bound.
+type durationRange struct {
+	field     string
+	value     time.Duration
+	low, high time.Duration
+}
+
+func (s *Settings) check(p *strictjson.Problems) {
+	checkName(p, "node", s.Node)
+	checkName(p, "region", s.Region)
+	checkName(p, "failureDomain", s.FailureDomain)
+	s.checkAddresses(p)
+	s.checkKeys(p)
+	if !slices.Contains(logLevels, s.Log.Level) {
+		p.Add("log.level", "must be one of %v", logLevels)
+	}
+	s.Bounds.checkRanges(p)
+	s.Bounds.checkRelations(p)
+	s.checkLimits(p)
+}
+
+func checkName(p *strictjson.Problems, field, name string) {
+	if !namePattern.MatchString(name) {
+		p.Add(field, "must match %s", namePattern)
+	}
+}
+
+func (s *Settings) checkAddresses(p *strictjson.Problems) {
+	listeners := []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress}
+	for i, field := range []string{"callerAddress", "operatorAddress", "peerAddress"} {
+		checkAddress(p, field, listeners[i])
+		if slices.Contains(listeners[:i], listeners[i]) {
+			p.Add(field, "must differ from the other listeners")
+		}
+	}
+	if len(s.PlatformAddresses) == 0 {
+		p.Add("platformAddresses", "must have at least one entry")
+	}
+	checkAddressList(p, "platformAddresses", s.PlatformAddresses)
+	checkAddressList(p, "peers", s.Peers)
+}
+
+func checkAddressList(p *strictjson.Problems, field string, list []string) {
+	if len(list) > maxAddresses {
+		p.Add(field, "must have at most %d entries", maxAddresses)
+		return
+	}
+	for i, address := range list {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		checkAddress(p, at, address)
+		if slices.Contains(list[:i], address) {
+			p.Add(at, "stands twice")
+		}
+	}
+}
+
+// checkAddress refuses host names, because a process has to run without name
+// service, and wildcard addresses, because others are told the address.
+func checkAddress(p *strictjson.Problems, field, text string) {
+	address, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil:
+		p.Add(field, `must be "IP:port" with a literal IP address`)
+	case address.Port() == 0:
+		p.Add(field, "must have a port from 1 to 65535")
+	case address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		p.Add(field, "must be the address of one machine")
+	}
+}
+
+func (s *Settings) checkKeys(p *strictjson.Problems) {
+	if n := utf8.RuneCountInString(s.PeerKey); n < minPeerKeyLength || n > maxPeerKeyLength {
+		p.Add("peerKey", "must have from %d to %d characters", minPeerKeyLength, maxPeerKeyLength)
+	}
+	names, hashes := make(map[string]bool), make(map[string]bool)
+	for i, key := range s.OperatorKeys {
+		at := fmt.Sprintf("operatorKeys[%d]", i)
+		checkName(p, at+".name", key.Name)
+		if !hashPattern.MatchString(key.KeySHA256) {
+			p.Add(at+".keySha256", "must be a hex SHA-256 in lower case")
+		}
+		if names[key.Name] {
+			p.Add(at+".name", "stands twice")
+		}
+		if hashes[key.KeySHA256] {
+			p.Add(at+".keySha256", "stands twice")
+		}
+		names[key.Name], hashes[key.KeySHA256] = true, true
+	}
+}
+
+func (b *Bounds) checkRanges(p *strictjson.Problems) {
+	const ms, s = time.Millisecond, time.Second
+	for _, r := range []durationRange{
+		{"evidenceLifetime", b.EvidenceLifetime, 200 * ms, wholeGroupBound - sendTime},
+		{"probeInterval", b.ProbeInterval, 50 * ms, 2 * s},
+		{"probeTimeout", b.ProbeTimeout, 20 * ms, 2 * s},
+		{"leaseDuration", b.LeaseDuration, 300 * ms, 60 * s},
+		{"leaseRenewInterval", b.LeaseRenewInterval, 50 * ms, 20 * s},
+		{"confirmationLifetime", b.ConfirmationLifetime, 500 * ms, maxConfirmation},
+		{"majorityContact", b.MajorityContact, 200 * ms, maxConfirmation},
+		{"configurationPoll", b.ConfigurationPoll, 100 * ms, 10 * s},
+		{"exchangeInterval", b.ExchangeInterval, 50 * ms, 2 * s},
+		{"memberDead", b.MemberDead, 500 * ms, 10 * time.Minute},
+		{"addressTtl", b.AddressTTL, 100 * ms, 5 * time.Minute},
+		{"drainTimeout", b.DrainTimeout, s, time.Hour},
+		{"repairDelay", b.RepairDelay, 500 * ms, time.Hour},
+		{"claimRetention", b.ClaimRetention, time.Minute, 24 * time.Hour},
+	} {
+		if r.value < r.low || r.value > r.high {
+			p.Add("bounds."+r.field, "must be from %s to %s", r.low, r.high)
+		}
+	}
+}
+
+// checkRelations refuses bounds that are valid alone but break a guarantee or
+// stop a mechanism together.
+func (b *Bounds) checkRelations(p *strictjson.Problems) {
+	if b.LeaseRenewInterval >= b.LeaseDuration/3 {
+		p.Add("bounds.leaseRenewInterval", "must be below a third of leaseDuration, so that two renewals may be lost")
+	}
+	if b.ProbeTimeout >= b.ProbeInterval {
+		p.Add("bounds.probeTimeout", "must be below probeInterval")
+	}
+	if b.EvidenceLifetime <= b.ProbeInterval+b.ProbeTimeout {
+		p.Add("bounds.evidenceLifetime", "must be above probeInterval plus probeTimeout, or healthy groups lapse between probes")
+	}
+	if b.ConfigurationPoll >= b.ConfirmationLifetime {
+		p.Add("bounds.configurationPoll", "must be below confirmationLifetime")
+	}
+	if b.MajorityContact <= b.ExchangeInterval {
+		p.Add("bounds.majorityContact", "must be above exchangeInterval")
+	}
+	if b.MemberDead < b.MajorityContact {
+		p.Add("bounds.memberDead", "must be at least majorityContact")
+	}
+	if b.DrainTimeout <= b.AddressTTL+time.Second {
+		p.Add("bounds.drainTimeout", "must be above addressTtl plus 1s, the time a leaving node still serves")
+	}
+}
+
+func (s *Settings) checkLimits(p *strictjson.Problems) {
+	checkNumber(p, "limits.maxBodyBytes", float64(s.Limits.MaxBodyBytes), 1024, 64<<20)
+	checkNumber(p, "limits.maxConcurrentRequests", float64(s.Limits.MaxConcurrentRequests), 1, 100_000)
+	checkNumber(p, "limits.retryBudgetRatio", s.Limits.RetryBudgetRatio, 0, 1)
+	checkNumber(p, "limits.maxAttempts", float64(s.Limits.MaxAttempts), 1, 10)
+	checkNumber(p, "placement.downtimeWeight", s.Placement.DowntimeWeight, 0, 1)
+	checkName(p, "placement.policy", s.Placement.Policy)
+}
+
+func checkNumber(p *strictjson.Problems, field string, value, low, high float64) {
+	if math.IsNaN(value) || value < low || value > high {
+		p.Add(field, "must be from %.10g to %.10g", low, high)
+	}
+}
