--- /dev/null
+++ b/release/validate.go
@@ -0,0 +1,217 @@
+package release
+
+import (
+	"fmt"
+	"math"
+	"path"
+	"regexp"
+	"strings"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/strictjson"
+)
+
+// Ranges of fields.
+const (
+	maxGroupSize    = 64
+	maxReasonBytes  = 500
+	maxTimeoutMs    = 600_000
+	maxPriority     = 100
+	maxTokensPerSec = 1e9
+	maxWeight       = 1000
+	maxKeys         = 16
+	maxPatterns     = 64
+	maxPatternBytes = 256
+)
+
+var (
+	namePattern    = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	hashPattern    = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	callPattern    = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) (/[A-Za-z0-9._~/-]*)$`)
+)
+
+// Validate checks what can be checked without the current configuration: the
+// form and range of each field, and that no entry stands twice.
+func (n *Note) Validate() error {
+	var p strictjson.Problems
+	checkName(&p, "id", n.ID)
+	if len(n.Reason) > maxReasonBytes {
+		p.Add("reason", "must have at most %d bytes", maxReasonBytes)
+	}
+	entries := n.entries()
+	if len(entries) == 0 {
+		p.Add("", "the note names no entry")
+	}
+	first := make(map[string]string, len(entries))
+	for _, t := range entries {
+		if other, taken := first[t.entry]; taken {
+			p.Add(t.field, "%s stands in the note twice, first at %s", t.entry, other)
+			continue
+		}
+		first[t.entry] = t.field
+	}
+	checkEntries(&p, string(OperationAdd), &n.Added)
+	checkEntries(&p, string(OperationChange), &n.Changed)
+	checkNames(&p, n.Withdrawn)
+	return p.Err()
+}
+
+// entries lists every entry that the note names.
+func (n *Note) entries() []touched {
+	var all []touched
+	add := func(op Operation, kind string, i int, name string) {
+		all = append(all, touched{entryName(kind, name), fmt.Sprintf("%s.%s[%d]", op, kind, i), op})
+	}
+	for _, part := range []struct {
+		op      Operation
+		entries *Entries
+	}{{OperationAdd, &n.Added}, {OperationChange, &n.Changed}} {
+		for i := range part.entries.Services {
+			add(part.op, kindServices, i, part.entries.Services[i].Name)
+		}
+		for i := range part.entries.Organisations {
+			add(part.op, kindOrganisations, i, part.entries.Organisations[i].Name)
+		}
+		for i := range part.entries.Groups {
+			add(part.op, kindGroups, i, part.entries.Groups[i].Name)
+		}
+	}
+	n.Withdrawn.each(func(kind string, i int, name string) { add(OperationWithdraw, kind, i, name) })
+	return all
+}
+
+// each calls f for every name.
+func (n *Names) each(f func(kind string, i int, name string)) {
+	for i, name := range n.Services {
+		f(kindServices, i, name)
+	}
+	for i, name := range n.Organisations {
+		f(kindOrganisations, i, name)
+	}
+	for i, name := range n.Groups {
+		f(kindGroups, i, name)
+	}
+}
+
+func checkNames(p *strictjson.Problems, names Names) {
+	names.each(func(kind string, i int, name string) {
+		checkName(p, fmt.Sprintf("%s.%s[%d]", OperationWithdraw, kind, i), name)
+	})
+}
+
+func checkEntries(p *strictjson.Problems, op string, e *Entries) {
+	for i := range e.Services {
+		checkService(p, fmt.Sprintf("%s.%s[%d]", op, kindServices, i), &e.Services[i])
+	}
+	for i := range e.Organisations {
+		checkOrganisation(p, fmt.Sprintf("%s.%s[%d]", op, kindOrganisations, i), &e.Organisations[i])
+	}
+	for i := range e.Groups {
+		checkGroup(p, fmt.Sprintf("%s.%s[%d]", op, kindGroups, i), &e.Groups[i])
+	}
+}
+
+func checkName(p *strictjson.Problems, field, name string) {
+	if !namePattern.MatchString(name) {
+		p.Add(field, "must match %s", namePattern)
+	}
+}
+
+func checkUnset(p *strictjson.Problems, field string, changed fleet.Revision) {
+	if changed != 0 {
+		p.Add(field+".changed", "is set by the system")
+	}
+}
+
+func checkRange(p *strictjson.Problems, field string, value, low, high float64) {
+	if math.IsNaN(value) || value < low || value > high {
+		p.Add(field, "must be from %g to %g", low, high)
+	}
+}
+
+func checkService(p *strictjson.Problems, field string, s *fleet.Service) {
+	checkName(p, field+".name", s.Name)
+	checkName(p, field+".pool", s.Pool)
+	checkUnset(p, field, s.Changed)
+	checkRange(p, field+".timeoutMs", float64(s.TimeoutMs), 0, maxTimeoutMs)
+	checkRange(p, field+".priority", float64(s.Priority), 0, maxPriority)
+	switch s.Kind {
+	case fleet.KindModel:
+		if !versionPattern.MatchString(s.Version) {
+			p.Add(field+".version", "must match %s", versionPattern)
+		}
+		if len(s.NonIdempotent) > 0 {
+			p.Add(field+".nonIdempotent", "is for plain services only")
+		}
+	case fleet.KindPlain:
+		if s.Version != "" {
+			p.Add(field+".version", "is for model services only")
+		}
+		checkCalls(p, field+".nonIdempotent", s.NonIdempotent)
+	default:
+		p.Add(field+".kind", "must be %q or %q", fleet.KindModel, fleet.KindPlain)
+	}
+}
+
+// checkCalls also refuses prefixes such as "/a/../b": requests are matched by
+// their clean path, so such a pattern would protect nothing.
+func checkCalls(p *strictjson.Problems, field string, calls []string) {
+	if len(calls) > maxPatterns {
+		p.Add(field, "must have at most %d patterns", maxPatterns)
+		return
+	}
+	seen := make(map[string]bool, len(calls))
+	for i, call := range calls {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		parts := callPattern.FindStringSubmatch(call)
+		switch {
+		case len(call) > maxPatternBytes || parts == nil:
+			p.Add(at, `must have the form "METHOD /prefix"`)
+		case path.Clean(parts[2]) != parts[2] && path.Clean(parts[2])+"/" != parts[2]:
+			p.Add(at, "must be a clean path")
+		case seen[call]:
+			p.Add(at, "stands twice")
+		}
+		seen[call] = true
+	}
+}
+
+func checkOrganisation(p *strictjson.Problems, field string, o *fleet.Organisation) {
+	checkName(p, field+".name", o.Name)
+	checkUnset(p, field, o.Changed)
+	checkRange(p, field+".tokensPerSecond", o.TokensPerSecond, 0, maxTokensPerSec)
+	checkRange(p, field+".weight", o.Weight, 0, maxWeight)
+	checkRange(p, field+".priority", float64(o.Priority), 0, maxPriority)
+	if len(o.KeyHashes) < 1 || len(o.KeyHashes) > maxKeys {
+		p.Add(field+".keyHashes", "must have from 1 to %d entries", maxKeys)
+	}
+	for i, hash := range o.KeyHashes {
+		if !hashPattern.MatchString(hash) {
+			p.Add(fmt.Sprintf("%s.keyHashes[%d]", field, i), "must be a hex SHA-256 in lower case")
+		}
+	}
+	seen := make(map[string]bool, len(o.Services))
+	for i, name := range o.Services {
+		at := fmt.Sprintf("%s.services[%d]", field, i)
+		checkName(p, at, name)
+		if seen[name] {
+			p.Add(at, "stands twice")
+		}
+		seen[name] = true
+	}
+}
+
+func checkGroup(p *strictjson.Problems, field string, g *fleet.Group) {
+	checkName(p, field+".name", g.Name)
+	checkName(p, field+".service", g.Service)
+	checkName(p, field+".fabricDomain", g.FabricDomain)
+	checkUnset(p, field, g.Changed)
+	checkRange(p, field+".size", float64(g.Size), 1, maxGroupSize)
+}
+
+// splitEntry returns the kind and name of an entry.
+func splitEntry(entry string) (kind, name string) {
+	kind, name, _ = strings.Cut(entry, "/")
+	return kind, name
+}
