--- /dev/null
+++ b/operator/handler.go
@@ -0,0 +1,216 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/release"
+	"github.com/rattanlanding/rattanlanding/settings"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// Time limits of a connection. WriteTimeout exceeds release.DefaultTimeout, so
+// that an applied note can still be answered.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 15 * time.Second
+	writeTimeout      = 30 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// operatorKey is the gin context key of the authenticated operator's name.
+const operatorKey = "operator"
+
+// Notes applies release notes; release.Applier implements it.
+type Notes interface {
+	Apply(ctx context.Context, note release.Note, operator string) (release.Result, error)
+	Preview(ctx context.Context, note release.Note) (release.Preview, error)
+}
+
+// Config sets up the handler. Node, Board and Notes are required.
+type Config struct {
+	Node  string
+	Keys  []settings.OperatorKey
+	Board *blackboard.Board
+	Notes Notes
+	// EvidenceLifetime is how long a report counts in the status; default 2.5 s.
+	EvidenceLifetime time.Duration
+	// Dumpers add sections to the state dump by name. Their results are encoded
+	// as JSON and must be safe to read concurrently.
+	Dumpers  map[string]func() any
+	Registry metrics.Registry
+	Logger   log.Logger
+	// Now is the process's clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// handler serves the operators' requests.
+type handler struct {
+	cfg  Config
+	keys []key
+}
+
+// key is a decoded operator key.
+type key struct {
+	name string
+	hash []byte
+}
+
+// NewHandler returns the operators' HTTP handler. It fails on a key hash that
+// is not hex.
+func NewHandler(cfg Config) (http.Handler, error) {
+	if cfg.EvidenceLifetime == 0 {
+		cfg.EvidenceLifetime = settings.Default().Bounds.EvidenceLifetime
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	h := &handler{cfg: cfg}
+	for _, k := range cfg.Keys {
+		hash, err := hex.DecodeString(k.KeySHA256)
+		if err != nil {
+			return nil, verdict.BadField("operatorKeys."+k.Name, "the key hash is not hex").WithCause(err)
+		}
+		h.keys = append(h.keys, key{k.Name, hash})
+	}
+	return h.routes(), nil
+}
+
+// NewServer returns a server with time limits for the operators' listener.
+func NewServer(address string, h http.Handler) *http.Server {
+	return &http.Server{
+		Addr:              address,
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (h *handler) routes() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.HandleMethodNotAllowed = true
+	engine.Use(gin.CustomRecoveryWithWriter(io.Discard, h.recovered), h.authenticate)
+	engine.POST("/v1/notes", h.applyNote)
+	engine.POST("/v1/notes/diff", h.diffNote)
+	engine.GET("/v1/status", h.status)
+	engine.GET("/v1/history", h.history)
+	engine.GET("/debug/state", h.state)
+	engine.GET("/metrics", h.metrics)
+	engine.NoRoute(h.notFound)
+	engine.NoMethod(h.notFound)
+	return engine
+}
+
+// recovered answers a request whose handler panicked. Nothing is known about
+// its effect.
+func (h *handler) recovered(c *gin.Context, cause any) {
+	level.Error(h.cfg.Logger).Log("msg", "panic in handler", "path", c.Request.URL.Path, "cause", cause)
+	h.fail(c, verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "internal error"))
+}
+
+func (h *handler) notFound(c *gin.Context) {
+	h.fail(c, verdict.New(verdict.NotRun, verdict.ReasonNotFound, "no such path or method"))
+}
+
+// authenticate compares with every key, so that the time taken does not depend
+// on which key matched.
+func (h *handler) authenticate(c *gin.Context) {
+	token, found := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	name, matched := "", 0
+	for _, k := range h.keys {
+		equal := subtle.ConstantTimeCompare(sum[:], k.hash)
+		if equal == 1 {
+			name = k.name
+		}
+		matched |= equal
+	}
+	if !found || token == "" || matched != 1 {
+		h.fail(c, verdict.New(verdict.NotRun, verdict.ReasonUnauthenticated, "an operator key is required"))
+		return
+	}
+	c.Set(operatorKey, name)
+}
+
+func (h *handler) applyNote(c *gin.Context) {
+	note, err := readNote(c)
+	if err != nil {
+		h.fail(c, err)
+		return
+	}
+	result, err := h.cfg.Notes.Apply(c.Request.Context(), note, c.GetString(operatorKey))
+	if err != nil {
+		h.fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, result)
+}
+
+func (h *handler) diffNote(c *gin.Context) {
+	note, err := readNote(c)
+	if err != nil {
+		h.fail(c, err)
+		return
+	}
+	preview, err := h.cfg.Notes.Preview(c.Request.Context(), note)
+	if err != nil {
+		h.fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, preview)
+}
+
+// readNote reads a bounded body. A body that could not be read was not applied.
+func readNote(c *gin.Context) (release.Note, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, release.MaxSize))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return release.Note{}, verdict.New(verdict.NotRun, verdict.ReasonTooLarge,
+			"the note has more than %d bytes", release.MaxSize)
+	case err != nil:
+		return release.Note{}, verdict.New(verdict.NotRun, verdict.ReasonBadRequest,
+			"the note could not be read").WithCause(err)
+	}
+	return release.Parse(data)
+}
+
+// fail answers with the error's verdict and ends the request.
+func (h *handler) fail(c *gin.Context, err error) {
+	e := verdict.Of(err)
+	request := uuid.NewString()
+	level.Info(h.cfg.Logger).Log("msg", "request refused", "request", request,
+		"path", c.Request.URL.Path, "operator", c.GetString(operatorKey), "err", e)
+	c.Header(verdict.Header, e.Verdict.String())
+	if e.RetryAfter > 0 {
+		seconds := (e.RetryAfter + time.Second - 1) / time.Second
+		c.Header("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	c.AbortWithStatusJSON(e.Status(), e.Body(request))
+}
--- /dev/null
+++ b/operator/state.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+)
+
+// State is the answer of GET /debug/state.
+type State struct {
+	Node       string         `json:"node"`
+	At         time.Time      `json:"at"`
+	Blackboard BoardState     `json:"blackboard"`
+	Extra      map[string]any `json:"extra"`
+}
+
+// BoardState holds every section of the blackboard; a section that was never
+// published is null.
+type BoardState struct {
+	Configuration *fleet.Configuration     `json:"configuration"`
+	Placements    *blackboard.Placements   `json:"placements"`
+	Instances     *fleet.InstanceList      `json:"instances"`
+	Confirmation  *blackboard.Confirmation `json:"confirmation"`
+	Members       *blackboard.Members      `json:"members"`
+	Evidence      *blackboard.Evidence     `json:"evidence"`
+	Demand        *blackboard.Demand       `json:"demand"`
+	Shards        *blackboard.Shards       `json:"shards"`
+	Lifecycle     *blackboard.Lifecycle    `json:"lifecycle"`
+}
+
+func (h *handler) state(c *gin.Context) {
+	board := h.cfg.Board
+	state := State{
+		Node: h.cfg.Node,
+		At:   h.cfg.Now(),
+		Blackboard: BoardState{
+			Configuration: board.Configuration.Load(),
+			Placements:    board.Placements.Load(),
+			Instances:     board.Instances.Load(),
+			Confirmation:  board.Confirmation.Load(),
+			Members:       board.Members.Load(),
+			Evidence:      board.Evidence.Load(),
+			Demand:        board.Demand.Load(),
+			Shards:        board.Shards.Load(),
+			Lifecycle:     board.Lifecycle.Load(),
+		},
+		Extra: make(map[string]any, len(h.cfg.Dumpers)),
+	}
+	for name, dump := range h.cfg.Dumpers {
+		state.Extra[name] = dump()
+	}
+	c.JSON(http.StatusOK, state)
+}
+
+func (h *handler) metrics(c *gin.Context) {
+	if strings.Contains(c.GetHeader("Accept"), "text/plain") {
+		c.Data(http.StatusOK, "text/plain; version=0.0.4; charset=utf-8", exposition(h.cfg.Registry))
+		return
+	}
+	c.JSON(http.StatusOK, h.cfg.Registry.GetAll())
+}
