--- a/operator/handler.go
+++ b/operator/handler.go
@@ -115,6 +115,8 @@
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.HandleMethodNotAllowed = true
+	// A redirect would be answered before the key is checked.
+	engine.RedirectTrailingSlash = false
 	engine.Use(gin.CustomRecoveryWithWriter(io.Discard, h.recovered), h.authenticate)
 	engine.POST("/v1/notes", h.applyNote)
 	engine.POST("/v1/notes/diff", h.diffNote)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -83,7 +83,7 @@
 		},
 		Entry(nil, "POST", "/v1/notes"), Entry(nil, "POST", "/v1/notes/diff"), Entry(nil, "GET", "/v1/status"),
 		Entry(nil, "GET", "/v1/history"), Entry(nil, "GET", "/debug/state"), Entry(nil, "GET", "/metrics"),
-		Entry(nil, "GET", "/other"), Entry(nil, "DELETE", "/v1/notes"),
+		Entry(nil, "GET", "/other"), Entry(nil, "DELETE", "/v1/notes"), Entry(nil, "POST", "/v1/notes/"),
 	)
 
 	It("applies a note in the operator's name and passes errors on", func() {
