--- a/fleet/member.go
+++ b/fleet/member.go
@@ -11,6 +11,9 @@
 	// NodeLeaving means that the node is stopping: no address answer names it
 	// and it holds no control shard.
 	NodeLeaving NodeState = "leaving"
+	// NodeSuspect means that a member was silent for a while. Nodes derive it
+	// for others and never state it of themselves.
+	NodeSuspect NodeState = "suspect"
 )
 
 // Member is one process of the system as others know it.
--- /dev/null
+++ b/peer/demand.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+)
+
+// demandTable keeps the newest demand statement of each node.
+type demandTable struct {
+	mu     sync.Mutex
+	byNode map[string]blackboard.NodeDemand
+}
+
+// merge stores a statement unless a newer one is known.
+func (t *demandTable) merge(node string, demand blackboard.NodeDemand) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byNode == nil {
+		t.byNode = map[string]blackboard.NodeDemand{}
+	}
+	if known, ok := t.byNode[node]; ok && !demand.HeardAt.After(known.HeardAt) {
+		return
+	}
+	t.byNode[node] = demand
+}
+
+// snapshot returns the statements that are at most maxAge old.
+func (t *demandTable) snapshot(now time.Time, maxAge time.Duration) *blackboard.Demand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.byNode, func(_ string, d blackboard.NodeDemand) bool {
+		return now.Sub(d.HeardAt) >= maxAge
+	})
+	return &blackboard.Demand{ByNode: maps.Clone(t.byNode)}
+}
+
+// addTo passes on statements of other nodes in random order.
+func (t *demandTable) addTo(d *digest, self string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nodes := make([]string, 0, len(t.byNode))
+	for node := range t.byNode {
+		if node != self {
+			nodes = append(nodes, node)
+		}
+	}
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	for _, node := range nodes {
+		demand := t.byNode[node]
+		d.demand(node, &demand, now)
+	}
+}
--- /dev/null
+++ b/peer/fakes.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+)
+
+// Fake implements every interface of Ports in memory, for tests of packages that
+// embed a Node. The zero value is ready for use.
+type Fake struct {
+	mu          sync.Mutex
+	documents   []Document
+	offers      []Offer
+	losses      []blackboard.Loss
+	observed    []blackboard.Observation
+	demand      blackboard.NodeDemand
+	statement   *ConfirmationStatement
+	confirmedBy map[string]ConfirmationStatement
+}
+
+// Ports returns f in every role.
+func (f *Fake) Ports() Ports {
+	return Ports{Documents: f, Evidence: f, Demand: f, Confirmed: f, Confirm: f}
+}
+
+// SetDocument stores a document.
+func (f *Fake) SetDocument(d Document) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.documents = append(f.documents, d)
+}
+
+// SetDemand sets the local demand.
+func (f *Fake) SetDemand(d blackboard.NodeDemand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demand = d
+}
+
+// SetConfirmation sets this node's own confirmation.
+func (f *Fake) SetConfirmation(s ConfirmationStatement) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.statement = &s
+}
+
+// Versions implements Documents.
+func (f *Fake) Versions() []DocumentVersion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	versions := make([]DocumentVersion, 0, len(f.documents))
+	for _, d := range f.documents {
+		versions = append(versions, d.DocumentVersion)
+	}
+	return versions
+}
+
+// Body implements Documents.
+func (f *Fake) Body(name string) (Document, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.documents {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return Document{}, false
+}
+
+// Offer implements Documents.
+func (f *Fake) Offer(offer Offer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.offers = append(f.offers, offer)
+}
+
+// Offers returns the offers received.
+func (f *Fake) Offers() []Offer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Offer(nil), f.offers...)
+}
+
+// Observe implements EvidenceTable.
+func (f *Fake) Observe(o blackboard.Observation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observed = append(f.observed, o)
+}
+
+// Lose implements EvidenceTable.
+func (f *Fake) Lose(loss blackboard.Loss) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losses = append(f.losses, loss)
+}
+
+// Losses returns the losses received.
+func (f *Fake) Losses() []blackboard.Loss {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]blackboard.Loss(nil), f.losses...)
+}
+
+// Observations implements EvidenceTable.
+func (f *Fake) Observations(maxAge time.Duration) []blackboard.Observation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var fresh []blackboard.Observation
+	for _, o := range f.observed {
+		if time.Since(o.ObservedAt) <= maxAge {
+			fresh = append(fresh, o)
+		}
+	}
+	return fresh
+}
+
+// LocalDemand implements DemandSource.
+func (f *Fake) LocalDemand() blackboard.NodeDemand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.demand
+}
+
+// Confirmation implements ConfirmationSource.
+func (f *Fake) Confirmation() (ConfirmationStatement, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.statement == nil {
+		return ConfirmationStatement{}, false
+	}
+	return *f.statement, true
+}
+
+// Confirmed implements ConfirmationSink.
+func (f *Fake) Confirmed(node string, s ConfirmationStatement) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmedBy == nil {
+		f.confirmedBy = map[string]ConfirmationStatement{}
+	}
+	f.confirmedBy[node] = s
+}
+
+// ConfirmedBy returns the newest confirmation stated by a peer.
+func (f *Fake) ConfirmedBy(node string) (ConfirmationStatement, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.confirmedBy[node]
+	return s, ok
+}
--- /dev/null
+++ b/peer/roster_test.go
@@ -0,0 +1,145 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/peer/peerpb"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+// bootAt returns the boot id of a process started a number of seconds after
+// start.
+func bootAt(seconds int) string { return NewBoot(start.Add(time.Duration(seconds) * time.Second)) }
+
+var _ = Describe("boot ids", func() {
+	It("orders boots by their start time", func() {
+		// Guards against an old process that replaces its successor.
+		Expect(newerBoot(bootAt(2), bootAt(1))).To(BeTrue())
+		Expect(newerBoot(bootAt(1), bootAt(2))).To(BeFalse())
+		Expect(validBoot("later")).To(BeFalse())
+	})
+})
+
+var _ = Describe("roster", func() {
+	var (
+		r           *roster
+		first, next string
+	)
+	record := func(boot string, counter uint64, ageMs uint32) *peerpb.Member {
+		return &peerpb.Member{Node: "b", Boot: boot, Counter: counter, AgeMs: ageMs, PeerAddress: "127.0.0.1:2"}
+	}
+	find := func(now time.Time) *fleet.MemberView {
+		for _, m := range r.members(now) {
+			if m.Node == "b" {
+				return &m
+			}
+		}
+		return nil
+	}
+	BeforeEach(func() {
+		config := Config{Self: fleet.Member{Node: "a", Boot: bootAt(0)}}.withDefaults()
+		r = newRoster(&config)
+		first, next = bootAt(1), bootAt(2)
+	})
+
+	It("drops the messages of a process that was replaced", func() {
+		// Guards against a paused process that wakes up beside its successor.
+		Expect(r.acceptResponse(record(first, 9, 0), start)).To(BeTrue())
+		Expect(r.acceptResponse(record(next, 1, 0), start)).To(BeTrue())
+		Expect(r.acceptResponse(record(first, 10, 0), start)).To(BeFalse())
+		accepted, _ := r.acceptRequest(record(first, 11, 0))
+		Expect(accepted).To(BeFalse())
+		r.relay(record(first, 12, 0), start, start)
+		Expect(find(start).Boot).To(Equal(next))
+	})
+
+	It("drops responses with an old counter", func() {
+		// Guards against a delayed response that overwrites a newer one.
+		Expect(r.acceptResponse(record(first, 5, 0), start)).To(BeTrue())
+		Expect(r.acceptResponse(record(first, 5, 0), start.Add(time.Second))).To(BeFalse())
+		Expect(find(start).HeardAt).To(Equal(start))
+	})
+
+	It("adds up the ages of relayed heartbeats", func() {
+		// Guards against a relay, or a pause between request and response, that
+		// makes an old heartbeat look fresh.
+		sent := start.Add(10 * time.Second)
+		r.relay(record(first, 5, 2000), sent, sent.Add(4*time.Second))
+		Expect(find(sent).HeardAt).To(Equal(sent.Add(-2 * time.Second)))
+		Expect(find(sent.Add(2 * time.Second)).State).To(Equal(fleet.NodeSuspect))
+	})
+
+	It("does not refresh a heartbeat from a request", func() {
+		// Guards against a request read long after it was sent.
+		Expect(r.acceptResponse(record(first, 1, 0), start)).To(BeTrue())
+		accepted, _ := r.acceptRequest(record(first, 2, 0))
+		Expect(accepted).To(BeTrue())
+		Expect(find(start.Add(4 * time.Second)).State).To(Equal(fleet.NodeSuspect))
+	})
+
+	It("keeps a dead member dead until a newer heartbeat", func() {
+		// Guards against stale relayed records that resurrect a dead member.
+		Expect(r.acceptResponse(record(first, 5, 0), start)).To(BeTrue())
+		now := start.Add(10 * time.Second)
+		Expect(find(now)).To(BeNil())
+		r.relay(record(first, 5, 100), now, now)
+		Expect(find(now)).To(BeNil())
+		r.relay(record(first, 6, 10_000), now, now)
+		Expect(find(now)).To(BeNil())
+		r.relay(record(first, 6, 100), now, now)
+		Expect(find(now)).NotTo(BeNil())
+	})
+
+	It("keeps the leaving mark of a boot", func() {
+		// Guards against new work for a node that is stopping.
+		leaving := record(first, 5, 0)
+		leaving.Leaving = true
+		r.acceptResponse(leaving, start)
+		r.relay(record(first, 6, 0), start, start)
+		Expect(find(start).State).To(Equal(fleet.NodeLeaving))
+		r.acceptResponse(record(next, 1, 0), start)
+		Expect(find(start).State).To(Equal(fleet.NodeServing))
+	})
+
+	It("detects its own successor", func() {
+		// Guards against two processes that both take themselves for the node.
+		r.relay(&peerpb.Member{Node: "a", Boot: next, Counter: 1}, start, start)
+		Expect(r.isSuperseded()).To(BeTrue())
+	})
+})
+
+var _ = Describe("messages", func() {
+	It("rounds ages up", func() {
+		// Guards against evidence that looks fresher than it is.
+		Expect(encodeAge(start, start.Add(time.Microsecond))).To(Equal(uint32(1)))
+		Expect(encodeAge(start.Add(time.Second), start)).To(Equal(uint32(0)))
+	})
+
+	It("bounds a digest in bytes", func() {
+		// Guards against traffic that grows with the number of members.
+		response := &peerpb.ExchangeResponse{Responder: &peerpb.Member{Node: "a", Boot: bootAt(0)}}
+		d := newDigest(response, DefaultDigestBytes)
+		d.documents(make([]DocumentVersion, 300))
+		members := make([]fleet.MemberView, 380)
+		for i := range members {
+			members[i].Member = fleet.Member{Node: "node", Boot: bootAt(i), PeerAddress: "127.0.0.1:2"}
+		}
+		evidence := make([]blackboard.Observation, 600)
+		d.relayed(members, evidence, start)
+		Expect(proto.Size(response)).To(And(BeNumerically("<=", DefaultDigestBytes), BeNumerically(">", 300)))
+		Expect(response.GetMembers()).NotTo(BeEmpty())
+	})
+})
--- /dev/null
+++ b/peer/round.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/peer/peerpb"
+)
+
+// callState tracks the calls to one address: at most one is in progress, and
+// again asks for one more after it.
+type callState struct{ again bool }
+
+// rounds exchanges once per interval.
+func (n *Node) rounds(ctx context.Context) {
+	ticker := time.NewTicker(n.config.ExchangeInterval)
+	defer ticker.Stop()
+	for {
+		n.publishMembers()
+		n.publishDemand()
+		for _, address := range n.roundTargets() {
+			n.start(ctx, address, false)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// extraRounds exchanges with all members when something changed.
+func (n *Node) extraRounds(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.urgent:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(n.config.BatchDelay):
+		}
+		// A change that arrives from here on triggers the next extra round.
+		select {
+		case <-n.urgent:
+		default:
+		}
+		targets := n.roster.takeCandidates()
+		for _, m := range n.others() {
+			targets = append(targets, m.PeerAddress)
+		}
+		for _, address := range targets {
+			n.start(ctx, address, true)
+		}
+	}
+}
+
+// others returns the members except this node.
+func (n *Node) others() []fleet.MemberView {
+	return withoutNode(n.board.Members.Load().All, n.config.Self.Node)
+}
+
+// roundTargets returns the addresses to ask in a periodic round: sampled members
+// and seeds at which no member is known. In large systems one such seed a round
+// is enough to heal a split.
+func (n *Node) roundTargets() []string {
+	others := n.others()
+	inUse := map[string]bool{n.config.Self.PeerAddress: true}
+	for _, m := range others {
+		inUse[m.PeerAddress] = true
+	}
+	var targets, unknown []string
+	for _, m := range samplerFor(len(others)+1, n.config.GossipPeers).Sample(others) {
+		targets = append(targets, m.PeerAddress)
+	}
+	for _, seed := range n.config.Seeds {
+		if !inUse[seed] {
+			unknown = append(unknown, seed)
+			inUse[seed] = true
+		}
+	}
+	if len(others)+1 > FullMeshMembers && len(unknown) > 1 {
+		unknown = []string{unknown[rand.IntN(len(unknown))]}
+	}
+	n.dialer.forget(inUse)
+	return append(targets, unknown...)
+}
+
+// start exchanges with an address in the background. While a call is in
+// progress, an urgent one follows it and others are left out.
+func (n *Node) start(ctx context.Context, address string, urgent bool) {
+	n.callsMu.Lock()
+	defer n.callsMu.Unlock()
+	if call, busy := n.calls[address]; busy {
+		call.again = call.again || urgent
+		return
+	}
+	n.calls[address] = &callState{}
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		for again := true; again; again = n.finish(ctx, address) {
+			if err := n.exchange(ctx, address); err != nil {
+				n.logFailure(address, err)
+			}
+		}
+	}()
+}
+
+// finish ends a call and reports whether another one is wanted.
+func (n *Node) finish(ctx context.Context, address string) bool {
+	n.callsMu.Lock()
+	defer n.callsMu.Unlock()
+	call := n.calls[address]
+	if call.again && ctx.Err() == nil {
+		call.again = false
+		return true
+	}
+	delete(n.calls, address)
+	return false
+}
+
+// exchange performs one exchange.
+func (n *Node) exchange(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	response, err := n.dialer.client(address).Exchange(ctx, connect.NewRequest(n.request(sentAt)))
+	if err != nil {
+		return err
+	}
+	n.absorb(response.Msg, address, sentAt)
+	return nil
+}
+
+// request builds what this node tells in a request.
+func (n *Node) request(now time.Time) *peerpb.ExchangeRequest {
+	request := &peerpb.ExchangeRequest{Sender: n.roster.heartbeat()}
+	for _, v := range n.ports.Documents.Versions() {
+		request.Documents = append(request.Documents, encodeVersion(v))
+	}
+	for _, loss := range n.losses.recent(now) {
+		request.Losses = append(request.Losses, encodeLoss(&loss, now))
+	}
+	return request
+}
+
+// absorb takes in a response to a request sent at sentAt.
+func (n *Node) absorb(response *peerpb.ExchangeResponse, address string, sentAt time.Time) {
+	received := time.Now()
+	responder := response.GetResponder()
+	// Versions are offered before the heartbeat counts, so that whoever counts
+	// the responder as heard already knows what it holds. They never go back,
+	// so a late response does no harm here.
+	n.offerAll(responder.GetNode(), address, response.GetDocuments())
+	if !n.roster.acceptResponse(responder, sentAt) {
+		return
+	}
+	discovered := false
+	for _, m := range response.GetMembers() {
+		discovered = n.roster.relay(m, sentAt, received) || discovered
+	}
+	for _, loss := range response.GetLosses() {
+		n.ports.Evidence.Lose(decodeLoss(loss, received))
+	}
+	for _, e := range response.GetEvidence() {
+		if o := decodeEvidence(e, sentAt); received.Sub(o.ObservedAt) <= n.config.EvidenceMaxAge {
+			n.ports.Evidence.Observe(o)
+		}
+	}
+	for _, d := range response.GetDemand() {
+		if d.GetNode() != n.config.Self.Node {
+			n.demand.merge(d.GetNode(), decodeDemand(d, sentAt))
+		}
+	}
+	if c := response.GetConfirmation(); c != nil {
+		n.ports.Confirm.Confirmed(responder.GetNode(), ConfirmationStatement{
+			Revision:    fleet.Revision(c.GetRevision()),
+			ConfirmedAt: sentAt.Add(-decodeAge(c.GetAgeMs())),
+		})
+	}
+	n.publishMembers()
+	if discovered && len(n.others())+1 <= FullMeshMembers {
+		n.trigger()
+	}
+}
+
+// offerAll passes on the versions that a peer stated.
+func (n *Node) offerAll(node, address string, versions []*peerpb.DocumentVersion) {
+	for _, v := range versions {
+		want := DocumentVersion{Name: v.GetName(), Version: v.GetVersion()}
+		n.ports.Documents.Offer(Offer{
+			DocumentVersion: want, Peer: node,
+			Fetch: func(ctx context.Context) (Document, error) { return n.fetchFrom(ctx, address, want) },
+		})
+	}
+}
