Add package health: evidence table, observers and prober

Evidence ages from the moment its probe was sent and a failed probe removes it at once, so a route never rests on an instance that stopped answering.

--- /dev/null
+++ b/health/prober.go
@@ -0,0 +1,227 @@
+package health
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+)
+
+// Defaults of Config.
+const (
+	// DefaultInterval is the time between two probes of an instance.
+	DefaultInterval = time.Second
+	// DefaultTimeout limits one probe.
+	DefaultTimeout = 600 * time.Millisecond
+	// DefaultObservers is the number of nodes that probe an instance.
+	DefaultObservers = 2
+	// DefaultLossBatch is the time for which losses are collected.
+	DefaultLossBatch = 20 * time.Millisecond
+	// DefaultConfirmAge is the age of shared evidence beyond which Confirm
+	// probes. It is below the time-to-live so that a probe can finish in time.
+	DefaultConfirmAge = 2 * time.Second
+	// DefaultConfirmRate bounds the extra probes of Confirm, per second.
+	DefaultConfirmRate = 20
+)
+
+// errWrongInstance means that another backend server answered at the address.
+var errWrongInstance = errors.New("report of another instance")
+
+// Config configures a Prober. Zero durations and counts take the defaults.
+type Config struct {
+	// Node is this node's name.
+	Node        string
+	Interval    time.Duration
+	Timeout     time.Duration
+	Observers   int
+	LossBatch   time.Duration
+	ConfirmAge  time.Duration
+	ConfirmRate int
+}
+
+func (c *Config) setDefaults() {
+	for _, d := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&c.Interval, DefaultInterval}, {&c.Timeout, DefaultTimeout},
+		{&c.LossBatch, DefaultLossBatch}, {&c.ConfirmAge, DefaultConfirmAge},
+	} {
+		if *d.field <= 0 {
+			*d.field = d.value
+		}
+	}
+	if c.Observers <= 0 {
+		c.Observers = DefaultObservers
+	}
+	if c.ConfirmRate <= 0 {
+		c.ConfirmRate = DefaultConfirmRate
+	}
+}
+
+// Prober probes the instances that this node observes.
+type Prober struct {
+	cfg       Config
+	board     *blackboard.Board
+	table     *Table
+	source    StatusSource
+	announcer LossAnnouncer
+	logger    log.Logger
+	probes    metrics.Counter
+	failures  metrics.Counter
+
+	flights singleflight.Group
+	extra   *rate.Limiter
+
+	mu     sync.Mutex
+	losses []blackboard.Loss
+}
+
+// NewProber returns a prober that writes into table.
+func NewProber(cfg Config, board *blackboard.Board, table *Table, source StatusSource,
+	announcer LossAnnouncer, logger log.Logger, registry metrics.Registry) *Prober {
+	cfg.setDefaults()
+	return &Prober{
+		cfg: cfg, board: board, table: table, source: source, announcer: announcer,
+		logger:   log.With(logger, "component", "prober"),
+		probes:   metrics.GetOrRegisterCounter("health.probes", registry),
+		failures: metrics.GetOrRegisterCounter("health.probe-failures", registry),
+		extra:    rate.NewLimiter(rate.Limit(cfg.ConfirmRate), cfg.ConfirmRate),
+	}
+}
+
+// Run probes until ctx ends, waits for probes in flight and returns nil.
+func (p *Prober) Run(ctx context.Context) error {
+	var inFlight sync.WaitGroup
+	defer inFlight.Wait()
+	due := make(map[string]time.Time)
+	for {
+		members, config := p.board.Members.Changed(), p.board.Configuration.Changed()
+		instances, placements := p.board.Instances.Changed(), p.board.Placements.Changed()
+		targets := observed(p.board, p.cfg.Node, p.cfg.Observers)
+		next := p.startDue(ctx, targets, due, &inFlight)
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		case <-members:
+		case <-config:
+		case <-instances:
+		case <-placements:
+		}
+		timer.Stop()
+	}
+}
+
+// startDue probes every target whose time has come and new targets at once. It
+// returns the time of the next probe.
+func (p *Prober) startDue(ctx context.Context, targets map[string]target, due map[string]time.Time, inFlight *sync.WaitGroup) time.Time {
+	for id := range due {
+		if _, still := targets[id]; !still {
+			delete(due, id)
+		}
+	}
+	now := time.Now()
+	next := now.Add(p.cfg.Interval)
+	for id, t := range targets {
+		at, known := due[id]
+		if !known || !at.After(now) {
+			inFlight.Go(func() { p.probeAndAnnounce(ctx, t) })
+			at = p.nextProbe(id, now, known)
+			due[id] = at
+		}
+		if at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// nextProbe spreads the first regular probe of each instance over the interval;
+// later probes keep that phase.
+func (p *Prober) nextProbe(id string, now time.Time, known bool) time.Time {
+	if known {
+		return now.Add(p.cfg.Interval)
+	}
+	spread := score(id, p.cfg.Node) % uint64(p.cfg.Interval)
+	// The probe in flight must have ended before the next one starts.
+	return now.Add(max(time.Duration(spread), p.cfg.Timeout))
+}
+
+func (p *Prober) probeAndAnnounce(ctx context.Context, t target) {
+	if loss, err := p.probe(ctx, t); err != nil && ctx.Err() == nil {
+		level.Debug(p.logger).Log("msg", "probe failed", "instance", t.instance, "err", err)
+		p.announce(loss)
+	}
+}
+
+// probe asks one backend server and records the result in the table. After an
+// error it returns the loss. A probe cut off by the caller's context proves
+// nothing and is not recorded.
+func (p *Prober) probe(ctx context.Context, t target) (blackboard.Loss, error) {
+	p.probes.Inc(1)
+	sent := time.Now()
+	limited, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
+	defer cancel()
+	report, err := p.source.Status(limited, t.address)
+	if err == nil {
+		if t.plain && report.Instance == "" {
+			report.Instance = t.instance
+		}
+		if report.Instance != t.instance {
+			err = fmt.Errorf("%w: %s", errWrongInstance, report.Instance)
+		}
+	}
+	if err == nil {
+		p.table.Observe(blackboard.Observation{Report: report, ObservedAt: sent, Observer: p.cfg.Node})
+		return blackboard.Loss{}, nil
+	}
+	loss := blackboard.Loss{Instance: t.instance, At: sent}
+	if ctx.Err() != nil {
+		return loss, err
+	}
+	if known, ok := p.table.Get(t.instance); ok {
+		loss.Boot = known.Report.Boot
+	}
+	p.failures.Inc(1)
+	p.table.Lose(loss)
+	return loss, err
+}
+
+// announce collects losses for LossBatch and announces them together, so that
+// the loss of a rack is one message to each peer.
+func (p *Prober) announce(loss blackboard.Loss) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losses = append(p.losses, loss)
+	if len(p.losses) == 1 {
+		time.AfterFunc(p.cfg.LossBatch, p.flushLosses)
+	}
+}
+
+func (p *Prober) flushLosses() {
+	p.mu.Lock()
+	losses := p.losses
+	p.losses = nil
+	p.mu.Unlock()
+	if len(losses) > 0 {
+		p.announcer.AnnounceLosses(losses)
+	}
+}
+
+// engine returns the probe target of a group member.
+func engine(m fleet.GroupMember) target {
+	return target{instance: m.Instance, address: m.Address}
+}
--- /dev/null
+++ b/health/table.go
@@ -0,0 +1,190 @@
+package health
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+)
+
+// Defaults of TableConfig.
+const (
+	// DefaultTimeToLive is the age at which evidence stops counting. Together
+	// with the time to send it keeps the 3 s bound of the whole-group guarantee.
+	DefaultTimeToLive = 2500 * time.Millisecond
+	// DefaultPublishInterval bounds how often evidence is published.
+	DefaultPublishInterval = 20 * time.Millisecond
+)
+
+// TableConfig configures a Table. Zero fields take the defaults.
+type TableConfig struct {
+	// TimeToLive is the age at which evidence is removed.
+	TimeToLive time.Duration
+	// PublishInterval is the least time between two publications of positive
+	// evidence. Losses are published at once.
+	PublishInterval time.Duration
+}
+
+// Table holds the newest evidence of each instance and publishes it. It is safe
+// for concurrent use.
+type Table struct {
+	cfg     TableConfig
+	section *blackboard.Section[blackboard.Evidence]
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	entries map[string]blackboard.Observation
+	// lost holds the newest failed probe of each instance, so that older
+	// evidence that arrives late does not revive the instance.
+	lost map[string]time.Time
+}
+
+// NewTable returns an empty table that publishes into section.
+func NewTable(cfg TableConfig, section *blackboard.Section[blackboard.Evidence]) *Table {
+	if cfg.TimeToLive <= 0 {
+		cfg.TimeToLive = DefaultTimeToLive
+	}
+	if cfg.PublishInterval <= 0 {
+		cfg.PublishInterval = DefaultPublishInterval
+	}
+	return &Table{
+		cfg:     cfg,
+		section: section,
+		wake:    make(chan struct{}, 1),
+		entries: make(map[string]blackboard.Observation),
+		lost:    make(map[string]time.Time),
+	}
+}
+
+// Observe records evidence. It ignores evidence that is expired, older than
+// what is known, or not newer than the newest failed probe of the instance.
+func (t *Table) Observe(o blackboard.Observation) {
+	now := time.Now()
+	if o.ObservedAt.After(now) {
+		o.ObservedAt = now
+	}
+	if now.Sub(o.ObservedAt) >= t.cfg.TimeToLive {
+		return
+	}
+	id := o.Report.Instance
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at, ok := t.lost[id]; ok && !o.ObservedAt.After(at) {
+		return
+	}
+	if known, ok := t.entries[id]; ok && !o.ObservedAt.After(known.ObservedAt) {
+		return
+	}
+	t.entries[id] = o
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Lose records a failed probe and removes evidence that is not newer than it.
+// The removal is published before Lose returns.
+func (t *Table) Lose(loss blackboard.Loss) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at, ok := t.lost[loss.Instance]; !ok || loss.At.After(at) {
+		t.lost[loss.Instance] = loss.At
+	}
+	known, ok := t.entries[loss.Instance]
+	if !ok || known.ObservedAt.After(loss.At) {
+		return
+	}
+	delete(t.entries, loss.Instance)
+	t.publishLocked()
+}
+
+// Observations returns all evidence that is at most maxAge old, in no order.
+func (t *Table) Observations(maxAge time.Duration) []blackboard.Observation {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := make([]blackboard.Observation, 0, len(t.entries))
+	for _, o := range t.entries {
+		if now.Sub(o.ObservedAt) <= maxAge {
+			found = append(found, o)
+		}
+	}
+	return found
+}
+
+// Get returns the newest evidence about an instance.
+func (t *Table) Get(instance string) (blackboard.Observation, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o, ok := t.entries[instance]
+	return o, ok
+}
+
+// Run publishes batched evidence and removes expired entries until ctx ends. It
+// returns nil.
+func (t *Table) Run(ctx context.Context) error {
+	// Readers compare ages themselves; expiry here only bounds the memory and
+	// keeps the published map tidy, so a coarse period is enough.
+	expiry := time.NewTicker(t.cfg.TimeToLive / 5)
+	defer expiry.Stop()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-expiry.C:
+			t.removeExpired()
+			continue
+		case <-t.wake:
+		}
+		t.publish()
+		pause.Reset(t.cfg.PublishInterval)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-pause.C:
+		}
+	}
+}
+
+func (t *Table) publish() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.publishLocked()
+}
+
+// publishLocked publishes a copy of the entries. The lock is held so that two
+// publications cannot overtake each other.
+func (t *Table) publishLocked() {
+	copied := make(map[string]blackboard.Observation, len(t.entries))
+	for id, o := range t.entries {
+		copied[id] = o
+	}
+	t.section.Publish(&blackboard.Evidence{ByInstance: copied})
+}
+
+// removeExpired drops entries and failed probes beyond the time-to-live. A
+// failed probe is kept that long because evidence older than it is then
+// refused for its age.
+func (t *Table) removeExpired() {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	removed := false
+	for id, o := range t.entries {
+		if now.Sub(o.ObservedAt) >= t.cfg.TimeToLive {
+			delete(t.entries, id)
+			removed = true
+		}
+	}
+	for id, at := range t.lost {
+		if now.Sub(at) >= t.cfg.TimeToLive {
+			delete(t.lost, id)
+		}
+	}
+	if removed {
+		t.publishLocked()
+	}
+}
