Count the time out of any group anew after unseen placement versions

A holder that read a newer placement kept the old time since when an instance was in no group, although a version in between may have held it. Random histories with two holders showed an instance that entered a group too early. A group withdrawn by a plan is no longer taken as drained in the same plan.

--- a/placement/domain.go
+++ b/placement/domain.go
@@ -119,6 +119,11 @@
 		// backup. Nothing is done until it is at least as new as what is known.
 		return false
 	}
+	if o.Version != d.version {
+		// Versions in between were not seen: any instance may have been in a
+		// group meanwhile.
+		d.watch.forgetUnplaced()
+	}
 	d.adopt(o.Version, placement, o.Value)
 	return true
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -64,6 +64,11 @@
 // drained tells whether nothing runs on a withdrawn group. A member without
 // evidence for the repair delay is not waited for.
 func (d *draft) drained(g *fleet.PlacedGroup) bool {
+	before := d.in.Current.Group(g.Name)
+	if before == nil || before.Phase != fleet.PhaseWithdrawn {
+		// Withdrawn by this plan: the age is that of the phase before.
+		return false
+	}
 	age := d.in.GroupAge[g.Generation]
 	if age < d.in.Limits.MinDrain {
 		return false
--- a/placement/watch.go
+++ b/placement/watch.go
@@ -14,7 +14,6 @@
 // watch remembers what this holder has seen of the instances of its domain.
 type watch struct {
 	at        time.Time
-	adoptedAt time.Time
 	instances map[string]*watched
 	groups    map[fleet.Generation]groupSince
 }
@@ -43,7 +42,6 @@
 
 // adopt notes when instances left their group and when phases changed.
 func (w *watch) adopt(p *fleet.Placement, now time.Time) {
-	w.adoptedAt = now
 	placed := make(map[string]bool)
 	groups := make(map[fleet.Generation]groupSince, len(p.Groups))
 	for i := range p.Groups {
@@ -70,6 +68,13 @@
 	}
 }
 
+// forgetUnplaced makes the next adopt count the time out of any group anew.
+func (w *watch) forgetUnplaced() {
+	for _, entry := range w.instances {
+		entry.unplacedAt = time.Time{}
+	}
+}
+
 // instance returns the memory of an instance. A new one counts as out of any
 // group since now at the latest.
 func (w *watch) instance(id string, now time.Time) *watched {
