--- /dev/null
+++ b/gateway/addresses.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// maxAddresses is the number of addresses in an answer.
+const maxAddresses = 3
+
+// Addresses is the answer of GET /v1/addresses.
+type Addresses struct {
+	Addresses []Address `json:"addresses"`
+	// TTLMs is how long the answer may be cached, in milliseconds.
+	TTLMs int64 `json:"ttlMs"`
+}
+
+// Address is one entry instance.
+type Address struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+}
+
+// addresses answers which entry instances the organisation should use.
+func (g *Gateway) addresses(r *request) error {
+	members := g.Board.Members.Load()
+	if members == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnconfirmed, "no members are known yet")
+	}
+	serving := make([]fleet.MemberView, 0, len(members.All))
+	for _, member := range members.Serving() {
+		if member.CallerAddress != "" && (member.Node != members.Self || !g.leaving()) {
+			serving = append(serving, member)
+		}
+	}
+	if len(serving) == 0 {
+		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "no node takes requests")
+	}
+	g.extendWrite(r.ctx)
+	r.ctx.JSON(http.StatusOK, Addresses{
+		Addresses: pick(serving, r.organisation.Name),
+		TTLMs:     g.config.AddressTTL.Milliseconds(),
+	})
+	return nil
+}
+
+// pick orders members by rendezvous hash, so that an organisation's order is
+// stable when others come and go, and takes one of each failure domain before a
+// second one of any.
+func pick(members []fleet.MemberView, organisation string) []Address {
+	score := func(m fleet.MemberView) uint64 { return xxhash.Sum64String(organisation + "\x00" + m.Node) }
+	slices.SortFunc(members, func(a, b fleet.MemberView) int {
+		if score(a) > score(b) {
+			return -1
+		}
+		return 1
+	})
+	var chosen, rest []Address
+	domains := make(map[string]bool)
+	for _, member := range members {
+		address := Address{Address: member.CallerAddress, FailureDomain: member.FailureDomain}
+		if domains[member.FailureDomain] {
+			rest = append(rest, address)
+			continue
+		}
+		domains[member.FailureDomain] = true
+		chosen = append(chosen, address)
+	}
+	chosen = append(chosen, rest...)
+	return chosen[:min(len(chosen), maxAddresses)]
+}
--- /dev/null
+++ b/gateway/meters.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// meters are the gateway's metrics.
+type meters struct {
+	registry   metrics.Registry
+	requests   metrics.Counter
+	retries    metrics.Counter
+	resumes    metrics.Counter
+	replayed   metrics.Counter
+	confirms   metrics.Counter
+	tokens     metrics.Counter
+	firstToken metrics.Timer
+}
+
+func newMeters(registry metrics.Registry) meters {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("gateway."+name, registry)
+	}
+	return meters{
+		registry: registry, requests: counter("requests"), retries: counter("retries"),
+		resumes: counter("resumes"), replayed: counter("replayed"), confirms: counter("confirms"),
+		tokens: counter("tokens"), firstToken: metrics.GetOrRegisterTimer("gateway.firstToken", registry),
+	}
+}
+
+// refused counts an error answer by its reason.
+func (m *meters) refused(reason verdict.Reason) {
+	metrics.GetOrRegisterCounter("gateway.refused."+string(reason), m.registry).Inc(1)
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// headerRequest names the request in answers and logs.
+const headerRequest = "Rattanlanding-Request"
+
+// request is a caller's request after authentication.
+type request struct {
+	id            string
+	ctx           *gin.Context
+	configuration *fleet.Configuration
+	organisation  *fleet.Organisation
+}
+
+// handler serves one kind of request. A returned error is written as the answer
+// unless an answer has begun.
+type handler func(r *request) error
+
+// serve counts and logs every request and turns a panic into an answer.
+func (g *Gateway) serve(c *gin.Context) {
+	start := time.Now()
+	id := uuid.NewString()
+	c.Set(headerRequest, id)
+	c.Header(headerRequest, id)
+	g.inFlight.Add(1)
+	g.meters.requests.Inc(1)
+	defer func() {
+		if p := recover(); p != nil {
+			if p == http.ErrAbortHandler {
+				g.inFlight.Add(-1)
+				panic(p)
+			}
+			level.Error(g.Logger).Log("msg", "panic in request", "request", id, "panic", fmt.Sprint(p))
+			g.fail(c, verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "internal error"))
+		}
+		g.inFlight.Add(-1)
+		level.Debug(g.Logger).Log("msg", "request", "request", id, "method", c.Request.Method,
+			"path", c.Request.URL.Path, "status", c.Writer.Status(), "bytes", c.Writer.Size(),
+			"ms", time.Since(start).Milliseconds())
+	}()
+	if g.leaving() {
+		// The caller's next request then goes to an address that stays.
+		c.Header("Connection", "close")
+	}
+	c.Next()
+}
+
+// admitted runs the checks that all requests share, then h.
+func (g *Gateway) admitted(h handler) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		r := &request{id: c.GetString(headerRequest), ctx: c}
+		err := g.mayServe(time.Now())
+		if err == nil && g.inFlight.Load() > g.config.MaxConcurrent {
+			err = verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "too many requests at this node").
+				WithRetryAfter(200 * time.Millisecond)
+		}
+		if err == nil {
+			err = g.authenticate(r)
+		}
+		if err != nil {
+			g.fail(c, err)
+			return
+		}
+		if err := h(r); err != nil {
+			g.fail(c, verdict.Of(err))
+		}
+	}
+}
+
+// mayServe reports why this node takes no new work, or nil. A node whose
+// configuration may be old refuses, so that an accepted configuration is in
+// force on every node that serves.
+func (g *Gateway) mayServe(now time.Time) *verdict.Error {
+	if g.refusing.Load() {
+		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this node is stopping, use another address")
+	}
+	if !g.confirmed(now) {
+		return g.unconfirmed()
+	}
+	return nil
+}
+
+// confirmed reports whether the configuration may be used for new work at now.
+func (g *Gateway) confirmed(now time.Time) bool {
+	confirmation := g.Board.Confirmation.Load()
+	return confirmation != nil && g.Board.Configuration.Load() != nil && now.Before(confirmation.ServeUntil)
+}
+
+func (g *Gateway) unconfirmed() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonUnconfirmed,
+		"this node can't confirm its configuration, use another address")
+}
+
+// leaving reports whether a graceful shutdown began.
+func (g *Gateway) leaving() bool {
+	lifecycle := g.Board.Lifecycle.Load()
+	return g.refusing.Load() || (lifecycle != nil && lifecycle.State == fleet.NodeLeaving)
+}
+
+// fail writes err as the answer, unless an answer has begun.
+func (g *Gateway) fail(c *gin.Context, err *verdict.Error) {
+	id := c.GetString(headerRequest)
+	g.meters.refused(err.Reason)
+	level.Debug(g.Logger).Log("msg", "request failed", "request", id, "err", err)
+	if c.Writer.Written() {
+		return
+	}
+	if err.Reason == verdict.ReasonDraining || err.Reason == verdict.ReasonUnconfirmed ||
+		err.Reason == verdict.ReasonTooLarge {
+		c.Header("Connection", "close")
+	}
+	if err.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int((err.RetryAfter+time.Second-1)/time.Second)))
+	}
+	c.Header(verdict.Header, err.Verdict.String())
+	g.extendWrite(c)
+	c.AbortWithStatusJSON(err.Status(), err.Body(id))
+}
+
+// extendWrite gives the caller the full write timeout for the next part.
+func (g *Gateway) extendWrite(c *gin.Context) {
+	_ = http.NewResponseController(c.Writer).SetWriteDeadline(time.Now().Add(g.config.WriteTimeout))
+}
+
+// readBody reads the whole body. A body that is shorter than its declared length
+// is an error.
+func (g *Gateway) readBody(c *gin.Context) ([]byte, error) {
+	if c.Request.ContentLength > g.config.MaxBodyBytes {
+		return nil, g.tooLarge()
+	}
+	control := http.NewResponseController(c.Writer)
+	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, g.config.MaxBodyBytes))
+	// The server goes on reading to notice a caller that goes away.
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, g.tooLarge()
+	}
+	if err != nil {
+		c.Header("Connection", "close")
+		return nil, verdict.BadField("body", "the body is not whole").WithCause(err)
+	}
+	return body, nil
+}
+
+func (g *Gateway) tooLarge() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the body is over %d bytes", g.config.MaxBodyBytes)
+}
+
+// timeout returns the time a request may take.
+func (r *request) timeout(service *fleet.Service, fallback time.Duration) (time.Duration, error) {
+	limit := fallback
+	if service.TimeoutMs > 0 {
+		limit = time.Duration(service.TimeoutMs) * time.Millisecond
+	}
+	text := r.ctx.GetHeader(backend.HeaderDeadline)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, verdict.BadField(backend.HeaderDeadline, "must be a positive number of milliseconds")
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond), nil
+}
+
+// priority returns the priority asked for, at most the organisation's.
+func (r *request) priority() (int, error) {
+	text := r.ctx.GetHeader(backend.HeaderPriority)
+	if text == "" {
+		return 0, nil
+	}
+	priority, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, verdict.BadField(backend.HeaderPriority, "must be a whole number")
+	}
+	return min(priority, r.organisation.Priority), nil
+}
+
+// service returns the named service if the organisation may use it.
+func (r *request) service(name string, kind fleet.Kind, field string) (*fleet.Service, error) {
+	service := r.configuration.Service(name)
+	if service == nil || service.Kind != kind {
+		e := verdict.New(verdict.NotRun, verdict.ReasonNotFound, "there is no %s service %q", kind, name)
+		e.Field = field
+		return nil, e
+	}
+	if !allowed(r.organisation, name) {
+		e := verdict.New(verdict.NotRun, verdict.ReasonForbidden, "the organisation may not use %q", name)
+		e.Field = field
+		return nil, e
+	}
+	return service, nil
+}
+
+func allowed(organisation *fleet.Organisation, service string) bool {
+	for _, name := range organisation.Services {
+		if name == service {
+			return true
+		}
+	}
+	return len(organisation.Services) == 0
+}
+
+// unknown answers requests to paths that don't exist.
+func (g *Gateway) unknown(*request) error {
+	return verdict.New(verdict.NotRun, verdict.ReasonNotFound, "there is no such path")
+}
--- /dev/null
+++ b/retry/backoff.go
@@ -0,0 +1,50 @@
+package retry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Backoff defaults.
+const (
+	DefaultBase = 20 * time.Millisecond
+	DefaultMax  = time.Second
+)
+
+// Backoff is exponential backoff with full jitter: a uniform wait between 0 and
+// a ceiling that doubles with each attempt. Full jitter spreads callers that
+// failed at the same moment.
+type Backoff struct {
+	// Base is the ceiling after the first attempt; 0 means DefaultBase.
+	Base time.Duration
+	// Max bounds the ceiling; 0 means DefaultMax.
+	Max time.Duration
+}
+
+// Ceiling returns the longest wait after the given attempt, counted from 1.
+func (b Backoff) Ceiling(attempt int) time.Duration {
+	base, limit := b.Base, b.Max
+	if base <= 0 {
+		base = DefaultBase
+	}
+	if limit <= 0 {
+		limit = DefaultMax
+	}
+	for i := 1; i < attempt && base < limit; i++ {
+		base *= 2
+	}
+	return min(base, limit)
+}
+
+// Wait sleeps after the given attempt. It returns ctx's error if ctx ends first.
+func (b Backoff) Wait(ctx context.Context, attempt int) error {
+	timer := time.NewTimer(rand.N(b.Ceiling(attempt) + 1))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
