--- /dev/null
+++ b/backend/backend_test.go
@@ -0,0 +1,198 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+func TestBackend(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "backend")
+}
+
+// serve starts a server and returns its address.
+func serve(h http.HandlerFunc) string {
+	server := httptest.NewServer(h)
+	DeferCleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func be(v verdict.Verdict, reason verdict.Reason) OmegaMatcher {
+	return WithTransform(func(err error) string {
+		e := verdict.Of(err)
+		return fmt.Sprint(e.Verdict, " ", e.Reason)
+	}, Equal(fmt.Sprint(v, " ", reason)))
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	for _, name := range []string{backend.HeaderAttempt, backend.HeaderGroup, backend.HeaderGeneration, backend.HeaderOrganisation} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
+}
+
+var _ = Describe("Plain", func() {
+	var plain *backend.Plain
+	BeforeEach(func() { plain = backend.NewPlain(metrics.NewRegistry()) })
+
+	call := func(address string) backend.Call {
+		return backend.Call{ID: "a1", Address: address, Method: http.MethodGet, Header: http.Header{}}
+	}
+
+	It("reports a failed dial as not run and a broken connection as may have run", func() {
+		// Guards against a wrong proof that no byte left.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		listener.Close()
+		_, err = plain.DoOnce(context.Background(), call(address))
+		Expect(err).To(be(verdict.NotRun, verdict.ReasonBackendFailed))
+		broken := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		_, err = plain.DoOnce(context.Background(), call(broken))
+		Expect(err).To(be(verdict.MayHaveRun, verdict.ReasonBackendFailed))
+	})
+
+	DescribeTable("refuses answers that are not this attempt's whole answer",
+		// Guards against crossed, truncated or unbounded answers and against
+		// refusals of another attempt taken as proof.
+		func(h http.HandlerFunc, v verdict.Verdict, reason verdict.Reason) {
+			_, err := plain.Do(context.Background(), call(serve(h)))
+			Expect(err).To(be(v, reason))
+		},
+		Entry("crossed", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(backend.HeaderAttempt, "a2")
+		}), verdict.MayHaveRun, verdict.ReasonWrongAnswer),
+		Entry("crossed refusal", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(backend.HeaderAttempt, "a2")
+			w.Header().Set(verdict.Header, "not-run")
+			w.WriteHeader(503)
+		}), verdict.MayHaveRun, verdict.ReasonWrongAnswer),
+		Entry("own refusal", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(verdict.Header, "not-run")
+			w.WriteHeader(503)
+		}), verdict.NotRun, verdict.ReasonBackendFailed),
+		Entry("truncated", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "short")
+		}), verdict.MayHaveRun, verdict.ReasonIncompleteAnswer),
+		Entry("without a length", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRattanlanding-Attempt: a1\r\nConnection: close\r\n\r\npart")
+			conn.Close()
+		}), verdict.MayHaveRun, verdict.ReasonIncompleteAnswer),
+		Entry("too large", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			_, _ = w.Write(make([]byte, backend.MaxAnswerBytes+1))
+		}), verdict.MayHaveRun, verdict.ReasonTooLarge),
+	)
+})
+
+var _ = Describe("Engines", func() {
+	var engines *backend.Engines
+	BeforeEach(func() { engines = backend.NewEngines(metrics.NewRegistry()) })
+
+	complete := func(h http.HandlerFunc) ([]string, error) {
+		stream, err := engines.Complete(context.Background(), backend.Attempt{ID: "a1", Address: serve(h),
+			Group: "g1", Generation: 7, Organisation: "o1", Body: []byte(`{}`)})
+		if err != nil {
+			return nil, err
+		}
+		defer stream.Close()
+		var texts []string
+		for {
+			event, err := stream.Next()
+			if err != nil {
+				return texts, err
+			}
+			texts = append(texts, event.Text)
+		}
+	}
+	stream := func(lines ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			_, _ = io.WriteString(w, strings.Join(lines, "\n\n")+"\n\n")
+		}
+	}
+	const t0, t1 = `data: {"position":0,"choices":[{"text":"a"}]}`, `data: {"position":1,"choices":[{"text":"b"}]}`
+
+	It("reads whole streams and drops doubled events", func() {
+		// Guards against repeated tokens.
+		texts, err := complete(stream(t0, t0, t1, "data: [DONE]"))
+		Expect(err).To(Equal(io.EOF))
+		Expect(texts).To(Equal([]string{"a", "b"}))
+	})
+
+	DescribeTable("refuses streams that are cut, mixed up or have gaps",
+		// Guards against tokens of another attempt, lost tokens and a cut that
+		// looks like an end.
+		func(reason verdict.Reason, lines ...string) {
+			_, err := complete(stream(lines...))
+			Expect(err).To(be(verdict.MayHaveRun, reason))
+		},
+		Entry("cut", verdict.ReasonIncompleteAnswer, t0, t1),
+		Entry("gap", verdict.ReasonWrongAnswer, t1, "data: [DONE]"),
+		Entry("crossed event", verdict.ReasonWrongAnswer, `data: {"attempt":"a2","choices":[{"text":"x"}]}`, "data: [DONE]"),
+		Entry("long line", verdict.ReasonWrongAnswer, "data: "+strings.Repeat("x", 70_000)),
+		Entry("error event", verdict.ReasonBackendFailed, t0, "event: error\ndata: {}"),
+	)
+
+	DescribeTable("checks the echo before any byte is passed on",
+		// Guards against an answer of another attempt, group or generation.
+		func(name, value string) {
+			texts, err := complete(func(w http.ResponseWriter, r *http.Request) {
+				echo(w, r)
+				w.Header().Set(name, value)
+				_, _ = io.WriteString(w, t0+"\n\ndata: [DONE]\n\n")
+			})
+			Expect(err).To(be(verdict.MayHaveRun, verdict.ReasonWrongAnswer))
+			Expect(texts).To(BeEmpty())
+		},
+		Entry("attempt", backend.HeaderAttempt, "a2"),
+		Entry("group", backend.HeaderGroup, "g2"),
+		Entry("generation", backend.HeaderGeneration, "6"),
+		Entry("organisation", backend.HeaderOrganisation, "o2"),
+	)
+
+	It("tells a refused old fencing token from other failures", func() {
+		// Guards against a holder that repeats an order it lost the right to.
+		address := serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) })
+		_, err := engines.Command(context.Background(), address, fleet.Order{Generation: 3})
+		var fenced *backend.FencedError
+		Expect(errors.As(err, &fenced)).To(BeTrue())
+		Expect(fenced.Generation).To(Equal(fleet.Generation(3)))
+	})
+
+	It("keeps probes small and counts their bytes", func() {
+		// Guards against needless probe headers, which cost bandwidth for every
+		// engine every second.
+		registry := metrics.NewRegistry()
+		engines = backend.NewEngines(registry)
+		var header http.Header
+		address := serve(func(w http.ResponseWriter, r *http.Request) {
+			header = r.Header
+			_, _ = io.WriteString(w, `{"instance":"i1","state":"ready"}`)
+		})
+		report, err := engines.Status(context.Background(), address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Instance).To(Equal("i1"))
+		Expect(header).To(BeEmpty())
+		sent := metrics.GetOrRegisterCounter("backend.engine.control.sent", registry).Count()
+		Expect(sent).To(And(BeNumerically(">", 0), BeNumerically("<", 100)))
+	})
+})
--- /dev/null
+++ b/backend/once_test.go
@@ -0,0 +1,100 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// breaker is a server that answers the first call of each connection if answer
+// is set, and closes the connection after it has read any further call.
+type breaker struct {
+	answer bool
+	calls  atomic.Int64
+	ln     net.Listener
+}
+
+func newBreaker(answer bool) *breaker {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	b := &breaker{answer: answer, ln: ln}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn)
+		}
+	}()
+	DeferCleanup(ln.Close)
+	return b
+}
+
+func (b *breaker) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		b.calls.Add(1)
+		if !first || !b.answer {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRattanlanding-Attempt: "+
+			request.Header.Get(backend.HeaderAttempt)+"\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+var _ = Describe("DoOnce", func() {
+	DescribeTable("never sends a call twice, also when connections break",
+		// Guards against the repeats of net/http on kept connections, which
+		// would charge a deposit twice.
+		func(method string, body []byte, answer bool) {
+			server := newBreaker(answer)
+			plain := backend.NewPlain(metrics.NewRegistry())
+			const calls = 20
+			for range calls {
+				_, err := plain.DoOnce(context.Background(), backend.Call{ID: "a1", Method: method, Body: body,
+					Address: server.ln.Addr().String(), Header: http.Header{"Idempotency-Key": {"k1"}}})
+				if answer {
+					Expect(err).NotTo(HaveOccurred())
+				} else {
+					Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+				}
+			}
+			Expect(server.calls.Load()).To(Equal(int64(calls)))
+		},
+		Entry("POST without body", http.MethodPost, nil, false),
+		Entry("POST with body", http.MethodPost, []byte("x"), false),
+		Entry("GET without body", http.MethodGet, nil, false),
+		Entry("POST without body after an answer", http.MethodPost, nil, true),
+		Entry("POST with body after an answer", http.MethodPost, []byte("x"), true),
+		Entry("GET without body after an answer", http.MethodGet, nil, true),
+	)
+
+	It("differs from Do, for which net/http repeats calls", func() {
+		// Guards against a test server that would not show a repeat at all.
+		server := newBreaker(true)
+		plain := backend.NewPlain(metrics.NewRegistry())
+		for range 2 {
+			_, err := plain.Do(context.Background(), backend.Call{ID: "a1", Method: http.MethodGet,
+				Address: server.ln.Addr().String(), Header: http.Header{}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(server.calls.Load()).To(BeNumerically(">", 2))
+	})
+})
