--- a/backend/plain.go
+++ b/backend/plain.go
@@ -97,6 +97,9 @@
 	if e := refusal(response, attempt); e != nil {
 		return Answer{}, e
 	}
+	if response.StatusCode < http.StatusOK {
+		return Answer{}, wrong("answer has an interim status")
+	}
 	body, err := readWhole(response, MaxAnswerBytes)
 	if err != nil {
 		return Answer{}, err
@@ -118,7 +121,7 @@
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonIncompleteAnswer, "answer was cut").WithCause(err)
 	}
 	if int64(len(body)) > limit {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonTooLarge, "answer is over %d bytes", limit)
+		return nil, verdict.New(verdict.Ran, verdict.ReasonIncompleteAnswer, "answer is over %d bytes", limit)
 	}
 	return body, nil
 }
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -14,6 +14,9 @@
 const (
 	// maxLineBytes bounds one line of an event stream.
 	maxLineBytes = 64 << 10
+	// lineBuffer holds usual lines; a node has many streams at once, so longer
+	// lines get their memory only when they come.
+	lineBuffer = 4 << 10
 	// drainTimeout bounds the wait for the end of the body after the end
 	// marker. Reading it lets the connection be used again.
 	drainTimeout = 50 * time.Millisecond
@@ -66,14 +69,14 @@
 
 func newStream(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser, a Attempt) *stream {
 	return &stream{ctx: ctx, cancel: cancel, body: body, attempt: a.ID, next: a.From,
-		lines: bufio.NewReaderSize(body, maxLineBytes)}
+		lines: bufio.NewReaderSize(body, lineBuffer)}
 }
 
 // Next implements Stream.
 func (s *stream) Next() (Event, error) {
 	isError := false
 	for !s.done {
-		line, err := s.lines.ReadSlice('\n')
+		line, err := s.readLine()
 		if err != nil {
 			return Event{}, s.broken(err)
 		}
@@ -102,6 +105,20 @@
 	return Event{}, io.EOF
 }
 
+// readLine returns the next line, valid until the next call.
+func (s *stream) readLine() ([]byte, error) {
+	line, err := s.lines.ReadSlice('\n')
+	if err != bufio.ErrBufferFull {
+		return line, err
+	}
+	long := bytes.Clone(line)
+	for err == bufio.ErrBufferFull && len(long) <= maxLineBytes {
+		line, err = s.lines.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	return long, err
+}
+
 // parse reads one event. An event that repeats the previous token is reported
 // as repeated; any other disorder means that tokens were lost or mixed up.
 func (s *stream) parse(data []byte) (event Event, repeated bool, err error) {
--- a/backend/transport.go
+++ b/backend/transport.go
@@ -24,9 +24,10 @@
 )
 
 const (
-	// dialTimeout is short because a dial that fails is known not to have run
-	// and another backend server can be tried.
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout fits between the expiry of evidence at 2.5 s and the bound of
+	// 3 s for the last request to a group that lost a member. A dial that fails
+	// is known not to have run, so another backend server can be tried.
+	dialTimeout = 300 * time.Millisecond
 	// idleConnections is the number of kept connections for each address.
 	idleConnections = 32
 	idleTimeout     = 90 * time.Second
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -137,7 +137,7 @@
 	if len(c.delivered) > 0 {
 		wait = c.gateway.config.ResumeWait
 	}
-	return c.gateway.pickGroup(ctx, c.query.model, c.tried, route.Request{Prefix: route.Prefix(c.query.prompt)}, wait)
+	return c.gateway.pick(ctx, c.gateway.config.Groups, c.query.model, c.tried, route.Request{Prefix: route.Prefix(c.query.prompt)}, wait)
 }
 
 // fail delivers the error of the whole request. It is NotRun only if every
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -26,10 +26,11 @@
 	Begin(ctx context.Context, key claim.Key, hash string) (claim.Claim, *claim.Answer, error)
 }
 
-// Confirmer probes the members of a group at once and publishes the evidence.
-// It is called by many requests at the same time.
+// Confirmer probes a target at once and publishes the evidence: all members of a
+// group, or the plain server of an instance. It is called by many requests at
+// the same time.
 type Confirmer interface {
-	Confirm(ctx context.Context, group string)
+	Confirm(ctx context.Context, target string)
 }
 
 // Engines is the part of backend.Engines that the gateway uses.
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -9,7 +10,7 @@
 )
 
 const (
-	// confirmTimeout bounds an on-demand probe of a group's members.
+	// confirmTimeout bounds an on-demand probe of a target.
 	confirmTimeout = 700 * time.Millisecond
 	// rebuildWait is the time for confirmed evidence to reach the table.
 	rebuildWait = 50 * time.Millisecond
@@ -18,24 +19,25 @@
 	confirmInterval = 500 * time.Millisecond
 )
 
-// pickGroup chooses a group for a new attempt, waiting up to wait for one. It
-// returns nil when none may receive work.
-func (g *Gateway) pickGroup(ctx context.Context, service string, tried []string, q route.Request, wait time.Duration) *route.Target {
+// pick chooses a target for a new attempt, waiting up to wait for one. It
+// returns nil when none may receive work. Targets in tried come last.
+func (g *Gateway) pick(ctx context.Context, policy route.Policy, service string, tried []string, q route.Request, wait time.Duration) *route.Target {
 	deadline := time.Now().Add(wait)
 	var confirmed time.Time
 	for {
 		changed := g.Table.Changed()
-		if target := g.young(service, tried, q); target != nil {
-			return target
-		}
-		if name := g.doubtful(service, tried); name != "" && time.Since(confirmed) > confirmInterval {
-			g.confirm(ctx, name)
-			confirmed = time.Now()
-		}
-		// Groups that were tried already come last.
-		for _, skip := range [][]string{tried, nil} {
-			if target := g.choose(g.config.Groups, service, skip, q); target != nil {
-				return target
+		for _, age := range []time.Duration{g.config.ConfirmAge, math.MaxInt64} {
+			for _, skip := range [][]string{tried, nil} {
+				if target := g.choose(policy, service, skip, q, age); target != nil {
+					return target
+				}
+			}
+			// Nothing fresher exists, so a target with old evidence is probed
+			// before it is used.
+			if name := g.doubtful(service); age == g.config.ConfirmAge && name != "" &&
+				time.Since(confirmed) > confirmInterval {
+				g.confirm(ctx, name)
+				confirmed = time.Now()
 			}
 		}
 		if left := time.Until(deadline); left <= 0 || !await(ctx, changed, left) {
@@ -44,42 +46,33 @@
 	}
 }
 
-// young chooses among targets whose evidence is not yet worth confirming.
-func (g *Gateway) young(service string, tried []string, q route.Request) *route.Target {
+// choose chooses among the targets whose evidence holds and is not older than
+// age, without those in tried.
+func (g *Gateway) choose(policy route.Policy, service string, tried []string, q route.Request, age time.Duration) *route.Target {
 	now := time.Now()
 	targets := g.Table.Load().Service(service).Fresh(now, tried)
 	young := targets[:0]
 	for _, t := range targets {
-		if now.Sub(t.Observed) <= g.config.ConfirmAge {
+		if now.Sub(t.Observed) <= age {
 			young = append(young, t)
 		}
 	}
 	if len(young) == 0 {
 		return nil
 	}
-	return g.config.Groups.Choose(young, q, now)
+	return policy.Choose(young, q, now)
 }
 
-// choose chooses among all targets whose evidence holds.
-func (g *Gateway) choose(policy route.Policy, service string, tried []string, q route.Request) *route.Target {
-	now := time.Now()
-	targets := g.Table.Load().Service(service).Fresh(now, tried)
-	if len(targets) == 0 {
-		return nil
-	}
-	return policy.Choose(targets, q, now)
-}
-
-// doubtful names a group that is worth probing: one with old evidence, or one
-// with members without evidence.
-func (g *Gateway) doubtful(service string, tried []string) string {
+// doubtful names a target that is worth probing: one with old evidence, or one
+// without whole evidence.
+func (g *Gateway) doubtful(service string) string {
 	s := g.Table.Load().Service(service)
 	if s == nil {
 		return ""
 	}
 	names := make([]string, 0, len(s.Targets)+len(s.Unproven))
 	for _, t := range s.Targets {
-		if time.Since(t.Observed) > g.config.ConfirmAge && !contains(tried, t.Name) {
+		if time.Since(t.Observed) > g.config.ConfirmAge {
 			names = append(names, t.Name)
 		}
 	}
@@ -92,22 +85,13 @@
 	return names[rand.IntN(len(names))]
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
-// confirm probes a group and waits for the result to reach the table.
-func (g *Gateway) confirm(ctx context.Context, group string) {
+// confirm probes a target and waits for the result to reach the table.
+func (g *Gateway) confirm(ctx context.Context, name string) {
 	g.meters.confirms.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	changed := g.Table.Changed()
-	g.Confirmer.Confirm(ctx, group)
+	g.Confirmer.Confirm(ctx, name)
 	await(ctx, changed, rebuildWait)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -66,6 +66,9 @@
 	if err != nil {
 		return err
 	}
+	if len(r.ctx.Request.Header.Values(headerKey)) > 1 {
+		return verdict.BadField(headerKey, "must be given once")
+	}
 	key := r.ctx.GetHeader(headerKey)
 	if len(key) > maxKeyBytes {
 		return verdict.BadField(headerKey, "must be at most %d bytes", maxKeyBytes)
@@ -158,7 +161,7 @@
 	var tried []string
 	var last *verdict.Error
 	for {
-		target := p.pick(ctx, tried)
+		target := g.pick(ctx, g.config.Servers, p.service.Name, tried, route.Request{}, g.config.PickWait)
 		if target == nil {
 			return backend.Answer{}, p.failed(last)
 		}
@@ -180,23 +183,6 @@
 	}
 }
 
-// pick chooses a server, waiting for one if there is none.
-func (p *plainCall) pick(ctx context.Context, tried []string) *route.Target {
-	g := p.gateway
-	deadline := time.Now().Add(g.config.PickWait)
-	for {
-		changed := g.Table.Changed()
-		for _, skip := range [][]string{tried, nil} {
-			if target := g.choose(g.config.Servers, p.service.Name, skip, route.Request{}); target != nil {
-				return target
-			}
-		}
-		if left := time.Until(deadline); left <= 0 || !await(ctx, changed, left) {
-			return nil
-		}
-	}
-}
-
 // attempt sends the call once.
 func (p *plainCall) attempt(ctx context.Context, target *route.Target) (backend.Answer, error) {
 	g, now := p.gateway, time.Now()
--- a/route/builder.go
+++ b/route/builder.go
@@ -25,6 +25,9 @@
 	// maxSlowness bounds the weight of a straggler, so that it still gets the
 	// few requests that show its recovery.
 	maxSlowness = 8
+	// occupiedShare is the weight of a token in the KV cache next to a queued
+	// prompt token. It delays a new request less; the value is an estimate.
+	occupiedShare = 0.25
 )
 
 // Config holds the durations of a Builder; 0 means the default.
@@ -154,7 +157,11 @@
 			continue
 		}
 		seen, found := s.evidence[id]
-		if !found || seen.Report.State != fleet.EngineReady {
+		if !found {
+			table.Services[service.Name].Unproven = append(table.Services[service.Name].Unproven, id)
+			continue
+		}
+		if seen.Report.State != fleet.EngineReady {
 			continue
 		}
 		target := b.target(id, instance.Address, float64(seen.Report.Running), seen.ObservedAt, seen.ObservedAt)
@@ -200,6 +207,7 @@
 	seen := s.evidence[first.Instance]
 	target := b.target(group.Name, first.Address, float64(seen.Report.QueuedPromptTokens), seen.ObservedAt, oldest)
 	target.Generation = group.Generation
+	target.space = float64(seen.Report.FreeKVTokens)
 	if instance := s.instances[first.Instance]; instance != nil {
 		target.FailureDomain = instance.FailureDomain
 	}
@@ -257,6 +265,7 @@
 			}
 			return 1
 		})
+		addOccupied(service.Targets)
 		weigh(service.Targets)
 		for _, target := range service.Targets {
 			used[target.Name] = true
@@ -272,6 +281,18 @@
 	b.targets.Update(int64(len(used)))
 }
 
+// addOccupied adds the output space in use to each reported load. Engines report
+// free space only; the one with the most counts as empty.
+func addOccupied(targets []*Target) {
+	var most float64
+	for _, t := range targets {
+		most = max(most, t.space)
+	}
+	for _, t := range targets {
+		t.Reported += occupiedShare * (most - t.space)
+	}
+}
+
 // weigh sets each target's slowness relative to the median first-token time.
 func weigh(targets []*Target) {
 	latencies := make([]float64, 0, len(targets))
--- a/route/table.go
+++ b/route/table.go
@@ -15,8 +15,8 @@
 	// Address is that of the group's rank 0, or of the plain server.
 	Address       string
 	FailureDomain string
-	// Reported is the reported load: queued prompt tokens of a group, running
-	// requests of a plain server.
+	// Reported is the reported load: queued prompt tokens and a share of the
+	// output space in use for a group, running requests for a plain server.
 	Reported float64
 	// Observed is the time of the oldest evidence that the target depends on.
 	Observed time.Time
@@ -28,6 +28,8 @@
 	// base is the tracker's count when the load was reported.
 	base int64
 	seed uint64
+	// space is the reported free output space, in tokens.
+	space float64
 	// slowness is 1 for normal targets and higher for stragglers.
 	slowness float64
 }
@@ -47,7 +49,8 @@
 type Service struct {
 	Kind    fleet.Kind
 	Targets []*Target
-	// Unproven names groups that are placed but have members without evidence.
+	// Unproven names placed groups that have members without evidence, and live
+	// instances of a plain service without evidence.
 	// A node that has nothing fresher may probe them itself.
 	Unproven []string
 }
