Wire the daemon with fx and add its command

The node package provides every part, runs the controllers and drains in the order: leave address answers, serve until they expire, finish requests in flight, stop. The peer listener may differ from the advertised address, and calls to peers come from the listener's IP address.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -119,7 +119,7 @@
 
 // again reports whether another attempt may follow, after the backoff.
 func (c *completion) again(ctx context.Context, failed int, err *verdict.Error) bool {
-	if ctx.Err() != nil || failed >= retry.DefaultAttempts || !retry.Allowed(err, true) {
+	if ctx.Err() != nil || failed >= c.gateway.config.MaxAttempts || !retry.Allowed(err, true) {
 		return false
 	}
 	if failed == 0 {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
 
@@ -39,6 +40,8 @@
 	// StallTimeout is the time without a token after which a stream is given up
 	// in any case; 30 s.
 	StallTimeout time.Duration
+	// MaxAttempts bounds the attempts of one request, the first included; 3.
+	MaxAttempts int
 	// AddressTTL is how long callers may cache an address answer; 5 s.
 	AddressTTL time.Duration
 	// Groups chooses groups; nil means route.Affinity.
@@ -62,6 +65,7 @@
 	c.ResumeWait = cmp.Or(c.ResumeWait, 15*time.Second)
 	c.StallCheck = cmp.Or(c.StallCheck, 500*time.Millisecond)
 	c.StallTimeout = cmp.Or(c.StallTimeout, 30*time.Second)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, retry.DefaultAttempts)
 	c.AddressTTL = cmp.Or(c.AddressTTL, 5*time.Second)
 	if c.Groups == nil {
 		c.Groups = &route.Affinity{}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -172,7 +172,7 @@
 		last = verdict.Of(err)
 		p.sent = p.sent || last.Verdict != verdict.NotRun
 		tried = append(tried, target.Name)
-		if ctx.Err() != nil || len(tried) >= retry.DefaultAttempts || !retry.Allowed(last, p.repeatable) ||
+		if ctx.Err() != nil || len(tried) >= g.config.MaxAttempts || !retry.Allowed(last, p.repeatable) ||
 			!g.Budget.Take() {
 			return backend.Answer{}, p.failed(last)
 		}
--- /dev/null
+++ b/node/adapters.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/replica"
+)
+
+// admitter is the gateway's view of the limiter.
+type admitter struct{ limiter *limit.Limiter }
+
+// Admit implements gateway.Limiter.
+func (a admitter) Admit(ctx context.Context, organisation, _ string, tokens, _ int) (gateway.Admission, error) {
+	return a.limiter.Admit(ctx, organisation, tokens)
+}
+
+// documentPublisher hands documents written by this process to the replica.
+type documentPublisher struct {
+	documents *replica.Documents
+	logger    log.Logger
+}
+
+// Publish implements release.Publisher and placement.Publisher.
+func (p documentPublisher) Publish(name string, version uint64, body []byte) {
+	if _, err := p.documents.Publish(name, version, body); err != nil {
+		_ = level.Error(p.logger).Log("msg", "own document refused", "document", name, "version", version, "err", err)
+	}
+}
+
+// confirmer is the gateway's view of the prober.
+type confirmer struct {
+	board  *blackboard.Board
+	prober *health.Prober
+}
+
+// Confirm implements gateway.Confirmer.
+func (c confirmer) Confirm(ctx context.Context, target string) {
+	group := c.find(target)
+	if group == nil {
+		return
+	}
+	// A failed probe shows as missing evidence, which the gateway checks.
+	_ = c.prober.Confirm(ctx, group)
+}
+
+// find returns the placed group with the given name, or the plain server with
+// that instance ID as a group of one.
+func (c confirmer) find(target string) *fleet.PlacedGroup {
+	if placements := c.board.Placements.Load(); placements != nil {
+		for _, placement := range placements.ByDomain {
+			if group := placement.Placement.Group(target); group != nil {
+				return group
+			}
+		}
+	}
+	list := c.board.Instances.Load()
+	if list == nil {
+		return nil
+	}
+	instance := list.Instance(target)
+	if instance == nil {
+		return nil
+	}
+	return &fleet.PlacedGroup{
+		Name:    target,
+		Members: []fleet.GroupMember{{Instance: instance.ID, Address: instance.Address}},
+	}
+}
+
+// statusSource probes engines and plain servers, which answer on different
+// paths. It implements health.StatusSource.
+type statusSource struct {
+	board   *blackboard.Board
+	engines *backend.Engines
+	servers *backend.Plain
+	index   atomic.Pointer[plainIndex]
+}
+
+// plainIndex holds the addresses of plain servers for one pair of snapshots.
+type plainIndex struct {
+	configuration *fleet.Configuration
+	instances     *fleet.InstanceList
+	plain         map[string]bool
+}
+
+// Status implements health.StatusSource.
+func (s *statusSource) Status(ctx context.Context, address string) (fleet.Report, error) {
+	if s.isPlain(address) {
+		return s.servers.Status(ctx, address)
+	}
+	return s.engines.Status(ctx, address)
+}
+
+// isPlain tells whether a plain service's server listens on address.
+func (s *statusSource) isPlain(address string) bool {
+	configuration := s.board.Configuration.Load()
+	instances := s.board.Instances.Load()
+	if configuration == nil || instances == nil {
+		return false
+	}
+	index := s.index.Load()
+	if index == nil || index.configuration != configuration || index.instances != instances {
+		index = buildPlainIndex(configuration, instances)
+		s.index.Store(index)
+	}
+	return index.plain[address]
+}
+
+// buildPlainIndex collects the addresses of the plain services' pools.
+func buildPlainIndex(configuration *fleet.Configuration, instances *fleet.InstanceList) *plainIndex {
+	pools := make(map[string]bool)
+	for i := range configuration.Services {
+		if configuration.Services[i].Kind == fleet.KindPlain {
+			pools[configuration.Services[i].Pool] = true
+		}
+	}
+	index := &plainIndex{configuration: configuration, instances: instances, plain: make(map[string]bool)}
+	for i := range instances.Instances {
+		if pools[instances.Instances[i].Pool] {
+			index.plain[instances.Instances[i].Address] = true
+		}
+	}
+	return index
+}
--- /dev/null
+++ b/node/daemon.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/claim"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/lease"
+	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/peer"
+	"github.com/rattanlanding/rattanlanding/placement"
+	"github.com/rattanlanding/rattanlanding/replica"
+	"github.com/rattanlanding/rattanlanding/route"
+	"github.com/rattanlanding/rattanlanding/settings"
+)
+
+// leaveSpread is the time for peers to learn that this node is leaving, so that
+// no address answer names it any more.
+const leaveSpread = time.Second
+
+// closeTimeout bounds the closing of idle connections after the drain.
+const closeTimeout = 2 * time.Second
+
+// controller is a loop that runs until its context ends.
+type controller struct {
+	name string
+	run  func(context.Context) error
+}
+
+// controllers are all loops of a daemon.
+type controllers []controller
+
+func newControllers(node *peer.Node, sources *replica.Sources, gate *replica.Confirmer, table *health.Table,
+	prober *health.Prober, leases *lease.Manager, reconciler *placement.Reconciler, limiter *limit.Limiter,
+	builder *route.Builder,
+) controllers {
+	return controllers{
+		{"peer", node.Run},
+		{"replica", sources.Run},
+		{"confirmation", gate.Run},
+		{"evidence", table.Run},
+		{"prober", prober.Run},
+		{"lease", leases.Run},
+		{"placement", reconciler.Run},
+		{"limit", limiter.Run},
+		{"route", builder.Run},
+	}
+}
+
+// daemon runs the listeners and controllers of one process.
+type daemon struct {
+	settings    settings.Settings
+	board       *blackboard.Board
+	peer        *peer.Node
+	gateway     *gateway.Gateway
+	operators   operatorServer
+	claims      *claim.Registry
+	controllers controllers
+	logger      log.Logger
+	shutdown    fx.Shutdowner
+
+	callers *http.Server
+	stop    context.CancelFunc
+	running sync.WaitGroup
+}
+
+func newDaemon(s settings.Settings, board *blackboard.Board, node *peer.Node, g *gateway.Gateway,
+	operators operatorServer, claims *claim.Registry, loops controllers, logger log.Logger, shutdown fx.Shutdowner,
+) *daemon {
+	return &daemon{
+		settings: s, board: board, peer: node, gateway: g, operators: operators, claims: claims,
+		controllers: loops, logger: logger, shutdown: shutdown, callers: g.Server(),
+	}
+}
+
+// registerDaemon ties the daemon's life to the application's.
+func registerDaemon(lifecycle fx.Lifecycle, d *daemon) {
+	lifecycle.Append(fx.Hook{OnStart: d.start, OnStop: d.drain})
+}
+
+// start opens the listeners and starts the controllers.
+func (d *daemon) start(context.Context) error {
+	callers, err := net.Listen("tcp", d.settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("settings: callerAddress: %w", err)
+	}
+	operators, err := net.Listen("tcp", d.settings.OperatorAddress)
+	if err != nil {
+		_ = callers.Close()
+		return fmt.Errorf("settings: operatorAddress: %w", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	d.board.Lifecycle.Publish(&blackboard.Lifecycle{State: fleet.NodeServing, StartedAt: time.Now()})
+	d.serve("callers", d.callers, callers)
+	d.serve("operators", d.operators.Server, operators)
+	for _, c := range d.controllers {
+		d.running.Go(func() { d.runController(ctx, c) })
+	}
+	_ = level.Info(d.logger).Log("msg", "node started", "node", d.settings.Node,
+		"callers", d.settings.CallerAddress, "operators", d.settings.OperatorAddress, "peers", d.settings.PeerAddress)
+	return nil
+}
+
+// serve runs an HTTP server until it is shut down.
+func (d *daemon) serve(name string, server *http.Server, listener net.Listener) {
+	d.running.Go(func() {
+		err := server.Serve(listener)
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			d.fail(name, err)
+		}
+	})
+}
+
+// runController runs one loop. A loop that ends before the shutdown is a fault
+// that stops the process, so that its supervisor starts a whole one.
+func (d *daemon) runController(ctx context.Context, c controller) {
+	err := c.run(ctx)
+	if ctx.Err() == nil {
+		d.fail(c.name, err)
+	}
+}
+
+// fail logs a fatal fault and stops the application.
+func (d *daemon) fail(part string, err error) {
+	_ = level.Error(d.logger).Log("msg", "part failed, stopping", "part", part, "err", err)
+	_ = d.shutdown.Shutdown(fx.ExitCode(1))
+}
+
+// drain is the graceful shutdown: leave the address answers, serve until every
+// answer that named this node has expired, finish what is in flight, stop.
+func (d *daemon) drain(ctx context.Context) error {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Bounds.DrainTimeout)
+	defer cancel()
+	_ = level.Info(d.logger).Log("msg", "leaving", "node", d.settings.Node, "inFlight", d.gateway.InFlight())
+	d.publishLeaving(started)
+	wait(ctx, d.settings.Bounds.AddressTTL+leaveSpread)
+	err := d.gateway.Drain(ctx)
+	if err != nil {
+		_ = level.Warn(d.logger).Log("msg", "drain timeout, requests cut off", "inFlight", d.gateway.InFlight())
+	}
+	d.close()
+	_ = level.Info(d.logger).Log("msg", "node stopped", "node", d.settings.Node,
+		"seconds", time.Since(started).Seconds())
+	return err
+}
+
+// publishLeaving tells callers' address answers and peers that this node stops.
+func (d *daemon) publishLeaving(since time.Time) {
+	current := *d.board.Lifecycle.Load()
+	current.State = fleet.NodeLeaving
+	current.LeavingSince = since
+	d.board.Lifecycle.Publish(&current)
+	d.peer.SetLeaving()
+}
+
+// close stops the controllers and the listeners.
+func (d *daemon) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	d.stop()
+	_ = d.callers.Shutdown(ctx)
+	_ = d.operators.Shutdown(ctx)
+	d.running.Wait()
+	d.claims.Close()
+}
+
+// wait blocks for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/node/module.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/object"
+	"github.com/rattanlanding/rattanlanding/peer"
+	"github.com/rattanlanding/rattanlanding/platform"
+	"github.com/rattanlanding/rattanlanding/settings"
+)
+
+// stopMargin is the time that a stop may take beyond the drain timeout.
+const stopMargin = 15 * time.Second
+
+// startTimeout bounds the start of the listeners.
+const startTimeout = 15 * time.Second
+
+// New returns the application of one daemon.
+func New(s settings.Settings, logger log.Logger) *fx.App {
+	return fx.New(
+		fx.Supply(s),
+		fx.Provide(func() log.Logger { return logger }),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(s.Bounds.DrainTimeout+stopMargin),
+		Module,
+	)
+}
+
+// Module provides every part of a daemon. It needs settings.Settings and a
+// log.Logger.
+var Module = fx.Module("node",
+	fx.Provide(
+		newIdentity,
+		newBoard,
+		newMetrics,
+		newStore,
+		newInstanceSource,
+		backend.NewEngines,
+		backend.NewPlain,
+		newTable,
+		newDocuments,
+		newConfirmer,
+		newLimiter,
+		newPeer,
+		newSources,
+		newProber,
+		newLeases,
+		newReconciler,
+		newBuilder,
+		newClaims,
+		newGateway,
+		newApplier,
+		newOperatorServer,
+		newControllers,
+		newDaemon,
+	),
+	fx.Invoke(registerDaemon),
+)
+
+// newIdentity returns this process's own membership record.
+func newIdentity(s settings.Settings) fleet.Member {
+	return fleet.Member{
+		Node:          s.Node,
+		Boot:          peer.NewBoot(time.Now()),
+		Region:        s.Region,
+		FailureDomain: s.FailureDomain,
+		CallerAddress: s.CallerAddress,
+		PeerAddress:   s.PeerAdvertiseAddress,
+		State:         fleet.NodeServing,
+	}
+}
+
+func newBoard() *blackboard.Board { return &blackboard.Board{} }
+
+func newMetrics() metrics.Registry { return metrics.NewRegistry() }
+
+func newStore(s settings.Settings, registry metrics.Registry) object.Store {
+	return object.NewClient(object.ClientConfig{Addresses: s.PlatformAddresses, Registry: registry})
+}
+
+func newInstanceSource(s settings.Settings, registry metrics.Registry) *platform.Client {
+	return platform.NewClient(object.ClientConfig{Addresses: s.PlatformAddresses, Registry: registry})
+}
--- /dev/null
+++ b/node/serving.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/claim"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/object"
+	"github.com/rattanlanding/rattanlanding/operator"
+	"github.com/rattanlanding/rattanlanding/release"
+	"github.com/rattanlanding/rattanlanding/replica"
+	"github.com/rattanlanding/rattanlanding/retry"
+	"github.com/rattanlanding/rattanlanding/route"
+	"github.com/rattanlanding/rattanlanding/settings"
+)
+
+// retryBurst is the number of retries that a node may make at once before its
+// requests have filled the budget.
+const retryBurst = 10
+
+// percent converts a ratio of the settings for packages that count in percent.
+const percent = 100
+
+// operatorServer is the HTTP server of the operators' listener.
+type operatorServer struct{ *http.Server }
+
+func newLimiter(board *blackboard.Board, registry metrics.Registry) *limit.Limiter {
+	return limit.NewLimiter(board, limit.Config{}, registry)
+}
+
+func newBuilder(s settings.Settings, board *blackboard.Board, registry metrics.Registry) *route.Builder {
+	return route.NewBuilder(route.Config{Lifetime: s.Bounds.EvidenceLifetime}, board, registry)
+}
+
+func newClaims(s settings.Settings, store object.Store, logger log.Logger, registry metrics.Registry) *claim.Registry {
+	return claim.NewRegistry(store, claim.Config{Retention: s.Bounds.ClaimRetention}, logger, registry)
+}
+
+func newGateway(s settings.Settings, board *blackboard.Board, builder *route.Builder, engines *backend.Engines,
+	servers *backend.Plain, limiter *limit.Limiter, claims *claim.Registry, prober *health.Prober,
+	logger log.Logger, registry metrics.Registry,
+) *gateway.Gateway {
+	return gateway.New(gateway.Config{
+		MaxBodyBytes:  s.Limits.MaxBodyBytes,
+		MaxConcurrent: int64(s.Limits.MaxConcurrentRequests),
+		AddressTTL:    s.Bounds.AddressTTL,
+		MaxAttempts:   s.Limits.MaxAttempts,
+	}, gateway.Parts{
+		Board:     board,
+		Table:     &builder.Table,
+		Engines:   engines,
+		Servers:   servers,
+		Limiter:   admitter{limiter: limiter},
+		Claims:    claims,
+		Confirmer: confirmer{board: board, prober: prober},
+		Budget:    retry.NewBudget(int(s.Limits.RetryBudgetRatio*percent), retryBurst),
+		Logger:    logger,
+		Registry:  registry,
+	})
+}
+
+func newApplier(store object.Store, documents *replica.Documents, gate *replica.Confirmer,
+	logger log.Logger, registry metrics.Registry,
+) *release.Applier {
+	return release.NewApplier(release.Config{
+		Store:     store,
+		Gate:      gate,
+		Publisher: documentPublisher{documents: documents, logger: logger},
+		Known: func() fleet.Revision {
+			revision, _ := documents.Revision()
+			return revision
+		},
+		Logger:   logger,
+		Registry: registry,
+	})
+}
+
+func newOperatorServer(s settings.Settings, board *blackboard.Board, builder *route.Builder, g *gateway.Gateway,
+	notes *release.Applier, logger log.Logger, registry metrics.Registry,
+) (operatorServer, error) {
+	handler, err := operator.NewHandler(operator.Config{
+		Node:             s.Node,
+		Keys:             s.OperatorKeys,
+		Board:            board,
+		Notes:            notes,
+		EvidenceLifetime: s.Bounds.EvidenceLifetime,
+		Dumpers: map[string]func() any{
+			"routes":   func() any { return builder.Table.Load() },
+			"inFlight": func() any { return g.InFlight() },
+		},
+		Registry: registry,
+		Logger:   logger,
+	})
+	if err != nil {
+		return operatorServer{}, err
+	}
+	return operatorServer{operator.NewServer(s.OperatorAddress, handler)}, nil
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -33,10 +34,11 @@
 	exchange map[string]peerpbconnect.PeerServiceClient
 }
 
-func newDialer(key string, counted *traffic) *dialer {
+// newDialer returns a dialer that calls from the IP address of local.
+func newDialer(key, local string, counted *traffic) *dialer {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	netDialer := &net.Dialer{Timeout: dialTimeout}
+	netDialer := &net.Dialer{Timeout: dialTimeout, LocalAddr: sourceAddress(local)}
 	d := &dialer{key: key, exchange: map[string]peerpbconnect.PeerServiceClient{}}
 	d.transport = &http.Transport{
 		Protocols: protocols,
@@ -54,6 +56,15 @@
 	return d
 }
 
+// sourceAddress returns the IP address of an "IP:port" with any port, or nil.
+func sourceAddress(local string) net.Addr {
+	address, err := netip.ParseAddrPort(local)
+	if err != nil {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(address.Addr(), 0))
+}
+
 // authorize adds the peer key to a call.
 func (d *dialer) authorize(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
--- a/peer/config.go
+++ b/peer/config.go
@@ -36,12 +36,16 @@
 	// Self describes this node. PeerAddress is the address that others dial;
 	// Boot must come from NewBoot.
 	Self fleet.Member
+	// ListenAddress is the "IP:port" of the listener; Self.PeerAddress by
+	// default. Calls to peers are made from its IP address.
+	ListenAddress string
 	// Seeds are peer addresses ("IP:port") that are asked while no member is
 	// known at them. This node's own address is ignored.
 	Seeds []string
 	// Key is the secret that all nodes share.
 	Key string
-	// Listener accepts peers; nil means a TCP listener on Self.PeerAddress.
+	// Listener accepts peers; nil means a TCP listener on
+	// ListenAddress.
 	Listener net.Listener
 	// ExchangeInterval is the time between rounds; 1 s by default.
 	ExchangeInterval time.Duration
@@ -68,6 +72,7 @@
 
 // withDefaults returns c with its zero fields set.
 func (c Config) withDefaults() Config {
+	orDefault(&c.ListenAddress, c.Self.PeerAddress)
 	orDefault(&c.ExchangeInterval, DefaultExchangeInterval)
 	orDefault(&c.CallTimeout, DefaultCallTimeout)
 	orDefault(&c.FetchTimeout, DefaultFetchTimeout)
--- a/peer/node.go
+++ b/peer/node.go
@@ -50,7 +50,7 @@
 	counted := newTraffic(registry)
 	n := &Node{
 		config: config, ports: ports, board: board, logger: logger,
-		roster: newRoster(&config), traffic: counted, dialer: newDialer(config.Key, counted),
+		roster: newRoster(&config), traffic: counted, dialer: newDialer(config.Key, config.ListenAddress, counted),
 		urgent: make(chan struct{}, 1), calls: map[string]*callState{},
 	}
 	n.publishMembers()
--- a/peer/server.go
+++ b/peer/server.go
@@ -56,7 +56,7 @@
 		return n.config.Listener, nil
 	}
 	var config net.ListenConfig
-	return config.Listen(ctx, "tcp", n.config.Self.PeerAddress)
+	return config.Listen(ctx, "tcp", n.config.ListenAddress)
 }
 
 // authenticate refuses requests without the peer key. Hashing first makes the
--- a/settings/check.go
+++ b/settings/check.go
@@ -74,6 +74,7 @@
 	}
 	checkAddressList(p, "platformAddresses", s.PlatformAddresses)
 	checkAddressList(p, "peers", s.Peers)
+	checkAddress(p, "peerAdvertiseAddress", s.PeerAdvertiseAddress)
 }
 
 func checkAddressList(p *strictjson.Problems, field string, list []string) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,9 @@
 	CallerAddress   string `json:"callerAddress"`
 	OperatorAddress string `json:"operatorAddress"`
 	PeerAddress     string `json:"peerAddress"`
+	// PeerAdvertiseAddress is the "IP:port" that peers are told to dial; it
+	// defaults to PeerAddress. It differs where addresses are translated.
+	PeerAdvertiseAddress string `json:"peerAdvertiseAddress"`
 	// PlatformAddresses are the platform's endpoints, each as "IP:port".
 	PlatformAddresses []string `json:"platformAddresses"`
 	// Peers are the peer addresses of the seed members; this node may be one.
@@ -118,7 +121,7 @@
 			RetryBudgetRatio:      0.1,
 			MaxAttempts:           3,
 		},
-		Placement: Placement{DowntimeWeight: 0.5, Policy: "replace"},
+		Placement: Placement{DowntimeWeight: 0.5, Policy: "balanced"},
 	}
 }
 
@@ -147,6 +150,9 @@
 	s := Default()
 	var problems strictjson.Problems
 	strictjson.Decode(data, &s, &problems)
+	if s.PeerAdvertiseAddress == "" {
+		s.PeerAdvertiseAddress = s.PeerAddress
+	}
 	if problems.Empty() {
 		s.check(&problems)
 	}
