--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,15 @@
 test: build
 	$(GO) test -race -timeout 8m ./...
 
+# demo shows the whole path on this machine.
+demo: build
+	scripts/demo.sh
+
+# measure prints a table and writes build/measure.jsonl. ONLY chooses
+# measurements by name, comma separated.
+measure: build
+	$(BIN)/rattanbench measure --seed $(SEED) $(if $(ONLY),--only $(ONLY))
+
 # generate needs buf (go install github.com/bufbuild/buf/cmd/buf@v1.75.0); its
 # output is committed.
 generate:
--- /dev/null
+++ b/internal/measure/measure.go
@@ -0,0 +1,95 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Row is one measured figure. It is written as one JSON object a line.
+type Row struct {
+	Measure string  `json:"measure"`
+	Policy  string  `json:"policy"`
+	Case    string  `json:"case"`
+	Value   float64 `json:"value"`
+	Unit    string  `json:"unit"`
+	Seed    uint64  `json:"seed"`
+}
+
+// Emit takes a row.
+type Emit func(policy, caseName string, value float64, unit string)
+
+// Measurement is one measurement with all its policies and cases.
+type Measurement struct {
+	// Name is the value of Row.Measure.
+	Name string
+	// Run emits every figure. It uses no randomness but seed's.
+	Run func(ctx context.Context, seed uint64, emit Emit) error
+}
+
+// All lists the measurements in the order in which they run.
+func All() []Measurement {
+	return []Measurement{}
+}
+
+// Options choose what Run does.
+type Options struct {
+	// Only names the measurements to run; empty means all.
+	Only []string
+	Seed uint64
+	// Lines receives one JSON object a row.
+	Lines io.Writer
+	// Table receives a table for people.
+	Table io.Writer
+}
+
+// Run runs the chosen measurements one after another.
+func Run(ctx context.Context, options Options) error {
+	for _, m := range All() {
+		if !chosen(options.Only, m.Name) {
+			continue
+		}
+		if err := runOne(ctx, m, options); err != nil {
+			return fmt.Errorf("measure %s: %w", m.Name, err)
+		}
+	}
+	return nil
+}
+
+func chosen(only []string, name string) bool {
+	if len(only) == 0 {
+		return true
+	}
+	for _, o := range only {
+		if o == name {
+			return true
+		}
+	}
+	return false
+}
+
+// runOne runs a measurement and writes its rows.
+func runOne(ctx context.Context, m Measurement, options Options) error {
+	started := time.Now()
+	lines := json.NewEncoder(options.Lines)
+	table := tabwriter.NewWriter(options.Table, 0, 0, 2, ' ', 0)
+	var failed error
+	err := m.Run(ctx, options.Seed, func(policy, caseName string, value float64, unit string) {
+		row := Row{Measure: m.Name, Policy: policy, Case: caseName, Value: value, Unit: unit, Seed: options.Seed}
+		if err := lines.Encode(row); err != nil && failed == nil {
+			failed = err
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%.6g\t%s\n", m.Name, policy, caseName, value, unit)
+	})
+	if err == nil {
+		err = failed
+	}
+	if flushErr := table.Flush(); err == nil {
+		err = flushErr
+	}
+	fmt.Fprintf(options.Table, "%s took %.1f s\n\n", m.Name, time.Since(started).Seconds())
+	return err
+}
