--- a/health/observers.go
+++ b/health/observers.go
@@ -1,8 +1,8 @@
 package health
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
 )
@@ -28,26 +28,22 @@
 	return chosen
 }
 
+// candidate is a serving member with its rendezvous weight.
+type candidate struct {
+	*fleet.Member
+	weight uint64
+}
+
 // rank orders the serving members by falling rendezvous weight.
-func rank(instance string, members []fleet.MemberView) []*fleet.Member {
-	ranked := make([]*fleet.Member, 0, len(members))
-	weights := make(map[string]uint64, len(members))
+func rank(instance string, members []fleet.MemberView) []candidate {
+	ranked := make([]candidate, 0, len(members))
 	for i := range members {
-		m := &members[i].Member
-		if m.State == fleet.NodeServing {
-			ranked = append(ranked, m)
-			weights[m.Node] = score(instance, m.Node)
+		if m := &members[i].Member; m.State == fleet.NodeServing {
+			ranked = append(ranked, candidate{m, score(instance, m.Node)})
 		}
 	}
-	slices.SortFunc(ranked, func(a, b *fleet.Member) int {
-		switch wa, wb := weights[a.Node], weights[b.Node]; {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		default:
-			return strings.Compare(a.Node, b.Node)
-		}
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Node, b.Node))
 	})
 	return ranked
 }
--- a/health/prober.go
+++ b/health/prober.go
@@ -105,11 +105,11 @@
 	var inFlight sync.WaitGroup
 	defer inFlight.Wait()
 	due := make(map[string]time.Time)
+	mine := assignment{node: p.cfg.Node, observers: p.cfg.Observers}
 	for {
 		members, config := p.board.Members.Changed(), p.board.Configuration.Changed()
 		instances, placements := p.board.Instances.Changed(), p.board.Placements.Changed()
-		targets := observed(p.board, p.cfg.Node, p.cfg.Observers)
-		next := p.startDue(ctx, targets, due, &inFlight)
+		next := p.startDue(ctx, mine.targets(p.board), due, &inFlight)
 		timer := time.NewTimer(time.Until(next))
 		select {
 		case <-ctx.Done():
