--- a/placement/domain.go
+++ b/placement/domain.go
@@ -35,7 +35,7 @@
 	return &domain{
 		name: name, epoch: epoch, r: r,
 		watch:    newWatch(),
-		loads:    r.cfg.LoadBurst,
+		loads:    1,
 		loadsAt:  time.Now(),
 		pending:  make(map[string]pendingCommand),
 		released: make(map[string]time.Time),
@@ -73,8 +73,7 @@
 // observe collects the input of a plan.
 func (d *domain) observe(config *fleet.Configuration, now time.Time) *Input {
 	d.watch.update(d, now)
-	d.loads = min(d.r.cfg.LoadBurst, d.loads+now.Sub(d.loadsAt).Minutes()*d.r.cfg.LoadsPerMinute)
-	d.loadsAt = now
+	d.refillLoads(now)
 	input := &Input{
 		FabricDomain: d.name,
 		Services:     make(map[string]fleet.Service, len(config.Services)),
@@ -96,6 +95,16 @@
 	return input
 }
 
+// refillLoads adds this shard's share of the allowed weight loads. The balance
+// may be negative after a group of many loads was formed. A new holder starts
+// with one load, because the one before may have used up the share.
+func (d *domain) refillLoads(now time.Time) {
+	shards := float64(max(1, len(Shards(d.r.board)())))
+	burst := max(1, d.r.cfg.LoadBurst/shards)
+	d.loads = min(burst, d.loads+now.Sub(d.loadsAt).Minutes()*d.r.cfg.LoadsPerMinute/shards)
+	d.loadsAt = now
+}
+
 // read fetches the newest placement.
 func (d *domain) read(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, d.r.cfg.CallTimeout)
@@ -117,6 +126,7 @@
 	if o.Version < d.r.boardVersion(d.name) || o.Version < d.version {
 		// The platform shows an older version, as after a restore from a
 		// backup. Nothing is done until it is at least as new as what is known.
+		d.r.behind.Inc(1)
 		return false
 	}
 	if o.Version != d.version {
--- a/placement/reconciler.go
+++ b/placement/reconciler.go
@@ -52,10 +52,11 @@
 	DefaultLeaseMargin = time.Second
 	// DefaultTimeToLive is the time-to-live of evidence.
 	DefaultTimeToLive = 2500 * time.Millisecond
-	// DefaultLoadsPerMinute is the rate of weight loads of one shard.
-	DefaultLoadsPerMinute = 60
-	// DefaultLoadBurst is the number of weight loads that may start together.
-	DefaultLoadBurst = 16
+	// DefaultLoadsPerMinute is the rate of weight loads of all shards together.
+	DefaultLoadsPerMinute = 600
+	// DefaultLoadBurst is the number of weight loads that all shards together
+	// may start at once.
+	DefaultLoadBurst = 64
 	// parallelCommands bounds the commands in flight for one domain.
 	parallelCommands = 32
 )
@@ -68,7 +69,8 @@
 	CallTimeout     time.Duration
 	LeaseMargin     time.Duration
 	TimeToLive      time.Duration
-	// LoadsPerMinute and LoadBurst bound the weight loads of each shard.
+	// LoadsPerMinute and LoadBurst bound the weight loads of the whole system.
+	// Each shard takes an equal share.
 	LoadsPerMinute float64
 	LoadBurst      float64
 	Limits         Limits
@@ -109,6 +111,7 @@
 	logger    log.Logger
 	writes    metrics.Counter
 	refused   metrics.Counter
+	behind    metrics.Counter
 	commands  metrics.Counter
 
 	domains map[string]*domain
@@ -123,6 +126,7 @@
 		logger:   log.With(logger, "component", "placement"),
 		writes:   metrics.GetOrRegisterCounter("placement.writes", registry),
 		refused:  metrics.GetOrRegisterCounter("placement.writes-refused", registry),
+		behind:   metrics.GetOrRegisterCounter("placement.platform-behind", registry),
 		commands: metrics.GetOrRegisterCounter("placement.commands", registry),
 		domains:  make(map[string]*domain),
 	}
