Let stand-ins append their events to a file

The record of an engine died with kill -9, so no check could see what a killed engine had served. Each event is one write call to a file and survives.

--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -132,6 +132,8 @@
 		Organisation: one.organisation, Prompt: one.request.Prompt, Priority: one.priority,
 		ResumeTokens: one.request.ResumeTokens, Begun: time.Now(),
 	})
+	begun := e.record.Requests[one.record]
+	e.registry.events.add(Event{Kind: EventBegin, Instance: e.instance.ID, Request: &begun})
 	e.runs[one.attempt] = one
 	e.waiting = append(e.waiting, one)
 	e.dispatch()
@@ -157,6 +159,8 @@
 	if err != nil {
 		record.Error = err.Error()
 	}
+	ended := *record
+	e.registry.events.add(Event{Kind: EventEnd, Instance: e.instance.ID, Request: &ended})
 	delete(e.runs, one.attempt)
 	if i := slices.Index(e.waiting, one); i >= 0 {
 		e.waiting = slices.Delete(e.waiting, i, i+1)
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -16,6 +16,8 @@
 	// PlatformAddress is the "IP:port" where engines load weights and where
 	// engines and servers register. It defaults to Platform.Address.
 	PlatformAddress string `json:"platformAddress,omitempty"`
+	// EventsFile is a file to which every event is appended as one line of JSON.
+	EventsFile string `json:"eventsFile,omitempty"`
 	Engines         []Pool `json:"engines,omitempty"`
 	Servers         []Pool `json:"servers,omitempty"`
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -280,6 +280,8 @@
 		At: time.Now(), Group: role.Group, Generation: role.Generation, Rank: role.Rank,
 		Version: role.Version, State: state,
 	})
+	change := e.record.Roles[len(e.record.Roles)-1]
+	e.registry.events.add(Event{Kind: EventRole, Instance: e.instance.ID, Role: &change})
 }
 
 // settle ends expired steps and a release that nothing holds up any more; e.mu
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -21,6 +21,7 @@
 	visible fleet.InstanceList
 	changed chan struct{}
 	closed  bool
+	events  *eventLog
 }
 
 func newInstanceList(lag time.Duration) *instanceList {
@@ -71,10 +72,22 @@
 		return
 	}
 	l.visible = list
+	l.events.add(Event{Kind: EventList, Leaving: leavingOf(list)})
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
+// leavingOf names the instances that a list shows as leaving.
+func leavingOf(list fleet.InstanceList) []string {
+	var leaving []string
+	for i := range list.Instances {
+		if list.Instances[i].State == fleet.InstanceLeaving {
+			leaving = append(leaving, list.Instances[i].ID)
+		}
+	}
+	return leaving
+}
+
 func (l *instanceList) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,6 +123,7 @@
 	address string
 	client  *http.Client
 	pending []fleet.Instance
+	events  *eventLog
 }
 
 func newRegistrar(address string) *registrar {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// record makes the platform write its events to a log.
+func (p *Platform) record(events *eventLog) {
+	if events == nil {
+		return
+	}
+	p.instances.events = events
+	p.Objects.OnWrite(func(o object.Object) {
+		events.add(Event{Kind: EventWrite, Write: &WriteRecord{Key: o.Key.String(), Version: o.Version, Value: o.Value}})
+	})
+}
+
 // Close stops timers and ends calls that hang.
 func (p *Platform) Close() {
 	p.SetFaults(PlatformFaults{})
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -131,6 +131,7 @@
 		Key: r.Header.Get(HeaderKey), Body: string(body),
 	}
 	s.calls = append(s.calls, record)
+	s.registry.events.add(Event{Kind: EventCall, Instance: s.instance.ID, Call: &record})
 	hash := sha256.Sum256(body)
 	text, _ := json.Marshal(ServerAnswer{
 		Server: s.instance.ID, Attempt: record.Attempt, Organisation: record.Organisation,
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -37,8 +37,14 @@
 }
 
 func (s *Set) start(ctx context.Context, cfg Config) error {
+	events, err := openEvents(cfg.EventsFile)
+	if err != nil {
+		return err
+	}
+	s.closers = append(s.closers, events.close)
 	if cfg.Platform != nil {
 		s.Platform = NewPlatform(*cfg.Platform)
+		s.Platform.record(events)
 		s.closers = append(s.closers, s.Platform.Close)
 		if err := s.listen(cfg.Platform.Address, s.Platform.Handler()); err != nil {
 			return err
@@ -48,6 +54,7 @@
 		}
 	}
 	registry := newRegistrar(cfg.PlatformAddress)
+	registry.events = events
 	s.registry = registry
 	for _, pool := range cfg.Engines {
 		list, err := pool.instances()
--- a/internal/standin/steps.go
+++ b/internal/standin/steps.go
@@ -68,6 +68,8 @@
 	}
 	e.record.Steps[index].Last = now
 	e.record.Steps[index].Steps++
+	taken := e.record.Steps[index]
+	e.registry.events.add(Event{Kind: EventStep, Instance: e.instance.ID, Step: &taken})
 	return true
 }
 
--- a/object/memory.go
+++ b/object/memory.go
@@ -33,6 +33,7 @@
 	counter Version
 	kinds   map[string]*kindState
 	faults  Faults
+	onWrite func(Object)
 	random  *rand.Rand
 	// woken is closed when the faults change, so that pending watches fail.
 	woken chan struct{}
@@ -148,12 +149,19 @@
 	}
 	close(kind.changed)
 	kind.changed = make(chan struct{})
+	if m.onWrite != nil && next != nil {
+		m.onWrite(copyOf(*next))
+	}
 	if lost {
 		return 0, ErrAmbiguous
 	}
 	return m.counter, nil
 }
 
+// OnWrite makes the store call f after every effective write, in the order of
+// the versions, also when the writer's response is lost. It is set before use.
+func (m *Memory) OnWrite(f func(Object)) { m.onWrite = f }
+
 // loses decides whether the answer of the present write is lost.
 func (m *Memory) loses() bool {
 	if m.faults.LoseWrites > 0 {
