--- a/Makefile
+++ b/Makefile
@@ -15,9 +15,17 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-# test runs every test with the race detector and fixed seeds.
+# test runs every test with the race detector and fixed seeds, then a run of
+# every proof.
 test: build
-	$(GO) test -race -timeout 8m ./...
+	$(GO) test -race -timeout 8m $$($(GO) list ./... | grep -v /internal/prove$$)
+	$(MAKE) prove SEED=1
+
+# prove runs the proofs of the guarantees, or the one that POINT names. They run
+# in a binary of their own so that their lines are printed.
+prove: build
+	$(GO) test -c -o build/prove.test ./internal/prove
+	cd internal/prove && ../../build/prove.test -test.timeout 20m -test.parallel 2 -seed $(SEED) -point "$(POINT)"
 
 # demo shows the whole path on this machine.
 demo: build
--- /dev/null
+++ b/internal/prove/configuration_test.go
@@ -0,0 +1,101 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/release"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+const (
+	configurationRun = 30 * time.Second
+	observeInterval  = 150 * time.Millisecond
+)
+
+// proveConfiguration lets operators race with notes while nodes are killed,
+// frozen and cut and the platform fails, and observes every node's revision.
+func proveConfiguration(t *testing.T, p *proofRun) Result {
+	c := p.start(t, clusterSpec{deployment: p.deployment(), nodes: 5, groups: 1, engines: 2, size: 2, servers: 1})
+	ctx, cancel := context.WithTimeout(context.Background(), configurationRun)
+	defer cancel()
+	var group sync.WaitGroup
+	for id := range 3 {
+		group.Go(func() { operate(ctx, c, id, rand.New(rand.NewPCG(p.seed, uint64(id)+10))) })
+	}
+	for i := range c.spec.nodes {
+		group.Go(func() { observe(ctx, c, i) })
+	}
+	faults := schedule{
+		cluster: c, random: p.random, rest: [2]time.Duration{500 * time.Millisecond, 2 * time.Second},
+		kinds: []faultKind{
+			killNode, freezeNode, cutNodeFromPlatform, isolateNode, cutOneWay, splitRegions,
+			platformDown, platformHang, platformSlow, platformLosesAnswers,
+		},
+	}
+	faults.run(ctx)
+	group.Wait()
+	return CheckConfiguration(c.history())
+}
+
+// operate applies notes that change one of few organisations, so that operators
+// collide often. A note whose outcome is unknown is sent again.
+func operate(ctx context.Context, c *cluster, id int, random *rand.Rand) {
+	base := firstRevision
+	for n := 0; ctx.Err() == nil; n++ {
+		node := random.IntN(c.spec.nodes)
+		if status, err := c.status(node); err == nil {
+			base = max(base, status.Revision)
+		}
+		organisation := c.firstNote().Added.Organisations[random.IntN(2)]
+		organisation.TokensPerSecond = float64(1_000_000 + n*10 + id)
+		note := release.Note{ID: fmt.Sprintf("operator-%d-%d", id, n), Base: base}
+		note.Changed.Organisations = []fleet.Organisation{organisation}
+		for range 3 {
+			o := c.submit(id, node, note)
+			if o.OK || o.Verdict == verdict.NotRun {
+				break
+			}
+			node = random.IntN(c.spec.nodes)
+		}
+		pause(ctx, time.Duration(random.IntN(300))*time.Millisecond)
+	}
+}
+
+// entryPattern finds the entries that a refusal names.
+var entryPattern = regexp.MustCompile(`(services|organisations|groups)/[a-z0-9-]+`)
+
+// submit sends a note to a node and records the outcome.
+func (c *cluster) submit(id, node int, note release.Note) Operation {
+	o := Operation{
+		Kind: OpNote, Client: id, Node: c.operatorAddress(node), Note: note.ID, Base: note.Base, Start: time.Now(),
+	}
+	result, err := c.apply(node, note)
+	o.End, o.OK, o.Revision = time.Now(), err == nil, result.Revision
+	if err != nil {
+		e := verdict.Of(err)
+		o.Verdict, o.Reason, o.Error = e.Verdict, e.Reason, e.Error()
+		o.Entries = entryPattern.FindAllString(e.Field+" "+e.Message, -1)
+	}
+	c.recorder.Operation(o)
+	return o
+}
+
+// observe records one node's revision until ctx ends.
+func observe(ctx context.Context, c *cluster, i int) {
+	for ctx.Err() == nil {
+		at := time.Now()
+		if status, err := c.status(i); err == nil {
+			c.recorder.Observe(Observation{
+				At: at, Node: status.Node, Revision: status.Revision, Serving: status.Confirmation.Serving,
+			})
+		}
+		pause(ctx, observeInterval)
+	}
+}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -18,8 +18,8 @@
 	PlatformAddress string `json:"platformAddress,omitempty"`
 	// EventsFile is a file to which every event is appended as one line of JSON.
 	EventsFile string `json:"eventsFile,omitempty"`
-	Engines         []Pool `json:"engines,omitempty"`
-	Servers         []Pool `json:"servers,omitempty"`
+	Engines    []Pool `json:"engines,omitempty"`
+	Servers    []Pool `json:"servers,omitempty"`
 }
 
 // PlatformConfig describes the platform.
