Pass heartbeats on in compact form

Responses name known records by hash with counter and age, about 12 bytes each, and carry whole member records only when asked for. Whole records made a full mesh of 16 nodes expensive, and a bounded digest held so few of them that live members of larger systems were suspected. Requests of unknown nodes no longer cause an exchange with all members.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/peer/peerpb"
@@ -37,6 +40,20 @@
 	}
 }
 
+// recordHash identifies a member's record without its counter and age.
+func recordHash(m *fleet.Member, leaving bool) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, field := range []string{
+		m.Node, m.Boot, m.Region, m.FailureDomain, m.CallerAddress, m.PeerAddress,
+		strconv.FormatBool(leaving),
+	} {
+		_, _ = d.WriteString(field)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 func encodeVersion(v DocumentVersion) *peerpb.DocumentVersion {
 	return &peerpb.DocumentVersion{Name: v.Name, Version: v.Version}
 }
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -14,6 +15,13 @@
 // fieldOverhead is the encoded size of a nested field's tag and length.
 const fieldOverhead = 3
 
+// heartbeatsOverhead is the encoded size of the tags and lengths of Heartbeats.
+const heartbeatsOverhead = 4 * fieldOverhead
+
+// heartbeatShare is the part of a bounded digest's free bytes that heartbeats may
+// take, in percent. The rest is left for evidence and demand.
+const heartbeatShare = 70
+
 // digest fills a response up to a limit of encoded bytes; limit 0 means no
 // limit.
 type digest struct {
@@ -71,17 +79,28 @@
 	d.add(m, func() { d.response.Demand = append(d.response.Demand, m) })
 }
 
-// relayed adds members and evidence in a common random order, so that a bounded
-// digest carries a fair sample of both.
-func (d *digest) relayed(members []fleet.MemberView, evidence []blackboard.Observation, now time.Time) {
-	for _, i := range rand.Perm(len(members) + len(evidence)) {
-		if i < len(members) {
-			v := &members[i]
-			m := encodeMember(&v.Member, v.State == fleet.NodeLeaving, encodeAge(v.HeardAt, now))
-			d.add(m, func() { d.response.Members = append(d.response.Members, m) })
-			continue
-		}
-		m := encodeEvidence(&evidence[i-len(members)], now)
+// heartbeats adds the freshest heartbeats, up to share of the remaining bytes in
+// percent. Old heartbeats are left out first, because their receivers are likely
+// to know newer ones.
+func (d *digest) heartbeats(members []fleet.MemberView, share int, now time.Time) {
+	room := len(members)
+	if d.limit > 0 {
+		room = min(room, max(0, d.limit-d.size-heartbeatsOverhead)*share/100/heartbeatOverhead)
+	}
+	h := &peerpb.Heartbeats{}
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b fleet.MemberView) int { return b.HeardAt.Compare(a.HeardAt) })
+	for i := range members[:room] {
+		appendHeartbeat(h, &members[i], now)
+	}
+	d.add(h, func() { d.response.Heartbeats = h })
+}
+
+// evidence adds evidence in random order, so that a bounded digest carries a
+// fair sample.
+func (d *digest) evidence(evidence []blackboard.Observation, now time.Time) {
+	for _, i := range rand.Perm(len(evidence)) {
+		m := encodeEvidence(&evidence[i], now)
 		d.add(m, func() { d.response.Evidence = append(d.response.Evidence, m) })
 	}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -33,6 +33,8 @@
 	dialer  *dialer
 	// urgent holds a token while an extra exchange is wanted.
 	urgent chan struct{}
+	// strangers holds a token while the roster has candidates to contact.
+	strangers chan struct{}
 
 	callsMu sync.Mutex
 	calls   map[string]*callState
@@ -51,7 +53,7 @@
 	n := &Node{
 		config: config, ports: ports, board: board, logger: logger,
 		roster: newRoster(&config), traffic: counted, dialer: newDialer(config.Key, counted),
-		urgent: make(chan struct{}, 1), calls: map[string]*callState{},
+		urgent: make(chan struct{}, 1), strangers: make(chan struct{}, 1), calls: map[string]*callState{},
 	}
 	n.publishMembers()
 	return n, nil
@@ -67,6 +69,7 @@
 	group.Go(func() error { return n.serve(ctx, listener) })
 	group.Go(func() error { n.rounds(ctx); return nil })
 	group.Go(func() error { n.extraRounds(ctx); return nil })
+	group.Go(func() error { n.contactStrangers(ctx); return nil })
 	err = group.Wait()
 	n.running.Wait()
 	n.dialer.transport.CloseIdleConnections()
@@ -136,9 +139,12 @@
 }
 
 // trigger asks for an extra exchange with all members.
-func (n *Node) trigger() {
+func (n *Node) trigger() { signal(n.urgent) }
+
+// signal puts a token into a channel of capacity 1.
+func signal(tokens chan struct{}) {
 	select {
-	case n.urgent <- struct{}{}:
+	case tokens <- struct{}{}:
 	default:
 	}
 }
--- a/peer/roster_test.go
+++ b/peer/roster_test.go
@@ -114,6 +114,31 @@
 		Expect(find(start).State).To(Equal(fleet.NodeServing))
 	})
 
+	It("merges heartbeats only for the record they name", func() {
+		// Guards against a heartbeat of an old boot or a stale one that refreshes
+		// a member, and against a leaving mark that is not passed on.
+		Expect(r.acceptResponse(record(first, 5, 0), start)).To(BeTrue())
+		sent := start.Add(4 * time.Second)
+		heartbeat := func(member *peerpb.Member, ageMs uint32) *peerpb.Heartbeats {
+			view := fleet.MemberView{Member: decodeMember(member), HeardAt: sent.Add(-decodeAge(ageMs))}
+			if member.GetLeaving() {
+				view.State = fleet.NodeLeaving
+			}
+			h := &peerpb.Heartbeats{}
+			appendHeartbeat(h, &view, sent)
+			return h
+		}
+		Expect(r.relayHeartbeats(heartbeat(record(first, 5, 0), 0), sent, sent)).To(BeEmpty())
+		Expect(find(sent).HeardAt).To(Equal(start))
+		Expect(r.relayHeartbeats(heartbeat(record(first, 6, 0), 1000), sent, sent)).To(BeEmpty())
+		Expect(find(sent).HeardAt).To(Equal(sent.Add(-time.Second)))
+		Expect(r.relayHeartbeats(heartbeat(record(next, 1, 0), 10_000), sent, sent)).To(BeEmpty())
+		Expect(r.relayHeartbeats(heartbeat(record(next, 1, 0), 0), sent, sent)).To(HaveLen(1))
+		leaving := record(first, 6, 0)
+		leaving.Leaving = true
+		Expect(r.relayHeartbeats(heartbeat(leaving, 0), sent, sent)).To(HaveLen(1))
+	})
+
 	It("detects its own successor", func() {
 		// Guards against two processes that both take themselves for the node.
 		r.relay(&peerpb.Member{Node: "a", Boot: next, Counter: 1}, start, start)
@@ -138,8 +163,10 @@
 			members[i].Member = fleet.Member{Node: "node", Boot: bootAt(i), PeerAddress: "127.0.0.1:2"}
 		}
 		evidence := make([]blackboard.Observation, 600)
-		d.relayed(members, evidence, start)
+		d.heartbeats(members, heartbeatShare, start)
+		d.evidence(evidence, start)
 		Expect(proto.Size(response)).To(And(BeNumerically("<=", DefaultDigestBytes), BeNumerically(">", 300)))
-		Expect(response.GetMembers()).NotTo(BeEmpty())
+		Expect(response.GetHeartbeats().GetRecord()).NotTo(BeEmpty())
+		Expect(response.GetEvidence()).NotTo(BeEmpty())
 	})
 })
--- a/peer/round.go
+++ b/peer/round.go
@@ -51,12 +51,23 @@
 		case <-n.urgent:
 		default:
 		}
-		targets := n.roster.takeCandidates()
 		for _, m := range n.others() {
-			targets = append(targets, m.PeerAddress)
+			n.start(ctx, m.PeerAddress, true)
 		}
-		for _, address := range targets {
-			n.start(ctx, address, true)
+	}
+}
+
+// contactStrangers asks nodes that sent a request and are no members yet. Only a
+// response proves that a node is alive and reachable.
+func (n *Node) contactStrangers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.strangers:
+		}
+		for _, address := range n.roster.takeCandidates() {
+			n.start(ctx, address, false)
 		}
 	}
 }
@@ -126,17 +137,28 @@
 	return false
 }
 
-// exchange performs one exchange.
+// exchange performs one exchange, and a second one if the first one named members
+// whose records are unknown.
 func (n *Node) exchange(ctx context.Context, address string) error {
+	unknown, err := n.ask(ctx, address, nil)
+	if err == nil && len(unknown) > 0 {
+		_, err = n.ask(ctx, address, unknown)
+	}
+	return err
+}
+
+// ask sends one request and returns the unknown records in its response.
+func (n *Node) ask(ctx context.Context, address string, records []uint64) (unknown []uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	response, err := n.dialer.client(address).Exchange(ctx, connect.NewRequest(n.request(sentAt)))
+	request := n.request(sentAt)
+	request.WantedRecords = records
+	response, err := n.dialer.client(address).Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	n.absorb(response.Msg, address, sentAt)
-	return nil
+	return n.absorb(response.Msg, address, sentAt), nil
 }
 
 // request builds what this node tells in a request.
@@ -151,8 +173,9 @@
 	return request
 }
 
-// absorb takes in a response to a request sent at sentAt.
-func (n *Node) absorb(response *peerpb.ExchangeResponse, address string, sentAt time.Time) {
+// absorb takes in a response to a request sent at sentAt and returns the unknown
+// records in it.
+func (n *Node) absorb(response *peerpb.ExchangeResponse, address string, sentAt time.Time) []uint64 {
 	received := time.Now()
 	responder := response.GetResponder()
 	// Versions are offered before the heartbeat counts, so that whoever counts
@@ -160,12 +183,13 @@
 	// so a late response does no harm here.
 	n.offerAll(responder.GetNode(), address, response.GetDocuments())
 	if !n.roster.acceptResponse(responder, sentAt) {
-		return
+		return nil
 	}
 	discovered := false
 	for _, m := range response.GetMembers() {
 		discovered = n.roster.relay(m, sentAt, received) || discovered
 	}
+	unknown := n.roster.relayHeartbeats(response.GetHeartbeats(), sentAt, received)
 	for _, loss := range response.GetLosses() {
 		n.ports.Evidence.Lose(decodeLoss(loss, received))
 	}
@@ -189,6 +213,7 @@
 	if discovered && len(n.others())+1 <= FullMeshMembers {
 		n.trigger()
 	}
+	return unknown
 }
 
 // offerAll passes on the versions that a peer stated.
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,12 +5,15 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
@@ -47,6 +50,7 @@
 		ReadTimeout:       n.config.FetchTimeout,
 		WriteTimeout:      n.config.FetchTimeout,
 		IdleTimeout:       idleTimeout,
+		ErrorLog:          stdlog.New(log.NewStdlibAdapter(level.Warn(n.logger)), "", 0),
 	}
 }
 
@@ -86,7 +90,7 @@
 			errors.New("request is older than what is known of its sender"))
 	}
 	if stranger {
-		n.trigger()
+		signal(n.strangers)
 	}
 	for _, loss := range request.Msg.GetLosses() {
 		n.ports.Evidence.Lose(decodeLoss(loss, received))
@@ -95,12 +99,13 @@
 	if sender.GetLeaving() {
 		n.publishMembers()
 	}
-	return connect.NewResponse(n.respond()), nil
+	return connect.NewResponse(n.respond(request.Msg.GetWantedRecords())), nil
 }
 
 // respond builds a response. Ages are taken at one moment before encoding, so a
-// later delay is covered by the requester's own clock.
-func (n *Node) respond() *peerpb.ExchangeResponse {
+// later delay is covered by the requester's own clock. The records asked for are
+// added.
+func (n *Node) respond(records []uint64) *peerpb.ExchangeResponse {
 	now := time.Now()
 	response := &peerpb.ExchangeResponse{Responder: n.roster.heartbeat()}
 	if statement, ok := n.ports.Confirmed.Confirmation(); ok {
@@ -124,10 +129,15 @@
 	if !bounded {
 		evidence = observedBy(n.config.Self.Node, evidence)
 	}
-	d.relayed(withoutNode(members, n.config.Self.Node), evidence, now)
+	d.heartbeats(withoutNode(members, n.config.Self.Node), heartbeatShare, now)
+	d.evidence(evidence, now)
 	if bounded {
 		n.demand.addTo(d, n.config.Self.Node, now)
 	}
+	for _, v := range wanted(members, records) {
+		response.Members = append(response.Members,
+			encodeMember(&v.Member, v.State == fleet.NodeLeaving, encodeAge(v.HeardAt, now)))
+	}
 	return response
 }
 
