--- a/internal/prove/configuration_test.go
+++ b/internal/prove/configuration_test.go
@@ -32,6 +32,9 @@
 	for i := range c.spec.nodes {
 		group.Go(func() { observe(ctx, c, i) })
 	}
+	load := workload{cluster: c, seed: p.seed, maxTokens: 30, pause: 50 * time.Millisecond}
+	load.completions(ctx, 2)
+	load.calls(ctx, 2, 1)
 	faults := schedule{
 		cluster: c, random: p.random, rest: [2]time.Duration{500 * time.Millisecond, 2 * time.Second},
 		kinds: []faultKind{
@@ -41,6 +44,7 @@
 	}
 	faults.run(ctx)
 	group.Wait()
+	load.wait()
 	return CheckConfiguration(c.history())
 }
 
