--- a/gateway/completion_test.go
+++ b/gateway/completion_test.go
@@ -13,6 +13,7 @@
 	"github.com/rattanlanding/rattanlanding/backend"
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/route"
 )
 
 const (
@@ -26,6 +27,15 @@
 
 func (f confirmFunc) Confirm(_ context.Context, group string) { f(group) }
 
+// pause is a policy after whose choice the process seems to have slept.
+type pause struct{ wake func(t *route.Target) }
+
+func (p pause) Choose(targets []*route.Target, _ route.Request, _ time.Time) *route.Target {
+	t := *targets[0]
+	p.wake(&t)
+	return &t
+}
+
 var _ = Describe("Completions", func() {
 	var w *world
 	BeforeEach(func() { w = newWorld() })
@@ -38,7 +48,7 @@
 		got := complete(streamed)
 		Expect(texts(got.body)).To(Equal(allFour))
 		Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"))
-		Expect(w.attempts[0].Extra).To(Equal("kept"))
+		Expect(w.seen()[0].Extra).To(Equal("kept"))
 		Expect(complete(whole).body).To(ContainSubstring(`"text":"` + allFour))
 	})
 
@@ -66,9 +76,9 @@
 			} else {
 				Expect(got.body).To(ContainSubstring(`"text":"` + allFour + `"`))
 			}
-			Expect(w.attempts).To(HaveLen(2))
-			Expect(w.attempts[0].Group).NotTo(Equal(w.attempts[1].Group))
-			Expect(w.attempts[1].MaxTokens + len(w.attempts[1].Resume)).To(Equal(4))
+			Expect(w.seen()).To(HaveLen(2))
+			Expect(w.seen()[0].Group).NotTo(Equal(w.seen()[1].Group))
+			Expect(w.seen()[1].MaxTokens + len(w.seen()[1].Resume)).To(Equal(4))
 		},
 		Entry("cut", streamed, func(a attempt) { a.say(0, 2); panic(http.ErrAbortHandler) }),
 		Entry("truncated without an error", streamed, func(a attempt) { a.say(0, 3) }),
@@ -166,7 +176,7 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			return w.cancels
-		}, time.Minute).Should(Equal([]string{"/v1/attempts/" + w.attempts[0].ID}))
+		}, time.Minute).Should(Equal([]string{"/v1/attempts/" + w.seen()[0].ID}))
 		Eventually(w.gateway.InFlight, time.Minute).Should(Equal(0))
 	})
 
@@ -180,7 +190,7 @@
 			Expect(got.status).To(Equal(status))
 			Expect(got.verdict).To(Equal("not-run"))
 			Expect(got.body).To(ContainSubstring(`"reason":"` + reason + `"`))
-			Expect(w.attempts).To(BeEmpty())
+			Expect(w.seen()).To(BeEmpty())
 		},
 		Entry("unconfirmed", func() {
 			w.board.Confirmation.Publish(&blackboard.Confirmation{ServeUntil: time.Now()})
@@ -195,6 +205,79 @@
 		Entry("lost group", func() { clear(w.evidence); w.builder.Build() }, whole, 503, "no-healthy-group"),
 	)
 
+	It("lets requests in flight finish while it drains, and refuses new ones", func() {
+		// Guards against interrupted requests at a planned stop.
+		begun, release := make(chan struct{}), make(chan struct{})
+		w.engine(func(a attempt) { close(begun); <-release; rest(a) })
+		w.start()
+		first, drained := make(chan answer, 1), make(chan error, 1)
+		go func() {
+			defer GinkgoRecover()
+			first <- complete(whole)
+		}()
+		<-begun
+		Expect(w.gateway.InFlight()).To(Equal(1))
+		go func() { drained <- w.gateway.Drain(context.Background()) }()
+		Eventually(func() string { return complete(`{`).verdict + complete(`{`).body }, time.Minute).
+			Should(ContainSubstring(`"reason":"draining"`))
+		Expect(drained).NotTo(Receive())
+		close(release)
+		Expect((<-first).status).To(Equal(200))
+		Expect(<-drained).To(Succeed())
+	})
+
+	It("sheds requests above its limit as not run", func() {
+		// Guards against a node that takes more than it can hold.
+		begun, release := make(chan struct{}), make(chan struct{})
+		w.settings.MaxConcurrent = 1
+		w.engine(func(a attempt) { close(begun); <-release; rest(a) })
+		w.start()
+		first := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			first <- complete(whole)
+		}()
+		<-begun
+		got := complete(whole)
+		Expect(got.body).To(ContainSubstring(`"verdict":"not-run","reason":"overloaded"`))
+		Expect(got.header.Get("Retry-After")).To(Equal("1"))
+		close(release)
+		Expect((<-first).status).To(Equal(200))
+	})
+
+	It("carries the deadline to the engine and ends when it passes", func() {
+		// Guards against engines that work for requests nobody waits for.
+		release := make(chan struct{})
+		defer close(release)
+		w.engine(func(attempt) { <-release })
+		w.start()
+		got := complete(whole, "Rattanlanding-Deadline-Ms", "1000")
+		Expect(got.status).To(Equal(504))
+		Expect(got.verdict).To(Equal("may-have-run"))
+		Eventually(w.seen, time.Minute).Should(HaveLen(1))
+		Expect(w.seen()[0].Deadline).To(MatchRegexp(`^(\d{1,3}|1000)$`))
+	})
+
+	DescribeTable("compares its proofs with the clock just before it sends",
+		// Guards against a process that pauses between choice and send.
+		func(wake func(w *world, t *route.Target), reason string) {
+			policy := pause{func(t *route.Target) { wake(w, t) }}
+			w.settings.Groups, w.settings.Servers = policy, policy
+			w.engine(rest)
+			w.server(func(http.ResponseWriter, *http.Request) { Fail("was sent") })
+			w.start()
+			for _, got := range []answer{complete(whole), w.do("POST", "/services/desk/charges", "", "Idempotency-Key", reason)} {
+				Expect(got.verdict).To(Equal("not-run"))
+				Expect(got.body).To(ContainSubstring(reason))
+			}
+			Expect(w.seen()).To(BeEmpty())
+		},
+		Entry("evidence", func(_ *world, t *route.Target) { t.Expires = time.Now() }, "evidence expired"),
+		Entry("configuration", func(w *world, _ *route.Target) {
+			w.board.Confirmation.Publish(&blackboard.Confirmation{ServeUntil: time.Now()})
+		}, "configuration"),
+	)
+
 	It("confirms old evidence before it sends", func() {
 		// Guards against a node cut off from its peers that stops serving
 		// groups it can reach.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -58,6 +59,7 @@
 	MaxTokens int      `json:"max_tokens"`
 	Resume    []string `json:"resume_tokens"`
 	Extra     string   `json:"extra"`
+	Deadline  string   `json:"-"`
 	w         http.ResponseWriter
 }
 
@@ -77,6 +79,13 @@
 	return w
 }
 
+// seen returns the attempts that reached engines.
+func (w *world) seen() []attempt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.attempts)
+}
+
 // engine adds a group of one engine.
 func (w *world) engine(serve func(a attempt)) {
 	name := fmt.Sprintf("g%d", len(w.place.Groups))
@@ -87,7 +96,8 @@
 			w.cancels = append(w.cancels, r.URL.Path)
 			return
 		}
-		a := attempt{Group: r.Header.Get(backend.HeaderGroup), ID: r.Header.Get(backend.HeaderAttempt), w: rw}
+		a := attempt{Group: r.Header.Get(backend.HeaderGroup), ID: r.Header.Get(backend.HeaderAttempt),
+			Deadline: r.Header.Get(backend.HeaderDeadline), w: rw}
 		_ = json.NewDecoder(r.Body).Decode(&a)
 		w.mu.Lock()
 		w.attempts = append(w.attempts, a)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -102,6 +103,21 @@
 		Entry("removed from the configuration", func(w *world) { w.config.Groups = w.config.Groups[1:] }),
 	)
 
+	It("rebuilds on every change while it runs", func() {
+		// Guards against routes that stay after a loss was published.
+		w := newWorld(1)
+		w.table()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- w.builder.Run(ctx) }()
+		w.board.Evidence.Publish(&blackboard.Evidence{})
+		Eventually(func() []*route.Target {
+			return w.builder.Table.Load().Service("llm").Targets
+		}, time.Minute).Should(BeEmpty())
+		cancel()
+		Expect(<-done).To(MatchError(context.Canceled))
+	})
+
 	It("compares expiry with the clock when it is read, not when it was built", func() {
 		// Guards against a paused builder that keeps dead groups in use.
 		w := newWorld(1)
@@ -161,6 +177,14 @@
 		}
 	})
 
+	It("counts output space in use as load", func() {
+		// Guards against a group that looks idle while its space is full.
+		w := newWorld(2)
+		w.change("i0-0", func(o *blackboard.Observation) { o.Report.FreeKVTokens = 100_000 })
+		targets := w.table().Service("llm").Targets
+		Expect(targets[0].Load()).To(BeNumerically("<", targets[1].Load()))
+	})
+
 	It("prefers normal groups to a straggler", func() {
 		// Guards against even shares for a group that answers slowly.
 		w := newWorld(3)
