--- a/internal/prove/configuration_test.go
+++ b/internal/prove/configuration_test.go
@@ -17,6 +17,8 @@
 const (
 	configurationRun = 30 * time.Second
 	observeInterval  = 150 * time.Millisecond
+	// stopTimeout exceeds the daemons' drain timeout.
+	stopTimeout = 75 * time.Second
 )
 
 // proveConfiguration lets operators race with notes while nodes are killed,
@@ -45,7 +47,11 @@
 	faults.run(ctx)
 	group.Wait()
 	load.wait()
-	return CheckConfiguration(c.history())
+	result := CheckConfiguration(c.history())
+	if !c.node(0).terminate(stopTimeout) {
+		result.Fail("node 0 did not stop gracefully after the run")
+	}
+	return result
 }
 
 // operate applies notes that change one of few organisations, so that operators
