Close gaps that trial faults in the request path showed in its tests

Each added check failed to notice a fault put into the code on purpose: a crossed refusal, a request for no tokens, a lost verdict, a stalled stream.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -177,6 +177,16 @@
 		Entry("organisation", backend.HeaderOrganisation, "o2"),
 	)
 
+	It("takes no refusal of another attempt as proof", func() {
+		// Guards against a false not-run after crossed answers.
+		_, err := complete(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(backend.HeaderAttempt, "a2")
+			w.Header().Set(verdict.Header, "not-run")
+			w.WriteHeader(503)
+		})
+		Expect(err).To(be(verdict.MayHaveRun, verdict.ReasonWrongAnswer))
+	})
+
 	It("tells a refused old fencing token from other failures", func() {
 		// Guards against a holder that repeats an order it lost the right to.
 		address := serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) })
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -235,7 +235,7 @@
 			target.Tracker.FirstToken(time.Since(start))
 			c.gateway.meters.firstToken.UpdateSince(start)
 		}
-		if event.Position < len(c.delivered) || len(c.delivered) >= c.query.maxTokens {
+		if len(c.delivered) >= c.query.maxTokens {
 			continue
 		}
 		if err := c.sink.token(event); err != nil {
--- a/gateway/completion_test.go
+++ b/gateway/completion_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -78,6 +79,7 @@
 			}
 			Expect(w.seen()).To(HaveLen(2))
 			Expect(w.seen()[0].Group).NotTo(Equal(w.seen()[1].Group))
+			Expect(w.seen()[1].MaxTokens).To(BeNumerically(">=", 1))
 			Expect(w.seen()[1].MaxTokens + len(w.seen()[1].Resume)).To(Equal(4))
 		},
 		Entry("cut", streamed, func(a attempt) { a.say(0, 2); panic(http.ErrAbortHandler) }),
@@ -106,6 +108,7 @@
 		defer close(release)
 		w.settings.StallCheck = 20 * time.Millisecond
 		w.settings.ResumeWait = time.Minute
+		w.settings.StallTimeout, w.settings.CompletionTimeout = time.Hour, time.Minute
 		silent := func(a attempt) {
 			if len(a.Resume) > 0 {
 				rest(a)
@@ -157,6 +160,27 @@
 		Expect(got.body).NotTo(ContainSubstring("[DONE]"))
 	})
 
+	It("says not run only if every attempt was refused", func() {
+		// Guards against a refusal that hides an earlier attempt that may have
+		// run.
+		var calls atomic.Int64
+		spoil := func(rw http.ResponseWriter) {
+			if calls.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			rw.Header().Set("Rattanlanding-Verdict", "not-run")
+			rw.WriteHeader(503)
+		}
+		w.engine(func(a attempt) { spoil(a.w) })
+		w.server(func(rw http.ResponseWriter, _ *http.Request) { spoil(rw) })
+		w.start()
+		Expect(complete(whole).verdict).To(Equal("may-have-run"))
+		Expect(calls.Swap(0)).To(Equal(int64(3)))
+		Expect(w.do("GET", "/services/desk/x", "").verdict).To(Equal("may-have-run"))
+		Expect(calls.Swap(1)).To(Equal(int64(3)))
+		Expect(complete(whole).verdict).To(Equal("not-run"))
+	})
+
 	It("cancels the attempt when the caller goes away", func() {
 		// Guards against work for nobody.
 		begun := make(chan struct{})
@@ -261,16 +285,20 @@
 	DescribeTable("compares its proofs with the clock just before it sends",
 		// Guards against a process that pauses between choice and send.
 		func(wake func(w *world, t *route.Target), reason string) {
+			var sent atomic.Bool
 			policy := pause{func(t *route.Target) { wake(w, t) }}
 			w.settings.Groups, w.settings.Servers = policy, policy
 			w.engine(rest)
-			w.server(func(http.ResponseWriter, *http.Request) { Fail("was sent") })
+			w.server(func(http.ResponseWriter, *http.Request) { sent.Store(true) })
 			w.start()
-			for _, got := range []answer{complete(whole), w.do("POST", "/services/desk/charges", "", "Idempotency-Key", reason)} {
+			for _, path := range []string{"/v1/completions", "/services/desk/charges"} {
+				w.publish()
+				got := w.do("POST", path, whole, "Idempotency-Key", reason)
 				Expect(got.verdict).To(Equal("not-run"))
 				Expect(got.body).To(ContainSubstring(reason))
 			}
 			Expect(w.seen()).To(BeEmpty())
+			Expect(sent.Load()).To(BeFalse())
 		},
 		Entry("evidence", func(_ *world, t *route.Target) { t.Expires = time.Now() }, "evidence expired"),
 		Entry("configuration", func(w *world, _ *route.Target) {
