Let a majority take note of a revision before it is written

Cause: the accepting node heard a majority before its write, but nothing made that majority learn of it. If the node died or was cut off right after the write while the others lost the platform, they went on serving the old revision as an unconfirmed majority for the whole outage. Ruled out: waiting for acknowledgements after the write, since the node may die in between; heartbeats in the platform, worthless in an outage. Change: Prepare tells all members the revision and needs a majority; a member with a pending revision does not serve an older one unconfirmed and passes the pending revision on; a fresh process answers no exchange until it has learnt what a majority knows.

--- a/cmd/rattanctl/system_test.go
+++ b/cmd/rattanctl/system_test.go
@@ -32,6 +32,8 @@
 
 func (p *platform) MayAccept() error { return nil }
 
+func (p *platform) Prepare(context.Context, fleet.Revision) error { return nil }
+
 func (p *platform) Get(context.Context, object.Key) (object.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/control.go
+++ b/node/control.go
@@ -25,8 +25,7 @@
 }
 
 func newDocuments(board *blackboard.Board, logger log.Logger) *replica.Documents {
-	documents := replica.NewDocuments(board, logger)
-	return documents
+	return replica.NewDocuments(board, logger)
 }
 
 func newConfirmer(s settings.Settings, documents *replica.Documents, board *blackboard.Board, logger log.Logger) *replica.Confirmer {
@@ -63,6 +62,7 @@
 		return nil, err
 	}
 	documents.SetAnnouncer(node)
+	confirmer.SetPreparer(node)
 	return node, nil
 }
 
--- a/peer/fakes.go
+++ b/peer/fakes.go
@@ -17,6 +17,8 @@
 	observed    []blackboard.Observation
 	demand      blackboard.NodeDemand
 	statement   *ConfirmationStatement
+	pending     *PendingRevision
+	joining     bool
 	confirmedBy map[string]ConfirmationStatement
 }
 
@@ -134,6 +136,37 @@
 	return *f.statement, true
 }
 
+// Pending implements ConfirmationSource.
+func (f *Fake) Pending() (PendingRevision, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pending == nil {
+		return PendingRevision{}, false
+	}
+	return *f.pending, true
+}
+
+// Prepared implements ConfirmationSink.
+func (f *Fake) Prepared(p PendingRevision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pending = &p
+}
+
+// SetJoining makes the node answer no exchange.
+func (f *Fake) SetJoining(joining bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.joining = joining
+}
+
+// Ready implements ConfirmationSource.
+func (f *Fake) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.joining
+}
+
 // Confirmed implements ConfirmationSink.
 func (f *Fake) Confirmed(node string, s ConfirmationStatement) {
 	f.mu.Lock()
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -36,6 +36,8 @@
 const (
 	// PeerServiceExchangeProcedure is the fully-qualified name of the PeerService's Exchange RPC.
 	PeerServiceExchangeProcedure = "/rattanlanding.peer.v1.PeerService/Exchange"
+	// PeerServicePrepareProcedure is the fully-qualified name of the PeerService's Prepare RPC.
+	PeerServicePrepareProcedure = "/rattanlanding.peer.v1.PeerService/Prepare"
 	// PeerServiceFetchDocumentProcedure is the fully-qualified name of the PeerService's FetchDocument
 	// RPC.
 	PeerServiceFetchDocumentProcedure = "/rattanlanding.peer.v1.PeerService/FetchDocument"
@@ -45,6 +47,10 @@
 type PeerServiceClient interface {
 	// Exchange tells a peer what the sender knows and asks for what it knows.
 	Exchange(context.Context, *connect.Request[peerpb.ExchangeRequest]) (*connect.Response[peerpb.ExchangeResponse], error)
+	// Prepare tells a peer that the sender is about to write a configuration
+	// revision. Until the peer knows whether it was accepted, it does not go on
+	// serving an older one unconfirmed.
+	Prepare(context.Context, *connect.Request[peerpb.PrepareRequest]) (*connect.Response[peerpb.PrepareResponse], error)
 	// FetchDocument returns the body of a document that the peer holds.
 	FetchDocument(context.Context, *connect.Request[peerpb.FetchDocumentRequest]) (*connect.Response[peerpb.FetchDocumentResponse], error)
 }
@@ -66,6 +72,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		prepare: connect.NewClient[peerpb.PrepareRequest, peerpb.PrepareResponse](
+			httpClient,
+			baseURL+PeerServicePrepareProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Prepare")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchDocument: connect.NewClient[peerpb.FetchDocumentRequest, peerpb.FetchDocumentResponse](
 			httpClient,
 			baseURL+PeerServiceFetchDocumentProcedure,
@@ -78,6 +90,7 @@
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	exchange      *connect.Client[peerpb.ExchangeRequest, peerpb.ExchangeResponse]
+	prepare       *connect.Client[peerpb.PrepareRequest, peerpb.PrepareResponse]
 	fetchDocument *connect.Client[peerpb.FetchDocumentRequest, peerpb.FetchDocumentResponse]
 }
 
@@ -86,6 +99,11 @@
 	return c.exchange.CallUnary(ctx, req)
 }
 
+// Prepare calls rattanlanding.peer.v1.PeerService.Prepare.
+func (c *peerServiceClient) Prepare(ctx context.Context, req *connect.Request[peerpb.PrepareRequest]) (*connect.Response[peerpb.PrepareResponse], error) {
+	return c.prepare.CallUnary(ctx, req)
+}
+
 // FetchDocument calls rattanlanding.peer.v1.PeerService.FetchDocument.
 func (c *peerServiceClient) FetchDocument(ctx context.Context, req *connect.Request[peerpb.FetchDocumentRequest]) (*connect.Response[peerpb.FetchDocumentResponse], error) {
 	return c.fetchDocument.CallUnary(ctx, req)
@@ -95,6 +113,10 @@
 type PeerServiceHandler interface {
 	// Exchange tells a peer what the sender knows and asks for what it knows.
 	Exchange(context.Context, *connect.Request[peerpb.ExchangeRequest]) (*connect.Response[peerpb.ExchangeResponse], error)
+	// Prepare tells a peer that the sender is about to write a configuration
+	// revision. Until the peer knows whether it was accepted, it does not go on
+	// serving an older one unconfirmed.
+	Prepare(context.Context, *connect.Request[peerpb.PrepareRequest]) (*connect.Response[peerpb.PrepareResponse], error)
 	// FetchDocument returns the body of a document that the peer holds.
 	FetchDocument(context.Context, *connect.Request[peerpb.FetchDocumentRequest]) (*connect.Response[peerpb.FetchDocumentResponse], error)
 }
@@ -112,6 +134,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePrepareHandler := connect.NewUnaryHandler(
+		PeerServicePrepareProcedure,
+		svc.Prepare,
+		connect.WithSchema(peerServiceMethods.ByName("Prepare")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceFetchDocumentHandler := connect.NewUnaryHandler(
 		PeerServiceFetchDocumentProcedure,
 		svc.FetchDocument,
@@ -122,6 +150,8 @@
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
 			peerServiceExchangeHandler.ServeHTTP(w, r)
+		case PeerServicePrepareProcedure:
+			peerServicePrepareHandler.ServeHTTP(w, r)
 		case PeerServiceFetchDocumentProcedure:
 			peerServiceFetchDocumentHandler.ServeHTTP(w, r)
 		default:
@@ -137,6 +167,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanlanding.peer.v1.PeerService.Exchange is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Prepare(context.Context, *connect.Request[peerpb.PrepareRequest]) (*connect.Response[peerpb.PrepareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanlanding.peer.v1.PeerService.Prepare is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) FetchDocument(context.Context, *connect.Request[peerpb.FetchDocumentRequest]) (*connect.Response[peerpb.FetchDocumentResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanlanding.peer.v1.PeerService.FetchDocument is not implemented"))
 }
--- a/peer/ports.go
+++ b/peer/ports.go
@@ -62,15 +62,30 @@
 	ConfirmedAt time.Time
 }
 
-// ConfirmationSource returns this node's newest confirmation; ok=false if it has
-// none.
+// PendingRevision is a revision that a node was about to write. It may have been
+// accepted.
+type PendingRevision struct {
+	Revision   fleet.Revision
+	PreparedAt time.Time
+}
+
+// ConfirmationSource states what this node knows of the newest revision.
 type ConfirmationSource interface {
+	// Confirmation returns the newest confirmation; ok=false if there is none.
 	Confirmation() (statement ConfirmationStatement, ok bool)
+	// Pending returns the newest pending revision; ok=false if there is none.
+	Pending() (pending PendingRevision, ok bool)
+	// Ready tells whether this process has learnt what a majority knows since
+	// it started. A process that is not ready answers no exchange, so that
+	// nobody counts it as a member that knows of every pending revision.
+	Ready() bool
 }
 
 // ConfirmationSink receives the confirmations of peers.
 type ConfirmationSink interface {
 	Confirmed(node string, statement ConfirmationStatement)
+	// Prepared is called for every pending revision that a peer states.
+	Prepared(pending PendingRevision)
 }
 
 // Ports are the parts of the process that a Node serves. All are required.
--- /dev/null
+++ b/peer/prepare.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/peer/peerpb"
+)
+
+// Prepare tells all members that this node is about to write a revision and
+// returns the peer addresses of those that took note of it.
+func (n *Node) Prepare(ctx context.Context, revision fleet.Revision) []string {
+	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
+	defer cancel()
+	var (
+		mu       sync.Mutex
+		prepared []string
+		group    sync.WaitGroup
+	)
+	for _, member := range n.others() {
+		group.Go(func() {
+			if err := n.prepareAt(ctx, member.PeerAddress, revision); err != nil {
+				n.logFailure(member.PeerAddress, err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			prepared = append(prepared, member.PeerAddress)
+		})
+	}
+	group.Wait()
+	return prepared
+}
+
+// prepareAt makes one call.
+func (n *Node) prepareAt(ctx context.Context, address string, revision fleet.Revision) error {
+	_, err := n.dialer.client(address).Prepare(ctx, connect.NewRequest(&peerpb.PrepareRequest{
+		Sender:   n.roster.heartbeat(),
+		Revision: uint64(revision),
+	}))
+	return err
+}
--- a/peer/round.go
+++ b/peer/round.go
@@ -182,6 +182,14 @@
 	// the responder as heard already knows what it holds. They never go back,
 	// so a late response does no harm here.
 	n.offerAll(responder.GetNode(), address, response.GetDocuments())
+	if p := response.GetPending(); p != nil {
+		// The age is counted back from the receipt: too young keeps a pending
+		// revision for longer, which is safe.
+		n.ports.Confirm.Prepared(PendingRevision{
+			Revision:   fleet.Revision(p.GetRevision()),
+			PreparedAt: received.Add(-decodeAge(p.GetAgeMs())),
+		})
+	}
 	if !n.roster.acceptResponse(responder, sentAt) {
 		return nil
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -99,9 +99,27 @@
 	if sender.GetLeaving() {
 		n.publishMembers()
 	}
+	if !n.ports.Confirmed.Ready() {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this process is joining"))
+	}
 	return connect.NewResponse(n.respond(request.Msg.GetWantedRecords())), nil
 }
 
+// Prepare implements peerpbconnect.PeerServiceHandler.
+func (s service) Prepare(
+	_ context.Context, request *connect.Request[peerpb.PrepareRequest],
+) (*connect.Response[peerpb.PrepareResponse], error) {
+	n := s.node
+	if accepted, _ := n.roster.acceptRequest(request.Msg.GetSender()); !accepted {
+		return nil, connect.NewError(connect.CodeFailedPrecondition,
+			errors.New("request is older than what is known of its sender"))
+	}
+	n.ports.Confirm.Prepared(PendingRevision{
+		Revision: fleet.Revision(request.Msg.GetRevision()), PreparedAt: time.Now(),
+	})
+	return connect.NewResponse(&peerpb.PrepareResponse{Responder: n.roster.heartbeat()}), nil
+}
+
 // respond builds a response. Ages are taken at one moment before encoding, so a
 // later delay is covered by the requester's own clock. The records asked for are
 // added.
@@ -113,6 +131,11 @@
 			Revision: uint64(statement.Revision), AgeMs: encodeAge(statement.ConfirmedAt, now),
 		}
 	}
+	if pending, ok := n.ports.Confirmed.Pending(); ok {
+		response.Pending = &peerpb.Pending{
+			Revision: uint64(pending.Revision), AgeMs: encodeAge(pending.PreparedAt, now),
+		}
+	}
 	members := n.roster.members(now)
 	bounded := len(members) > FullMeshMembers
 	limit := 0
--- a/release/applier.go
+++ b/release/applier.go
@@ -38,6 +38,9 @@
 	// MayAccept returns nil if the node hears from a majority of the members
 	// and the platform does not show an older revision than the node has.
 	MayAccept() error
+	// Prepare tells a majority of the members that revision is about to be
+	// written. Its error means that too few took note, and nothing is written.
+	Prepare(ctx context.Context, revision fleet.Revision) error
 }
 
 // Publisher learns an accepted configuration at once.
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -196,6 +196,8 @@
 
 func (g *gate) MayAccept() error { return g.err }
 
+func (g *gate) Prepare(context.Context, fleet.Revision) error { return g.err }
+
 type published struct{ versions []uint64 }
 
 func (p *published) Publish(_ string, version uint64, _ []byte) {
--- a/release/round.go
+++ b/release/round.go
@@ -92,7 +92,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.UpdateTimeout)
 	defer cancel()
-	if err := a.cfg.Gate.MayAccept(); err != nil {
+	if err := a.cfg.Gate.Prepare(ctx, next.Revision); err != nil {
 		return Result{}, !r.uncertain, refusal(err)
 	}
 	version, err := a.cfg.Store.Update(ctx, Key, expected, body)
--- a/replica/confirmer.go
+++ b/replica/confirmer.go
@@ -57,6 +57,10 @@
 	behindAsOf  time.Time
 	electorate  *electorate
 	heardAt     map[string]time.Time
+	pending     peer.PendingRevision
+	ready       bool
+	// preparer is set before Run and not changed.
+	preparer Preparer
 }
 
 var (
@@ -204,6 +208,9 @@
 		}
 	}
 	newest := max(c.newest, c.documents.NewestOffered())
+	if c.isPending() {
+		newest = max(newest, c.pending.Revision)
+	}
 	revision, held := c.documents.Revision()
 	return &Knowledge{
 		Now: now, Held: held, Revision: revision, Newest: newest, ConfirmedAt: c.confirmedAt,
--- a/replica/judge.go
+++ b/replica/judge.go
@@ -25,6 +25,9 @@
 	// ForgetAfter is the silence after which a member no longer counts; 60 s by
 	// default. It is applied only while confirmed and in a majority.
 	ForgetAfter time.Duration
+	// PendingFor is the time after its preparation at which a revision that is
+	// still not the newest counts as refused; 10 s by default.
+	PendingFor time.Duration
 }
 
 // withDefaults returns r with its zero fields set.
@@ -38,6 +41,9 @@
 	if r.ForgetAfter == 0 {
 		r.ForgetAfter = DefaultForgetAfter
 	}
+	if r.PendingFor == 0 {
+		r.PendingFor = DefaultPendingFor
+	}
 	return r
 }
 
@@ -48,7 +54,8 @@
 	Held bool
 	// Revision is the configuration revision held.
 	Revision fleet.Revision
-	// Newest is the newest revision that a peer stated.
+	// Newest is the newest revision that a peer stated or that may have been
+	// accepted.
 	Newest fleet.Revision
 	// ConfirmedAt is the newest moment at which no newer revision than Revision
 	// had been accepted; zero for a fresh node.
