--- a/internal/prove/configuration_test.go
+++ b/internal/prove/configuration_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	configurationRun = 30 * time.Second
+	configurationRun = 45 * time.Second
 	observeInterval  = 150 * time.Millisecond
 	// stopTimeout exceeds the daemons' drain timeout.
 	stopTimeout = 75 * time.Second
@@ -39,6 +39,7 @@
 	load.calls(ctx, 2, 1)
 	faults := schedule{
 		cluster: c, random: p.random, rest: [2]time.Duration{500 * time.Millisecond, 2 * time.Second},
+		first: isolateNode,
 		kinds: []faultKind{
 			killNode, freezeNode, cutNodeFromPlatform, isolateNode, cutOneWay, splitRegions,
 			platformDown, platformHang, platformSlow, platformLosesAnswers,
--- a/internal/prove/faults_test.go
+++ b/internal/prove/faults_test.go
@@ -29,6 +29,9 @@
 	cluster *cluster
 	random  *rand.Rand
 	kinds   []faultKind
+	// first is applied before any other, for a fault without which a run of the
+	// point proves little; nil means none.
+	first faultKind
 	// rest is the least and the most time between faults.
 	rest [2]time.Duration
 }
@@ -37,6 +40,10 @@
 // once before any is drawn again, so that short runs do not miss one.
 func (s *schedule) run(ctx context.Context) {
 	order := s.random.Perm(len(s.kinds))
+	if s.first != nil {
+		f := s.first(s.cluster, s.random)
+		s.apply(ctx, f, between(s.random, f.hold))
+	}
 	for next := 0; ctx.Err() == nil; {
 		pause(ctx, between(s.random, s.rest))
 		count := 1 + s.random.IntN(2)
@@ -68,6 +75,10 @@
 	return limits[0] + time.Duration(random.Int64N(int64(limits[1]-limits[0])+1))
 }
 
+// isolationHold exceeds the bound of the configuration point, so that a node
+// that serves on in isolation is found.
+var isolationHold = [2]time.Duration{ConfigurationBound + 2*time.Second, ConfigurationBound + 4*time.Second}
+
 // killNode kills one daemon and starts it anew.
 func killNode(c *cluster, random *rand.Rand) fault {
 	i := random.IntN(c.spec.nodes)
@@ -111,7 +122,7 @@
 		}
 	}
 	return fault{
-		kind: "isolate node", target: fmt.Sprint(i), hold: [2]time.Duration{4 * time.Second, 14 * time.Second},
+		kind: "isolate node", target: fmt.Sprint(i), hold: isolationHold,
 		begin: func() { set(true) },
 		end:   func() { set(false) },
 	}
@@ -146,7 +157,7 @@
 	}
 	return fault{
 		kind: "split regions", target: fmt.Sprintf("%d nodes, platform %t", minority, withPlatform),
-		hold:  [2]time.Duration{4 * time.Second, 14 * time.Second},
+		hold:  isolationHold,
 		begin: func() { set(true) },
 		end:   func() { set(false) },
 	}
