--- a/route/builder.go
+++ b/route/builder.go
@@ -25,6 +25,10 @@
 	// maxSlowness bounds the weight of a straggler, so that it still gets the
 	// few requests that show its recovery.
 	maxSlowness = 8
+	// stragglerRatio is the ratio to the median first-token time from which a
+	// target counts as a straggler. Below it the difference comes from queues,
+	// which the load contains already, and from the lengths of prompts.
+	stragglerRatio = 2
 	// occupiedShare is the weight of a token in the KV cache next to a queued
 	// prompt token. It delays a new request less; the value is an estimate.
 	occupiedShare = 0.25
@@ -305,7 +309,9 @@
 	for _, t := range targets {
 		t.slowness = 1
 		if n := len(latencies); n > 0 {
-			t.slowness = min(max(t.Tracker.Latency()/latencies[(n-1)/2], 1), maxSlowness)
+			if ratio := t.Tracker.Latency() / latencies[(n-1)/2]; ratio >= stragglerRatio {
+				t.slowness = min(ratio, maxSlowness)
+			}
 		}
 	}
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -161,6 +162,39 @@
 		}
 	})
 
+	It("keeps the turns of a conversation together and conversations apart", func() {
+		// Guards against sending every conversation of one system prompt to the
+		// same group, and against moving a conversation with each turn.
+		system := strings.Repeat("s", 900)
+		turn := system + strings.Repeat("a", 200)
+		Expect(route.Prefix(turn + strings.Repeat("b", 2900))).To(Equal(route.Prefix(turn)))
+		other := system + strings.Repeat("c", 200)
+		Expect(route.Prefix(other)).NotTo(Equal(route.Prefix(turn)))
+	})
+
+	It("takes the second preferred group while the first is overloaded", func() {
+		// Guards against cold caches for all turns of a conversation whose group
+		// is overloaded.
+		w := newWorld(8)
+		policy, q := &route.Affinity{}, route.Request{Prefix: route.Prefix("system prompt")}
+		targets := w.table().Service("llm").Targets
+		policy.Choose(targets, q, start).Tracker.Add(1_000_000)
+		second := policy.Choose(targets, q, start)
+		for range 20 {
+			Expect(policy.Choose(targets, q, start)).To(Equal(second))
+		}
+	})
+
+	It("counts small differences in the first-token time as equal", func() {
+		// Guards against double counting of queues as slowness.
+		w := newWorld(3)
+		for i, t := range w.table().Service("llm").Targets {
+			t.Tracker.FirstToken(time.Duration(1+i) * 500 * time.Millisecond)
+		}
+		targets := w.table().Service("llm").Targets
+		Expect(targets[2].Load()).To(Equal(targets[0].Load()))
+	})
+
 	It("prefers normal groups to a straggler", func() {
 		// Guards against even shares for a group that answers slowly.
 		w := newWorld(3)
--- a/route/two_choices.go
+++ b/route/two_choices.go
@@ -8,15 +8,22 @@
 // TwoChoices takes the less loaded of two random targets. Unlike the least
 // loaded of all, it doesn't send every node's requests to one target while load
 // reports lag.
-type TwoChoices struct{}
+type TwoChoices struct {
+	// IntN returns a random number below n; nil means rand.IntN.
+	IntN func(n int) int
+}
 
 // Choose implements Policy.
-func (TwoChoices) Choose(targets []*Target, _ Request, _ time.Time) *Target {
+func (c TwoChoices) Choose(targets []*Target, _ Request, _ time.Time) *Target {
 	if len(targets) == 1 {
 		return targets[0]
 	}
-	i := rand.IntN(len(targets))
-	j := rand.IntN(len(targets) - 1)
+	intN := c.IntN
+	if intN == nil {
+		intN = rand.IntN
+	}
+	i := intN(len(targets))
+	j := intN(len(targets) - 1)
 	if j >= i {
 		j++
 	}
