Shed requests by weight when a model service is overloaded

Admission now estimates the wait from the reported queued prompt tokens and the rate at which this node saw queues being worked off. Above the target (500 ms) a proportional-integral controller lowers the admitted part of the demand, which is divided between organisations by weighted max-min fairness. Requests with priority go ahead of their own organisation's share. A request whose deadline is shorter than the wait is refused. Refusals are NotRun and carry a time to try again.

The Limiter's clock is part of Config and Update is exported, so that the measurements can drive it.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -82,20 +82,19 @@
 		board.Configuration.Publish(&fleet.Configuration{Organisations: []fleet.Organisation{
 			{Name: "acme", TokensPerSecond: 100},
 		}})
-		l := NewLimiter(board, Config{}, metrics.NewRegistry())
 		now := start
-		l.now = func() time.Time { return now }
-		l.update()
+		l := NewLimiter(board, Config{Now: func() time.Time { return now }}, metrics.NewRegistry())
+		l.Update()
 
-		_, err := l.Admit(context.Background(), "acme", 300)
+		_, err := l.Admit(context.Background(), "acme", "llm", 300, 0)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = l.Admit(context.Background(), "acme", 1)
+		_, err = l.Admit(context.Background(), "acme", "llm", 1, 0)
 		refusal := verdict.Of(err)
 		Expect(refusal.Verdict).To(Equal(verdict.NotRun))
 		Expect(refusal.RetryAfter).To(BeNumerically(">", time.Second))
 
 		now = now.Add(refusal.RetryAfter)
-		_, err = l.Admit(context.Background(), "acme", 1)
+		_, err = l.Admit(context.Background(), "acme", "llm", 1, 0)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -109,3 +108,91 @@
 		Expect(ok).To(BeTrue())
 	})
 })
+
+// fixedWait is a WaitSource with one answer.
+type fixedWait struct{ wait time.Duration }
+
+func (f *fixedWait) Wait(string) (time.Duration, bool) { return f.wait, true }
+
+var _ = Describe("Shedding", func() {
+	var (
+		waits    *fixedWait
+		now      time.Time
+		l        *Limiter
+		admitted map[string]float64
+	)
+	// offer sends requests of both organisations for some seconds.
+	offer := func(seconds int, greedy, small int) {
+		for range seconds * 10 {
+			now = now.Add(100 * time.Millisecond)
+			for range greedy {
+				if _, err := l.Admit(context.Background(), "greedy", "llm", 100, 0); err == nil {
+					admitted["greedy"]++
+				}
+			}
+			for range small {
+				if _, err := l.Admit(context.Background(), "small", "llm", 100, 0); err == nil {
+					admitted["small"]++
+				}
+			}
+			l.Update()
+		}
+	}
+	BeforeEach(func() {
+		waits, now, admitted = &fixedWait{}, start, make(map[string]float64)
+		board := &blackboard.Board{}
+		board.Configuration.Publish(&fleet.Configuration{
+			Services:      []fleet.Service{{Name: "llm", Kind: fleet.KindModel}},
+			Organisations: []fleet.Organisation{{Name: "greedy"}, {Name: "small", Weight: 1}},
+		})
+		l = NewLimiter(board, Config{Waits: waits, Now: func() time.Time { return now }}, metrics.NewRegistry())
+		l.Update()
+	})
+
+	It("admits everything while the wait is short", func() {
+		// Guards against refusals without overload.
+		offer(20, 9, 1)
+		Expect(admitted).To(Equal(map[string]float64{"greedy": 1800, "small": 200}))
+	})
+
+	It("sheds the organisation above its share and spares the other", func() {
+		// Guards against one organisation that pushes out the rest.
+		offer(10, 9, 1)
+		waits.wait = 1500 * time.Millisecond
+		admitted = make(map[string]float64)
+		offer(10, 9, 1)
+		Expect(admitted["small"]).To(BeNumerically(">=", 99))
+		Expect(admitted["greedy"]).To(BeNumerically("<", 800))
+	})
+
+	It("refuses as not run with a time, and lets priority go first", func() {
+		// Guards against a refusal that could have run or that advises an
+		// instant retry, and against equal treatment of urgent requests.
+		offer(10, 9, 0)
+		waits.wait = 5 * time.Second
+		offer(10, 9, 0)
+		var refusal *verdict.Error
+		for range 20 {
+			if _, err := l.Admit(context.Background(), "greedy", "llm", 100, 0); err != nil {
+				refusal = verdict.Of(err)
+				break
+			}
+		}
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+		Expect(refusal.Reason).To(Equal(verdict.ReasonOverloaded))
+		Expect(refusal.RetryAfter).To(BeNumerically(">=", time.Second))
+		_, err := l.Admit(context.Background(), "greedy", "llm", 100, 1)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("refuses a request whose deadline is shorter than the wait", func() {
+		// Guards against work whose answer nobody waits for.
+		waits.wait = 400 * time.Millisecond
+		l.Update()
+		ctx, cancel := context.WithDeadline(context.Background(), now.Add(300*time.Millisecond))
+		defer cancel()
+		_, err := l.Admit(ctx, "small", "llm", 100, 1)
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+	})
+})
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -18,6 +18,9 @@
 	DefaultInterval       = 500 * time.Millisecond
 	DefaultDemandLifetime = 5 * time.Second
 	DefaultBurst          = 2 * time.Second
+	// DefaultTargetWait leaves most of the 1.7 s for the first token to the lag
+	// of load reports and to unequal queues.
+	DefaultTargetWait = 500 * time.Millisecond
 )
 
 // minBurst is the smallest burst, in tokens, so that a small share still admits
@@ -34,6 +37,13 @@
 	Burst time.Duration
 	// Policy splits limits over nodes; nil means ProportionalShare.
 	Policy SharePolicy
+	// Waits estimates the wait for model services; nil means that nothing is
+	// shed.
+	Waits WaitSource
+	// TargetWait is the estimated wait above which requests are shed.
+	TargetWait time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 }
 
 // withDefaults returns c with its zero fields set.
@@ -50,6 +60,12 @@
 	if c.Policy == nil {
 		c.Policy = ProportionalShare{}
 	}
+	if c.TargetWait == 0 {
+		c.TargetWait = DefaultTargetWait
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	return c
 }
 
@@ -63,20 +79,25 @@
 	config   Config
 	now      func() time.Time
 	buckets  atomic.Pointer[buckets]
+	shedders atomic.Pointer[shedders]
 	admitted metrics.Counter
 	refused  metrics.Counter
+	shed     metrics.Counter
 }
 
 // NewLimiter returns a Limiter on the board's configuration and demand.
 func NewLimiter(board *blackboard.Board, config Config, registry metrics.Registry) *Limiter {
+	config = config.withDefaults()
 	l := &Limiter{
 		board:    board,
-		config:   config.withDefaults(),
-		now:      time.Now,
+		config:   config,
+		now:      config.Now,
 		admitted: metrics.GetOrRegisterCounter("limit.admitted", registry),
 		refused:  metrics.GetOrRegisterCounter("limit.refused", registry),
+		shed:     metrics.GetOrRegisterCounter("limit.shed", registry),
 	}
 	l.buckets.Store(&buckets{})
+	l.shedders.Store(&shedders{})
 	return l
 }
 
@@ -86,7 +107,7 @@
 	defer ticker.Stop()
 	for {
 		changed := l.board.Configuration.Changed()
-		l.update()
+		l.Update()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -96,8 +117,9 @@
 	}
 }
 
-// update recomputes the rate of every organisation's bucket.
-func (l *Limiter) update() {
+// Update recomputes the rate of every organisation's bucket and what is shed.
+// Run calls it; only one goroutine may.
+func (l *Limiter) Update() {
 	configuration := l.board.Configuration.Load()
 	if configuration == nil {
 		return
@@ -112,6 +134,7 @@
 	}
 	maps.DeleteFunc(next, func(name string, _ *bucket) bool { return !known[name] })
 	l.buckets.Store(&next)
+	l.updateShedders(configuration, now)
 }
 
 // updateOne sets one organisation's rate to this node's share of its limit.
@@ -166,21 +189,29 @@
 	taken  int
 }
 
-// Admit takes tokens from the organisation's share. A refusal is a NotRun
-// *verdict.Error with the time to try again. An organisation that Run has not
-// seen yet is admitted: the configuration was accepted less than one interval
-// ago.
-func (l *Limiter) Admit(_ context.Context, organisation string, tokens int) (*Admission, error) {
+// Admit takes tokens from the organisation's share and sheds the request if its
+// service is overloaded. A refusal is a NotRun *verdict.Error with the time to
+// try again. An organisation that Run has not seen yet is admitted: the
+// configuration was accepted less than one interval ago.
+func (l *Limiter) Admit(ctx context.Context, organisation, service string, tokens, priority int) (*Admission, error) {
 	b := (*l.buckets.Load())[organisation]
 	if b == nil {
 		return &Admission{}, nil
 	}
-	wait, ok := b.take(float64(tokens), l.now())
+	now := l.now()
+	wait, ok := b.take(float64(tokens), now)
 	if !ok {
 		l.refused.Inc(1)
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonLimitExceeded,
 			"organisation %s is over its limit of tokens per second", organisation).WithRetryAfter(wait)
 	}
+	if s := (*l.shedders.Load())[service]; s != nil {
+		if err := s.admit(ctx, organisation, float64(tokens), priority, now); err != nil {
+			b.giveBack(float64(tokens))
+			l.shed.Inc(1)
+			return nil, err
+		}
+	}
 	l.admitted.Inc(1)
 	return &Admission{bucket: b, taken: tokens}, nil
 }
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -14,14 +15,23 @@
 	"github.com/rattanlanding/rattanlanding/health"
 	"github.com/rattanlanding/rattanlanding/limit"
 	"github.com/rattanlanding/rattanlanding/replica"
+	"github.com/rattanlanding/rattanlanding/route"
 )
 
 // admitter is the gateway's view of the limiter.
 type admitter struct{ limiter *limit.Limiter }
 
 // Admit implements gateway.Limiter.
-func (a admitter) Admit(ctx context.Context, organisation, _ string, tokens, _ int) (gateway.Admission, error) {
-	return a.limiter.Admit(ctx, organisation, tokens)
+func (a admitter) Admit(ctx context.Context, organisation, service string, tokens, priority int) (gateway.Admission, error) {
+	return a.limiter.Admit(ctx, organisation, service, tokens, priority)
+}
+
+// waits is the limiter's view of the routing table.
+type waits struct{ builder *route.Builder }
+
+// Wait implements limit.WaitSource.
+func (w waits) Wait(service string) (time.Duration, bool) {
+	return w.builder.Table.Load().Wait(service)
 }
 
 // documentPublisher hands documents written by this process to the replica.
--- a/node/serving.go
+++ b/node/serving.go
@@ -32,8 +32,8 @@
 // operatorServer is the HTTP server of the operators' listener.
 type operatorServer struct{ *http.Server }
 
-func newLimiter(board *blackboard.Board, registry metrics.Registry) *limit.Limiter {
-	return limit.NewLimiter(board, limit.Config{}, registry)
+func newLimiter(board *blackboard.Board, builder *route.Builder, registry metrics.Registry) *limit.Limiter {
+	return limit.NewLimiter(board, limit.Config{Waits: waits{builder: builder}}, registry)
 }
 
 func newBuilder(s settings.Settings, board *blackboard.Board, registry metrics.Registry) *route.Builder {
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -19,6 +19,9 @@
 type Tracker struct {
 	sent  atomic.Int64
 	first atomic.Uint64
+	// queued is the newest reported number of queued prompt tokens.
+	queued atomic.Int64
+	rate   atomic.Uint64
 
 	// marks are counts at past moments; only the builder uses them.
 	marks []mark
@@ -37,6 +40,7 @@
 
 // FirstToken records the time from sending to the first token.
 func (t *Tracker) FirstToken(d time.Duration) {
+	t.observeRate(d)
 	for {
 		old := t.first.Load()
 		average := d.Seconds()
