Measure limits over nodes and shedding under overload

"limits" compares equal and proportional shares through the real Limiter at 9 and 380 nodes while demand moves, nodes are cut apart, and nodes come and go. "overload" sends twice the design point's requests with and without shedding.

--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -34,6 +34,8 @@
 func All() []Measurement {
 	return []Measurement{
 		{Name: "choice", Run: choice},
+		{Name: "limits", Run: limits},
+		{Name: "overload", Run: overloads},
 	}
 }
 
