--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -32,7 +32,11 @@
 
 // All lists the measurements in the order in which they run.
 func All() []Measurement {
-	return []Measurement{}
+	return []Measurement{
+		{Name: "choice", Run: choice},
+		{Name: "limits", Run: limits},
+		{Name: "overload", Run: overloads},
+	}
 }
 
 // Options choose what Run does.
