--- /dev/null
+++ b/internal/measure/capacity_platform.go
@@ -0,0 +1,247 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/claim"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/lease"
+	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/object"
+)
+
+const (
+	// platformDelay is the time of one call to the platform in memory.
+	platformDelay = 3 * time.Millisecond
+	// claimWindow is the time over which claims of one case are counted.
+	claimWindow = 1500 * time.Millisecond
+	answerBytes = 200
+)
+
+// countingShare counts the shares that a limiter computes.
+type countingShare struct {
+	limit.ProportionalShare
+	count atomic.Int64
+}
+
+// Share implements limit.SharePolicy.
+func (c *countingShare) Share(in limit.ShareInput) float64 {
+	c.count.Add(1)
+	return c.ProportionalShare.Share(in)
+}
+
+// limitUpdates emits the time to update the limit of one organisation.
+func limitUpdates(ctx context.Context, emit Emit) error {
+	var points []point
+	for _, nodes := range []int{9, 100, designNodes} {
+		board := &blackboard.Board{}
+		board.Configuration.Publish(capacityConfiguration(1, 100, 1))
+		demand := &blackboard.Demand{ByNode: map[string]blackboard.NodeDemand{}}
+		members := &blackboard.Members{Self: "node-0"}
+		for i := range nodes {
+			name := fmt.Sprintf("node-%d", i)
+			members.All = append(members.All, fleet.MemberView{Member: fleet.Member{Node: name, State: fleet.NodeServing}})
+			demand.ByNode[name] = blackboard.NodeDemand{HeardAt: time.Now(), TokensPerSecond: map[string]float64{"organisation-1": 5, "organisation-2": 5}}
+		}
+		board.Members.Publish(members)
+		board.Demand.Publish(demand)
+		policy := &countingShare{}
+		// The interval makes Run update without a pause.
+		limiter := limit.NewLimiter(board, limit.Config{Interval: time.Microsecond, Policy: policy}, metrics.NewRegistry())
+		bounded, cancel := context.WithTimeout(ctx, measureFor)
+		cpu := cpuTime()
+		_ = limiter.Run(bounded)
+		used := cpuTime() - cpu
+		cancel()
+		points = append(points, point{float64(nodes), float64(used.Nanoseconds()) / 1e3 / float64(max(policy.count.Load(), 1))})
+	}
+	emitLine(emit, "limits", "update of one organisation", points, designNodes, "us", "node", "380 nodes")
+	return nil
+}
+
+// probeCost emits the bytes and processor time of one probe, the engine's side
+// included.
+func probeCost(ctx context.Context, emit Emit) error {
+	engines, err := startEngines(groupSize)
+	if err != nil {
+		return err
+	}
+	defer engines.close()
+	placements := capacityPlacements(1, groupSize, func(i int) string { return engines.addresses[i] })
+	if err := engines.fill(placements); err != nil {
+		return err
+	}
+	registry := metrics.NewRegistry()
+	client := backend.NewEngines(registry)
+	const probes = 4000
+	cpu := cpuTime()
+	for i := range probes {
+		if _, err := client.Status(ctx, engines.addresses[i%groupSize]); err != nil {
+			return err
+		}
+	}
+	used := cpuTime() - cpu
+	sent := metrics.GetOrRegisterCounter("backend.engine.control.sent", registry).Count()
+	received := metrics.GetOrRegisterCounter("backend.engine.control.received", registry).Count()
+	emit("probe", "bytes sent", float64(sent)/probes, "B")
+	emit("probe", "bytes received", float64(received)/probes, "B")
+	emit("probe", "processor time, both ends", float64(used.Nanoseconds())/1e3/probes, "us")
+	return nil
+}
+
+// claimWrites emits the platform's work for calls that must run once.
+func claimWrites(ctx context.Context, emit Emit) error {
+	for _, fill := range []int{0, 100, 1000} {
+		memory := object.NewMemory()
+		if err := fillClaims(ctx, memory, fill*claim.PartitionCount); err != nil {
+			return err
+		}
+		memory.SetFaults(object.Faults{Delay: platformDelay})
+		for _, callers := range []int{1, 10, 100} {
+			claimCase(ctx, memory, fill, callers, 1, emit)
+		}
+		claimCase(ctx, memory, fill, 100, 9, emit)
+	}
+	return nil
+}
+
+// claimCall makes one claim and stores its answer.
+func claimCall(ctx context.Context, registry *claim.Registry, key string) error {
+	held, _, err := registry.Begin(ctx, claim.Key{Organisation: "organisation-1", Service: "front-desk", Key: key}, hexHash(key))
+	if err != nil {
+		return err
+	}
+	return held.Answered(ctx, claim.Answer{Status: 200, Body: make([]byte, answerBytes)})
+}
+
+// fillClaims stores a number of answered claims.
+func fillClaims(ctx context.Context, store object.Store, claims int) error {
+	registry := claim.NewRegistry(store, claim.Config{BatchWindow: 100 * time.Millisecond}, log.NewNopLogger(), metrics.NewRegistry())
+	defer registry.Close()
+	var all sync.WaitGroup
+	errs := make(chan error, claims)
+	for i := range claims {
+		all.Go(func() {
+			if err := claimCall(ctx, registry, fmt.Sprint("fill", i)); err != nil {
+				errs <- err
+			}
+		})
+	}
+	all.Wait()
+	close(errs)
+	return <-errs
+}
+
+// claimCase emits the figures of one number of callers over a number of nodes.
+func claimCase(ctx context.Context, memory object.Store, fill, callers, nodes int, emit Emit) {
+	store := &countingStore{Store: memory}
+	registries := make([]*claim.Registry, nodes)
+	for i := range registries {
+		registries[i] = claim.NewRegistry(store, claim.Config{}, log.NewNopLogger(), metrics.NewRegistry())
+		defer registries[i].Close()
+	}
+	var calls, refused atomic.Int64
+	var all sync.WaitGroup
+	cpu, started := cpuTime(), time.Now()
+	for caller := range callers {
+		all.Go(func() {
+			for i := 0; time.Since(started) < claimWindow; i++ {
+				if claimCall(ctx, registries[caller%nodes], fmt.Sprint(fill, nodes, callers, "/", caller, "/", i)) != nil {
+					refused.Add(1)
+					continue
+				}
+				calls.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	done := float64(max(calls.Load(), 1))
+	at := fmt.Sprintf("%d callers on %d nodes, partitions of %d claims, ", callers, nodes, fill)
+	emit("claims", at+"calls a second", done/time.Since(started).Seconds(), "1/s")
+	emit("claims", at+"writes a call", float64(store.writes.Load())/done, "writes")
+	emit("claims", at+"reads a call", float64(store.reads.Load())/done, "reads")
+	emit("claims", at+"bytes a write", float64(store.bytes.Load())/float64(max(store.writes.Load(), 1)), "B")
+	emit("claims", at+"processor time a call", float64((cpuTime()-cpu).Nanoseconds())/1e3/done, "us")
+	emit("claims", at+"refused calls", float64(refused.Load()), "calls")
+}
+
+// leaseWrites emits the writes of held leases.
+func leaseWrites(ctx context.Context, emit Emit) error {
+	const window = 6 * time.Second
+	sizes := []int{1, 5, 20}
+	rates := make([]float64, len(sizes))
+	var all sync.WaitGroup
+	for i, shards := range sizes {
+		all.Go(func() {
+			board := &blackboard.Board{}
+			board.Members.Publish(&blackboard.Members{Self: "node-0", All: []fleet.MemberView{
+				{Member: fleet.Member{Node: "node-0", State: fleet.NodeServing}, HeardAt: time.Now().Add(time.Hour)}}})
+			store := &countingStore{Store: object.NewMemory()}
+			names := make([]string, shards)
+			for s := range names {
+				names[s] = fmt.Sprintf("placement/fabric-%d", s)
+			}
+			manager := lease.New(lease.Config{Node: "node-0", Boot: "boot"}, store, board, func() []string { return names },
+				log.NewNopLogger(), metrics.NewRegistry())
+			bounded, cancel := context.WithTimeout(ctx, window)
+			defer cancel()
+			_ = manager.Run(bounded)
+			// Claiming and releasing are not part of the steady rate.
+			rates[i] = float64(store.writes.Load()-int64(2*shards)) / window.Seconds()
+		})
+	}
+	all.Wait()
+	var points []point
+	for i, shards := range sizes {
+		points = append(points, point{float64(shards), rates[i]})
+	}
+	emitLine(emit, "leases", "writes", points, 20, "1/s", "shard", "20 shards")
+	return nil
+}
+
+// platformCalls emits the calls of idle nodes to the platform. Waiting watches
+// are counted when they end, so the nodes are stopped first.
+func platformCalls(ctx context.Context, emit Emit) error {
+	const window = 8 * time.Second
+	sizes := []int{1, 3, 9}
+	var clusters []*cluster
+	for _, nodes := range sizes {
+		c, err := startCluster(ctx, nodes)
+		if err != nil {
+			return err
+		}
+		clusters = append(clusters, c)
+	}
+	pause(ctx, window)
+	for i, c := range clusters {
+		c.close()
+		emitCalls(c, sizes[i], window, emit)
+	}
+	return ctx.Err()
+}
+
+// emitCalls emits what a cluster asked of the platform in its life.
+func emitCalls(c *cluster, nodes int, window time.Duration, emit Emit) {
+	var reads, writes, watches, waited float64
+	for _, n := range c.nodes {
+		reads += float64(n.store.reads.Load())
+		writes += float64(n.store.writes.Load())
+		watches += float64(n.store.watches.Load())
+		waited += time.Duration(n.store.waited.Load()).Seconds()
+	}
+	at := fmt.Sprintf("%d idle nodes, 5 shards, start included, ", nodes)
+	per := window.Seconds() * float64(nodes)
+	emit("platform calls", at+"reads a node", reads/per, "1/s")
+	emit("platform calls", at+"writes a node", writes/per, "1/s")
+	emit("platform calls", at+"watches begun a node", watches/per, "1/s")
+	emit("platform calls", at+"watches waiting a node", waited/per, "calls")
+}
--- /dev/null
+++ b/internal/measure/capacity_store.go
@@ -0,0 +1,86 @@
+package measure
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/object"
+)
+
+// countingStore counts the calls and the written bytes of one user of a Store.
+type countingStore struct {
+	object.Store
+	writes, reads, watches, bytes atomic.Int64
+	// waited sums the time that watches were held, in nanoseconds.
+	waited atomic.Int64
+}
+
+func (s *countingStore) held(since time.Time) { s.waited.Add(int64(time.Since(since))) }
+
+// Get implements object.Store.
+func (s *countingStore) Get(ctx context.Context, key object.Key) (object.Object, error) {
+	s.reads.Add(1)
+	return s.Store.Get(ctx, key)
+}
+
+// GetIfNewer implements object.Store.
+func (s *countingStore) GetIfNewer(ctx context.Context, key object.Key, known object.Version) (object.Object, bool, error) {
+	s.reads.Add(1)
+	return s.Store.GetIfNewer(ctx, key, known)
+}
+
+// List implements object.Store.
+func (s *countingStore) List(ctx context.Context, kind string) ([]object.Object, error) {
+	s.reads.Add(1)
+	return s.Store.List(ctx, kind)
+}
+
+// Update implements object.Store.
+func (s *countingStore) Update(ctx context.Context, key object.Key, expected object.Version, value []byte) (object.Version, error) {
+	s.writes.Add(1)
+	s.bytes.Add(int64(len(value)))
+	return s.Store.Update(ctx, key, expected, value)
+}
+
+// Delete implements object.Store.
+func (s *countingStore) Delete(ctx context.Context, key object.Key, expected object.Version) error {
+	s.writes.Add(1)
+	return s.Store.Delete(ctx, key, expected)
+}
+
+// Watch implements object.Store.
+func (s *countingStore) Watch(ctx context.Context, key object.Key, known object.Version, wait time.Duration) (object.Object, bool, error) {
+	s.watches.Add(1)
+	defer s.held(time.Now())
+	return s.Store.Watch(ctx, key, known, wait)
+}
+
+// WatchKind implements object.Store.
+func (s *countingStore) WatchKind(ctx context.Context, kind string, cursor object.Version, wait time.Duration) (object.Listing, error) {
+	if wait > 0 {
+		s.watches.Add(1)
+		defer s.held(time.Now())
+	} else {
+		s.reads.Add(1)
+	}
+	return s.Store.WatchKind(ctx, kind, cursor, wait)
+}
+
+// countingInstances counts calls to the instance list.
+type countingInstances struct {
+	*staticInstances
+	counted *countingStore
+}
+
+// Instances implements replica.InstanceSource.
+func (c countingInstances) Instances(ctx context.Context, after uint64, wait time.Duration) (fleet.InstanceList, bool, error) {
+	if wait > 0 {
+		c.counted.watches.Add(1)
+		defer c.counted.held(time.Now())
+	} else {
+		c.counted.reads.Add(1)
+	}
+	return c.staticInstances.Instances(ctx, after, wait)
+}
--- /dev/null
+++ b/internal/measure/capacity_test.go
@@ -0,0 +1,44 @@
+package measure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/route"
+)
+
+// TestFitLine guards against slopes that are wrong by a term of the fit, because
+// every computed figure of docs/CAPACITY.md rests on them.
+func TestFitLine(t *testing.T) {
+	slope, intercept := fitLine([]point{{1, 5}, {2, 7}, {4, 11}})
+	if slope < 1.999 || slope > 2.001 || intercept < 2.999 || intercept > 3.001 {
+		t.Errorf("slope %g, intercept %g, want 2 and 3", slope, intercept)
+	}
+}
+
+// BenchmarkChoose is the choice of a group by each policy, fresh targets
+// included, for benchstat.
+func BenchmarkChoose(b *testing.B) {
+	policies := []struct {
+		name   string
+		policy route.Policy
+	}{{"affinity", &route.Affinity{}}, {"two-choices", route.TwoChoices{}}, {"least-load", route.LeastLoad{}}}
+	for _, groups := range []int{designGroups, 10 * designGroups} {
+		builder := route.NewBuilder(route.Config{Lifetime: time.Hour}, capacityBoard(groups), metrics.NewRegistry())
+		builder.Build()
+		service, now := builder.Table.Load().Service(capacityService), time.Now()
+		for _, p := range policies {
+			b.Run(fmt.Sprintf("policy=%s/groups=%d", p.name, groups), func(b *testing.B) {
+				b.ReportAllocs()
+				prefix := uint64(0)
+				for b.Loop() {
+					prefix++
+					p.policy.Choose(service.Fresh(now, nil), route.Request{Prefix: prefix}, now)
+				}
+			})
+		}
+	}
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -32,7 +32,11 @@
 
 // All lists the measurements in the order in which they run.
 func All() []Measurement {
-	return []Measurement{}
+	return []Measurement{
+		dissemination(),
+		capacity(),
+		path(),
+	}
 }
 
 // Options choose what Run does.
--- /dev/null
+++ b/internal/measure/path_world.go
@@ -0,0 +1,182 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/claim"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/retry"
+	"github.com/rattanlanding/rattanlanding/route"
+)
+
+const (
+	pathGroups = 8
+	pathKey    = "key0"
+	// fieldTokenTime asks the stand-in engine for a time between tokens, in
+	// microseconds.
+	fieldTokenTime = "token_time_us"
+)
+
+// pathWorld is a real gateway before stand-in engines. Callers reach the
+// engines directly or through it.
+type pathWorld struct {
+	engines []string
+	node    string
+	client  *http.Client
+	closers []func()
+}
+
+// streamEngine answers completions: each token's text is the time at which it
+// was written, in nanoseconds.
+func streamEngine(w http.ResponseWriter, r *http.Request) {
+	var query struct {
+		MaxTokens int   `json:"max_tokens"`
+		TokenTime int64 `json:"token_time_us"`
+	}
+	if json.NewDecoder(r.Body).Decode(&query) != nil {
+		http.Error(w, "body", http.StatusBadRequest)
+		return
+	}
+	for _, h := range []string{backend.HeaderAttempt, backend.HeaderGroup, backend.HeaderGeneration, backend.HeaderOrganisation} {
+		w.Header().Set(h, r.Header.Get(h))
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(w)
+	for i := range query.MaxTokens {
+		if i > 0 {
+			pause(r.Context(), time.Duration(query.TokenTime)*time.Microsecond)
+		}
+		_, err := fmt.Fprintf(w, "data: {\"position\":%d,\"choices\":[{\"text\":\"%d\"}]}\n\n", i, time.Now().UnixNano())
+		if err != nil || flusher.Flush() != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// newPathWorld starts the engines and a gateway whose evidence does not expire.
+func newPathWorld() (*pathWorld, error) {
+	p := &pathWorld{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}}
+	for range pathGroups {
+		address, err := p.listen(&http.Server{Handler: http.HandlerFunc(streamEngine), ReadHeaderTimeout: time.Second})
+		if err != nil {
+			return p, err
+		}
+		p.engines = append(p.engines, address)
+	}
+	board := p.board()
+	registry := metrics.NewRegistry()
+	builder := route.NewBuilder(route.Config{Lifetime: time.Hour}, board, registry)
+	limiter := limit.NewLimiter(board, limit.Config{}, registry)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.closers = append(p.closers, cancel)
+	go func() { _ = builder.Run(ctx) }()
+	builder.Build()
+	g := gateway.New(gateway.Config{ConfirmAge: time.Hour}, gateway.Parts{Board: board, Table: &builder.Table,
+		Engines: backend.NewEngines(registry), Servers: backend.NewPlain(registry), Limiter: pathLimiter{limiter},
+		Claims: &claim.Fake{}, Confirmer: gateway.Unlimited{}, Budget: retry.NewBudget(10, 10),
+		Logger: log.NewNopLogger(), Registry: registry})
+	var err error
+	p.node, err = p.listen(g.Server())
+	return p, err
+}
+
+// pathLimiter adapts the limiter as the daemon does.
+type pathLimiter struct{ limiter *limit.Limiter }
+
+// Admit implements gateway.Limiter.
+func (l pathLimiter) Admit(ctx context.Context, organisation, _ string, tokens, _ int) (gateway.Admission, error) {
+	return l.limiter.Admit(ctx, organisation, tokens)
+}
+
+// board returns groups of one engine with lasting evidence.
+func (p *pathWorld) board() *blackboard.Board {
+	board := &blackboard.Board{}
+	c := capacityConfiguration(pathGroups, 10, 2)
+	c.Organisations[0].KeyHashes = []string{hexHash(pathKey)}
+	c.Organisations[0].TokensPerSecond = 1e9
+	placed := fleet.Placement{FabricDomain: domainOf(0), NextGeneration: pathGroups + 1}
+	evidence := &blackboard.Evidence{ByInstance: map[string]blackboard.Observation{}}
+	for i := range pathGroups {
+		group := placedGroup(i, 1, func(int) string { return p.engines[i] })
+		placed.Groups = append(placed.Groups, group)
+		evidence.ByInstance[group.Members[0].Instance] = blackboard.Observation{
+			Report: reportOf(&group, 0), ObservedAt: time.Now(), Observer: "node-0"}
+	}
+	board.Configuration.Publish(c)
+	board.Confirmation.Publish(&blackboard.Confirmation{ServeUntil: time.Now().Add(time.Hour)})
+	board.Placements.Publish(&blackboard.Placements{ByDomain: map[string]*blackboard.VersionedPlacement{
+		placed.FabricDomain: {Version: 1, Placement: placed}}})
+	board.Evidence.Publish(evidence)
+	return board
+}
+
+// listen serves on a loopback address until close.
+func (p *pathWorld) listen(server *http.Server) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	p.closers = append(p.closers, func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (p *pathWorld) close() {
+	p.client.CloseIdleConnections()
+	for _, c := range p.closers {
+		c()
+	}
+}
+
+// open sends one streamed completion.
+func (p *pathWorld) open(ctx context.Context, address string, number, tokens int, tokenTime time.Duration) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"prompt of caller %d","max_tokens":%d,"stream":true,%q:%d}`,
+		capacityService, number, tokens, fieldTokenTime, tokenTime.Microseconds())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+pathKey)
+	response, err := p.client.Do(request)
+	if err == nil && response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("completion at %s: status %d", address, response.StatusCode)
+	}
+	return response, err
+}
+
+// readTokens reads a whole stream and calls seen with the time from the writing
+// of each token to its arrival.
+func readTokens(body io.Reader, seen func(time.Duration)) error {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		_, rest, found := strings.Cut(lines.Text(), `"text":"`)
+		if !found {
+			continue
+		}
+		digits, _, _ := strings.Cut(rest, `"`)
+		written, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil {
+			return fmt.Errorf("token without a time: %w", err)
+		}
+		seen(time.Duration(time.Now().UnixNano() - written))
+	}
+	return lines.Err()
+}
