Sum the demand of peers once for all organisations

Cause: the share of each organisation walked over the demand of every node, twice a second. Ruled out: the buckets, which cost little at 9 nodes.

--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -105,23 +105,25 @@
 	now := l.now()
 	next := maps.Clone(*l.buckets.Load())
 	known := make(map[string]bool, len(configuration.Organisations))
+	in := l.shareInput(now)
 	for i := range configuration.Organisations {
 		organisation := &configuration.Organisations[i]
 		known[organisation.Name] = true
-		l.updateOne(next, organisation, now)
+		l.updateOne(next, organisation, in)
 	}
 	maps.DeleteFunc(next, func(name string, _ *bucket) bool { return !known[name] })
 	l.buckets.Store(&next)
 }
 
 // updateOne sets one organisation's rate to this node's share of its limit.
-func (l *Limiter) updateOne(next buckets, organisation *fleet.Organisation, now time.Time) {
+func (l *Limiter) updateOne(next buckets, organisation *fleet.Organisation, in ShareInput) {
+	now := in.Now
 	b := next[organisation.Name]
-	demand := 0.0
+	in.Organisation = organisation.Name
 	if b != nil {
-		demand = b.sampleDemand(now)
+		in.LocalDemand = b.sampleDemand(now)
 	}
-	rate := organisation.TokensPerSecond * l.share(organisation.Name, demand, now)
+	rate := organisation.TokensPerSecond * l.config.Policy.Share(in)
 	burst := max(rate*l.config.Burst.Seconds(), minBurst)
 	if b == nil {
 		next[organisation.Name] = newBucket(rate, burst, now)
@@ -130,13 +132,11 @@
 	b.setRate(rate, burst, now)
 }
 
-// share asks the policy for this node's part of an organisation's limit.
-func (l *Limiter) share(organisation string, demand float64, now time.Time) float64 {
+// shareInput returns what all organisations' shares depend on.
+func (l *Limiter) shareInput(now time.Time) ShareInput {
 	in := ShareInput{
-		Organisation:   organisation,
 		Members:        1,
 		Demand:         l.board.Demand.Load(),
-		LocalDemand:    demand,
 		Now:            now,
 		DemandLifetime: l.config.DemandLifetime,
 	}
@@ -144,7 +144,8 @@
 		in.Self = members.Self
 		in.Members = max(len(members.Serving()), 1)
 	}
-	return l.config.Policy.Share(in)
+	in.sums = sumDemand(in.Demand, in.Self, in.Now, in.DemandLifetime)
+	return in
 }
 
 // LocalDemand returns the smoothed demand of organisations at this node.
--- a/limit/proportional.go
+++ b/limit/proportional.go
@@ -35,15 +35,9 @@
 
 // otherDemand sums the fresh demand of the other nodes and counts them.
 func otherDemand(in ShareInput) (sum float64, heard int) {
-	if in.Demand == nil {
-		return 0, 0
+	sums := in.sums
+	if sums == nil {
+		sums = sumDemand(in.Demand, in.Self, in.Now, in.DemandLifetime)
 	}
-	for node, demand := range in.Demand.ByNode {
-		if node == in.Self || in.Now.Sub(demand.HeardAt) > in.DemandLifetime {
-			continue
-		}
-		heard++
-		sum += demand.TokensPerSecond[in.Organisation]
-	}
-	return sum, heard
+	return sums.byOrganisation[in.Organisation], sums.heard
 }
--- a/limit/share.go
+++ b/limit/share.go
@@ -19,6 +19,34 @@
 	Now         time.Time
 	// DemandLifetime is the age at which a node's demand no longer counts.
 	DemandLifetime time.Duration
+
+	// sums are those of Demand, if they are known already.
+	sums *demandSums
+}
+
+// demandSums are the sums over the other nodes with fresh demand. They are made
+// once for all organisations, because there may be hundreds of nodes.
+type demandSums struct {
+	heard          int
+	byOrganisation map[string]float64
+}
+
+// sumDemand adds up the fresh demand of all nodes but self.
+func sumDemand(demand *blackboard.Demand, self string, now time.Time, lifetime time.Duration) *demandSums {
+	sums := &demandSums{byOrganisation: make(map[string]float64)}
+	if demand == nil {
+		return sums
+	}
+	for node, d := range demand.ByNode {
+		if node == self || now.Sub(d.HeardAt) > lifetime {
+			continue
+		}
+		sums.heard++
+		for organisation, rate := range d.TokensPerSecond {
+			sums.byOrganisation[organisation] += rate
+		}
+	}
+	return sums
 }
 
 // SharePolicy decides which part of an organisation's limit this node may use,
