--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -36,6 +36,9 @@
 		{Name: "choice", Run: choice},
 		{Name: "limits", Run: limits},
 		{Name: "overload", Run: overloads},
+		dissemination(),
+		capacity(),
+		path(),
 	}
 }
 
