Let engines and gateway agree on events, resumption and refusals

The gateway read "attempt" and "position" of engine events and sent the delivered tokens as a list; the stand-in engines wrote "id" and "token_index", expected a count and did not echo the attempt in refusals. So doubled events and crossed bodies were delivered, no stream could resume (status 400), and a refusal before running counted as may have run. Engines also check the tokens they resume from.

Ruled out: the order of events in the gateway and the retry budget. The stand-ins' events now also show which answers a fault changed, so that a proof can tell whether its faults took hold.

--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -30,27 +31,28 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream"`
-	// ResumeTokens is the number of output tokens that were delivered before;
-	// the output continues with the next and still ends at MaxTokens.
-	ResumeTokens int `json:"resume_tokens,omitempty"`
+	// ResumeTokens are the output tokens that were delivered before. The output
+	// continues with the next one; MaxTokens counts those that are left.
+	ResumeTokens []string `json:"resume_tokens,omitempty"`
 }
 
 // CompletionChunk is an event of a stream and the body of a whole answer.
 type CompletionChunk struct {
-	// ID is the attempt.
-	ID      string             `json:"id"`
-	Object  string             `json:"object"`
-	Model   string             `json:"model"`
-	Choices []CompletionChoice `json:"choices"`
-	Usage   *CompletionUsage   `json:"usage,omitempty"`
+	// ID and Attempt are the attempt.
+	ID      string `json:"id"`
+	Attempt string `json:"attempt"`
+	// Position is the index of the chunk's first token in the whole answer.
+	Position int                `json:"position"`
+	Object   string             `json:"object"`
+	Model    string             `json:"model"`
+	Choices  []CompletionChoice `json:"choices"`
+	Usage    *CompletionUsage   `json:"usage,omitempty"`
 }
 
 // CompletionChoice is a piece of output.
 type CompletionChoice struct {
-	Index int    `json:"index"`
-	Text  string `json:"text"`
-	// TokenIndex is the index of the piece's first output token.
-	TokenIndex   int     `json:"token_index"`
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
 	FinishReason *string `json:"finish_reason"`
 }
 
@@ -77,6 +79,20 @@
 	record int
 }
 
+// from is the index of the first output token, and end the index after the last.
+func (r *run) from() int { return len(r.request.ResumeTokens) }
+func (r *run) end() int  { return r.from() + r.request.MaxTokens }
+
+// resumable reports whether the tokens to resume from are this prompt's output.
+func (r *run) resumable() bool {
+	for i, token := range r.request.ResumeTokens {
+		if token != Token(r.organisation, r.request.Prompt, i) {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	one := &run{
 		attempt: r.Header.Get(HeaderAttempt), organisation: r.Header.Get(HeaderOrganisation),
@@ -91,6 +107,8 @@
 	defer cancel(nil)
 	defer context.AfterFunc(e.ctx, func() { cancel(errors.New("engine stopped")) })()
 	if status, reason := e.admit(one, r.Header); status != 0 {
+		e.registry.events.add(Event{Kind: EventRefuse, Instance: e.instance.ID, Attempt: one.attempt, Fault: string(reason)})
+		maps.Copy(w.Header(), one.header)
 		refuse(w, status, reason, "refused before the request was run")
 		return
 	}
@@ -121,7 +139,7 @@
 		return http.StatusServiceUnavailable, verdict.ReasonDraining
 	case e.state != fleet.EngineReady || len(e.waiting) >= e.pool.MaxRunning:
 		return http.StatusServiceUnavailable, verdict.ReasonOverloaded
-	case one.attempt == "" || e.runs[one.attempt] != nil:
+	case one.attempt == "" || e.runs[one.attempt] != nil || !one.resumable():
 		return http.StatusBadRequest, verdict.ReasonBadRequest
 	}
 	one.role = e.role
@@ -130,7 +148,7 @@
 	e.record.Requests = append(e.record.Requests, RequestRecord{
 		Attempt: one.attempt, Group: e.role.Group, Generation: e.role.Generation,
 		Organisation: one.organisation, Prompt: one.request.Prompt, Priority: one.priority,
-		ResumeTokens: one.request.ResumeTokens, Begun: time.Now(),
+		ResumeTokens: one.from(), Begun: time.Now(),
 	})
 	begun := e.record.Requests[one.record]
 	e.registry.events.add(Event{Kind: EventBegin, Instance: e.instance.ID, Request: &begun})
@@ -209,7 +227,7 @@
 	perToken := time.Duration(float64(time.Second) / e.pool.TokensPerSecond)
 	prompt := max(0, PromptTokens(one.request.Prompt)-one.cached) / prefillSpeed
 	due := time.Now().Add(time.Duration(prompt) * perToken)
-	for i := one.request.ResumeTokens; i < out.stop; i++ {
+	for i := one.from(); i < out.stop; i++ {
 		due = due.Add(perToken)
 		if wait := time.Until(due); wait > 0 {
 			out.flush()
@@ -241,10 +259,11 @@
 }
 
 func (e *Engine) output(w http.ResponseWriter, one *run, d distortion) *output {
-	o := &output{w: w, one: one, body: one, d: d, stop: one.request.MaxTokens}
+	o := &output{w: w, one: one, body: one, d: d, stop: one.end()}
 	e.mu.Lock()
 	other := e.last
 	e.mu.Unlock()
+	e.registry.events.faults(e.instance.ID, one.attempt, d, other != nil, one.request.Stream)
 	header := one.header
 	if other != nil && (d.cross || d.crossBody) {
 		o.body = other
@@ -253,7 +272,7 @@
 		}
 	}
 	if d.truncate && one.request.Stream {
-		o.stop = (one.request.ResumeTokens + one.request.MaxTokens) / 2
+		o.stop = (one.from() + one.end()) / 2
 	}
 	for name, values := range header {
 		w.Header()[name] = values
@@ -265,13 +284,14 @@
 }
 
 func (o *output) chunk(from, end int) CompletionChunk {
-	choice := CompletionChoice{Text: Text(o.body.organisation, o.body.request.Prompt, from, end), TokenIndex: from}
-	if end >= o.one.request.MaxTokens {
+	choice := CompletionChoice{Text: Text(o.body.organisation, o.body.request.Prompt, from, end)}
+	if end >= o.one.end() {
 		reason := "length"
 		choice.FinishReason = &reason
 	}
 	return CompletionChunk{
-		ID: o.body.attempt, Object: "text_completion", Model: o.body.request.Model,
+		ID: o.body.attempt, Attempt: o.body.attempt, Position: from, Object: "text_completion",
+		Model:   o.body.request.Model,
 		Choices: []CompletionChoice{choice},
 	}
 }
@@ -307,10 +327,9 @@
 	}
 	if !o.one.request.Stream {
 		request := o.one.request
-		whole := o.chunk(request.ResumeTokens, request.MaxTokens)
+		whole := o.chunk(o.one.from(), o.one.end())
 		tokens := PromptTokens(request.Prompt)
-		made := max(0, request.MaxTokens-request.ResumeTokens)
-		whole.Usage = &CompletionUsage{tokens, made, tokens + made}
+		whole.Usage = &CompletionUsage{tokens, request.MaxTokens, tokens + request.MaxTokens}
 		data, _ := json.Marshal(whole)
 		sendWhole(o.w, &plainReply{body: data}, o.d)
 		return nil
--- a/internal/standin/events.go
+++ b/internal/standin/events.go
@@ -20,6 +20,10 @@
 	EventStep  EventKind = "step"
 	EventCall  EventKind = "call"
 	EventWrite EventKind = "write"
+	// EventFault is a simulated fault that changed an answer, and EventRefuse a
+	// request that an engine refused without running it.
+	EventFault  EventKind = "fault"
+	EventRefuse EventKind = "refuse"
 	// EventList is a change of the visible instance list.
 	EventList EventKind = "list"
 )
@@ -35,6 +39,9 @@
 	Step     *StepRecord    `json:"step,omitempty"`
 	Call     *CallRecord    `json:"call,omitempty"`
 	Write    *WriteRecord   `json:"write,omitempty"`
+	// Fault names what was done to the answer of Attempt.
+	Fault   string `json:"fault,omitempty"`
+	Attempt string `json:"attempt,omitempty"`
 	// Leaving names the instances that the visible list shows as leaving.
 	Leaving []string `json:"leaving,omitempty"`
 }
@@ -79,6 +86,22 @@
 	_, _ = l.file.Write(append(line, '\n'))
 }
 
+// faults writes one event for each fault that changes the answer of attempt.
+// Answers are crossed only when there is another one to cross with.
+func (l *eventLog) faults(instance, attempt string, d distortion, other, stream bool) {
+	for _, f := range []struct {
+		name  string
+		holds bool
+	}{
+		{"cross", d.cross && other}, {"cross-body", d.crossBody && other}, {"double", d.double},
+		{"double-events", d.doubleEvents && stream}, {"truncate", d.truncate}, {"lose", d.lose},
+	} {
+		if f.holds {
+			l.add(Event{Kind: EventFault, Instance: instance, Fault: f.name, Attempt: attempt})
+		}
+	}
+}
+
 // close closes the file.
 func (l *eventLog) close() {
 	if l != nil {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -103,6 +103,14 @@
 		standin.HeaderGroup, "g", standin.HeaderGeneration, "5", standin.HeaderOrganisation, "org")
 }
 
+// tokens returns the first n output tokens of the prompt.
+func tokens(n int) (list []string) {
+	for i := range n {
+		list = append(list, standin.Token("org", prompt, i))
+	}
+	return list
+}
+
 // text joins the output of a stream's events.
 func text(stream string) (output string, ends int) {
 	for line := range strings.SplitSeq(stream, "\n") {
@@ -159,9 +167,14 @@
 		output, ends := text(stream)
 		Expect(output).To(Equal(standin.Text("org", prompt, 0, 8)))
 		Expect(ends).To(Equal(1))
-		_, stream = complete("a2", standin.CompletionRequest{MaxTokens: 8, Stream: true, ResumeTokens: 5})
+		_, stream = complete("a2", standin.CompletionRequest{
+			MaxTokens: 3, Stream: true, ResumeTokens: tokens(5),
+		})
 		output, _ = text(stream)
 		Expect(output).To(Equal(standin.Text("org", prompt, 5, 8)))
+		Expect(stream).To(ContainSubstring(`"attempt":"a2","position":5`))
+		response, _ = complete("a4", standin.CompletionRequest{MaxTokens: 3, ResumeTokens: []string{" other"}})
+		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
 		_, whole := complete("a3", standin.CompletionRequest{MaxTokens: 8})
 		var answer standin.CompletionChunk
 		Expect(json.Unmarshal([]byte(whole), &answer)).To(Succeed())
@@ -179,6 +192,7 @@
 		response, body := complete("a1", standin.CompletionRequest{MaxTokens: 1})
 		Expect(response.StatusCode).To(Equal(http.StatusConflict))
 		Expect(response.Header.Get(verdict.Header)).To(Equal("not-run"))
+		Expect(response.Header.Get(standin.HeaderAttempt)).To(Equal("a1"))
 		Expect(body).To(ContainSubstring(`"reason":"wrong-group"`))
 		Expect(get[standin.EngineRecord](engines[0], "/record").Requests).To(BeEmpty())
 
