Check the Content-Digest of plain servers' answers

Cause: an answer whose headers echo the attempt but whose body belongs to another call, or is sent twice, was delivered, because only the header was compared. RFC 9530 gives the body a digest made where the answer is made. It is checked where the server sends it; the stand-in servers do.

Ruled out: a wrong claim, since the answers of crossed calls differed in the attempt that produced them. A server without the field is protected against crossed headers only.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -53,6 +53,17 @@
 		return backend.Call{ID: "a1", Address: address, Method: http.MethodGet, Header: http.Header{}}
 	}
 
+	It("accepts an answer that agrees with its digest", func() {
+		// Guards against a digest check that refuses every answer.
+		answer, err := plain.Do(context.Background(), call(serve(func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set("Content-Digest", "md5=:AA==:, sha-256=:ungWv48Bz+pBQUDeXa4iI7ADYaOWF3qctBD/YfIAFa0=:")
+			_, _ = io.WriteString(w, "abc")
+		})))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer.Body)).To(Equal("abc"))
+	})
+
 	It("reports a failed dial as not run and a broken connection as may have run", func() {
 		// Guards against a wrong proof that no byte left.
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -91,6 +102,11 @@
 			w.Header().Set("Content-Length", "100")
 			_, _ = io.WriteString(w, "short")
 		}), verdict.MayHaveRun, verdict.ReasonIncompleteAnswer),
+		Entry("with the digest of another body", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set("Content-Digest", "sha-256=:ungWv48Bz+pBQUDeXa4iI7ADYaOWF3qctBD/YfIAFa0=:")
+			_, _ = io.WriteString(w, "abcabc")
+		}), verdict.MayHaveRun, verdict.ReasonWrongAnswer),
 		Entry("without a length", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, _ := w.(http.Hijacker).Hijack()
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRattanlanding-Attempt: a1\r\nConnection: close\r\n\r\npart")
--- a/backend/plain.go
+++ b/backend/plain.go
@@ -104,6 +104,9 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	if request.Method != http.MethodHead && !digestAgrees(response.Header, body) {
+		return Answer{}, wrong("the body does not agree with the answer's Content-Digest")
+	}
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"io"
@@ -103,6 +104,7 @@
 	}
 	reply, other := s.run(r, body)
 	d := s.faults.next()
+	s.registry.events.faults(s.instance.ID, r.Header.Get(HeaderAttempt), d, other != nil, false)
 	defer func() {
 		s.mu.Lock()
 		s.running--
@@ -138,7 +140,10 @@
 		Key: record.Key, BodyHash: hex.EncodeToString(hash[:]), Call: record.Number,
 	})
 	other = s.last
-	s.last = &plainReply{header: echo(r.Header), body: text}
+	header := echo(r.Header)
+	digest := sha256.Sum256(text)
+	header.Set("Content-Digest", "sha-256=:"+base64.StdEncoding.EncodeToString(digest[:])+":")
+	s.last = &plainReply{header: header, body: text}
 	return s.last, other
 }
 
