Release engines that leave and are no longer placed

Cause: a reconciler sent no command at all to an engine that reports leaving, so a stopping engine kept its role after its group had moved and waited until its own time to stop was over. Ruled out: the placement, which dropped the engine 3 s after the leaving mark, and requests in flight, since it had none.

The new test found the engine still in its group 20 s after it left. After: the test passes and the engine is released before it is stopped.

--- a/placement/command.go
+++ b/placement/command.go
@@ -92,18 +92,16 @@
 
 // order returns the command that an engine needs, given its report.
 func (d *domain) order(role role, report *fleet.Report) (fleet.Order, bool) {
-	if report.State == fleet.EngineLeaving {
-		return fleet.Order{}, false
-	}
 	if !role.placed {
-		// The highest generation used so far outranks the old role and is below
+		// A leaving engine is released too, because it may wait for that before
+		// it stops. The highest generation used so far outranks the old role and is below
 		// that of any later one, so a delayed release cannot undo a new role
 		// where fencing tokens are checked.
 		release := fleet.Order{Generation: max(d.current.NextGeneration, 1) - 1}
 		return release, report.Group != ""
 	}
 	g := role.group
-	if g.Phase == fleet.PhaseWithdrawn || hasRole(report, g, role.rank) {
+	if report.State == fleet.EngineLeaving || g.Phase == fleet.PhaseWithdrawn || hasRole(report, g, role.rank) {
 		return fleet.Order{}, false
 	}
 	order := fleet.Order{Group: g.Name, Generation: g.Generation, Rank: role.rank, Size: len(g.Members),
--- a/placement/reconciler_test.go
+++ b/placement/reconciler_test.go
@@ -100,6 +100,24 @@
 	})
 }
 
+// Guards against a leaving engine that waits in vain to be released and is cut
+// off when its time to stop is over.
+func TestLeavingMemberIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := NewWithT(t), t.Context()
+		w := newWorld(g, 3, pairOf("a", "high"))
+		w.run(ctx, 20*time.Second, 1)
+		member := w.placement().Groups[0].Members[0].Instance
+		w.engines[member].report.State = fleet.EngineLeaving
+		i := slices.IndexFunc(w.list.Instances, func(i fleet.Instance) bool { return i.ID == member })
+		w.list.Instances[i].State = fleet.InstanceLeaving
+		w.showList(w.list.Instances)
+		w.run(ctx, 20*time.Second, 1)
+		g.Expect(groupOf(w.placement())).NotTo(HaveKey(member))
+		g.Expect(w.engines[member].report.Group).To(BeEmpty())
+	})
+}
+
 // Guards against a lagging or flapping instance list that moves members whose
 // reports are fresh.
 func TestListFlappingChangesNothing(t *testing.T) {
