--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -65,7 +65,10 @@
 	ignoreFencing bool
 	// tokensPerSecond is the speed of one request at an engine.
 	tokensPerSecond float64
-	listLagMs       int64
+	// maxRunning limits the requests in progress at an engine; 0 means the
+	// stand-in's default.
+	maxRunning int
+	listLagMs  int64
 	// bounds overrides bounds of the daemons' settings.
 	bounds map[string]string
 }
@@ -145,7 +148,7 @@
 func (c *cluster) peerListenAddress(i int) string    { return c.nodeIP(i) + ":7003" }
 func (c *cluster) peerAddress(i int) string          { return fmt.Sprintf("%s.3.%d:7003", c.base, i+1) }
 func (c *cluster) engineID(d, i int) string          { return fmt.Sprintf("e%d-%d", d, i) }
-func (c *cluster) serverID(i int) string             { return fmt.Sprintf("s-%d", i) }
+func (c *cluster) serverID(i int) string             { return fmt.Sprintf("%s%d", serverPrefix, i) }
 func (c *cluster) engineAddress(d, i int) string {
 	return fmt.Sprintf("%s.%d.%d:8000", c.base, 10+d, i+1)
 }
@@ -171,6 +174,7 @@
 			Region: c.spec.deployment.region, FailureDomain: c.spec.deployment.domains[d],
 			FabricDomain: c.fabricDomain(d), FirstAddress: c.engineAddress(d, i), Accelerators: 8,
 			IgnoreFencing: c.spec.ignoreFencing && d == 1, TokensPerSecond: c.spec.tokensPerSecond, LoadMs: 100,
+			MaxRunning: c.spec.maxRunning,
 		}},
 	})
 	c.mu.Lock()
@@ -184,7 +188,7 @@
 	p := startProcess(c.t, c.dir, id, "rattanstandin", standin.Config{
 		PlatformAddress: c.platformAddress(), EventsFile: c.eventsFile(id),
 		Servers: []standin.Pool{{
-			Pool: c.spec.deployment.plain, IDPrefix: "s-", FirstNumber: i, Count: 1, Region: c.spec.deployment.region,
+			Pool: c.spec.deployment.plain, IDPrefix: serverPrefix, FirstNumber: i, Count: 1, Region: c.spec.deployment.region,
 			FailureDomain: c.spec.deployment.domains[i%3], FirstAddress: c.serverAddress(i),
 		}},
 	})
--- a/internal/prove/history.go
+++ b/internal/prove/history.go
@@ -67,6 +67,15 @@
 	To time.Time `json:"to"`
 }
 
+// Stop is the end of a planned stop.
+type Stop struct {
+	Kind   string    `json:"kind"`
+	Target string    `json:"target"`
+	At     time.Time `json:"at"`
+	// Clean tells that the process ended by itself with exit code 0.
+	Clean bool `json:"clean"`
+}
+
 // Observation is what one node said about itself.
 type Observation struct {
 	At   time.Time `json:"at"`
@@ -82,6 +91,7 @@
 	Operations   []Operation     `json:"operations"`
 	Faults       []Fault         `json:"faults"`
 	Observations []Observation   `json:"observations"`
+	Stops        []Stop          `json:"stops"`
 	Events       []standin.Event `json:"-"`
 }
 
@@ -105,6 +115,13 @@
 	r.history.Observations = append(r.history.Observations, o)
 }
 
+// Stop adds a finished planned stop.
+func (r *Recorder) Stop(s Stop) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Stops = append(r.history.Stops, s)
+}
+
 // Fault starts a fault and returns the function that ends it.
 func (r *Recorder) Fault(kind, target string) func() {
 	r.mu.Lock()
@@ -126,6 +143,7 @@
 		Operations:   slices.Clone(r.history.Operations),
 		Faults:       slices.Clone(r.history.Faults),
 		Observations: slices.Clone(r.history.Observations),
+		Stops:        slices.Clone(r.history.Stops),
 		Events:       events,
 	}
 }
--- a/internal/prove/process_test.go
+++ b/internal/prove/process_test.go
@@ -97,3 +97,10 @@
 		return false
 	}
 }
+
+// isFrozen tells whether the process is stopped.
+func (p *process) isFrozen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.frozen
+}
--- a/internal/prove/prove_test.go
+++ b/internal/prove/prove_test.go
@@ -25,6 +25,9 @@
 // points lists every proof, in the order of the design page's requirements.
 var points = []proofPoint{
 	{"configuration", proveConfiguration},
+	{"own-answer", proveOwnAnswer},
+	{"not-run", proveNotRun},
+	{"at-most-once", proveAtMostOnce},
 }
 
 // proofRun is one run of a point.
