--- a/internal/prove/prove_test.go
+++ b/internal/prove/prove_test.go
@@ -28,6 +28,7 @@
 	{"own-answer", proveOwnAnswer},
 	{"not-run", proveNotRun},
 	{"at-most-once", proveAtMostOnce},
+	{"graceful", proveGraceful},
 }
 
 // proofRun is one run of a point.
