Record requests for completions as they reach a stand-in engine

The begin of a request is recorded only after a simulated freeze or delay, or not at all when the engine refuses it. A check of when requests were sent needs the moment at which they arrived.

--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -77,6 +77,19 @@
 	record int
 }
 
+// arrival records that a request reached the engine. A later begin says little
+// about when it was sent, because a frozen or slow engine begins late.
+func (e *Engine) arrival(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		generation, _ := strconv.ParseUint(r.Header.Get(HeaderGeneration), 10, 64)
+		e.registry.events.add(Event{Kind: EventArrive, Instance: e.instance.ID, Request: &RequestRecord{
+			Attempt: r.Header.Get(HeaderAttempt), Group: r.Header.Get(HeaderGroup),
+			Generation: fleet.Generation(generation), Organisation: r.Header.Get(HeaderOrganisation),
+		}})
+		next(w, r)
+	}
+}
+
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	one := &run{
 		attempt: r.Header.Get(HeaderAttempt), organisation: r.Header.Get(HeaderOrganisation),
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -114,7 +114,7 @@
 		answer(w, http.StatusOK, e.Report())
 	})
 	slowed("PUT /v1/role", e.serveRole)
-	slowed("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/completions", e.arrival(e.faults.slowed(e.serveCompletion)))
 	slowed("DELETE /v1/attempts/{id}", e.serveCancel)
 	slowed("POST /v1/steps", e.serveStep)
 	slowed("GET /v1/cache-events", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/events.go
+++ b/internal/standin/events.go
@@ -14,12 +14,15 @@
 
 // Kinds of events.
 const (
-	EventRole  EventKind = "role"
-	EventBegin EventKind = "begin"
-	EventEnd   EventKind = "end"
-	EventStep  EventKind = "step"
-	EventCall  EventKind = "call"
-	EventWrite EventKind = "write"
+	EventRole EventKind = "role"
+	// EventArrive is a request for a completion that reached the engine, before
+	// any delay, freeze or refusal. Its record has no Begun time.
+	EventArrive EventKind = "arrive"
+	EventBegin  EventKind = "begin"
+	EventEnd    EventKind = "end"
+	EventStep   EventKind = "step"
+	EventCall   EventKind = "call"
+	EventWrite  EventKind = "write"
 	// EventList is a change of the visible instance list.
 	EventList EventKind = "list"
 )
