Spread the callers of one organisation over all nodes; add a load tool

Cause: the address order depended on the organisation only, so every caller of an organisation used the same node first. Seen when node 3 of 3 was killed under load: 701 completions, none failed, all had gone to node 1. Ruled out: a random order per answer, which loses the caller's stability. Change: the order is hashed by organisation and caller (IP address or ?caller=). The caller library names itself, puts an address that did not answer last for 3 s and goes to the next one after a refusal.

--- a/caller/addresses.go
+++ b/caller/addresses.go
@@ -34,7 +34,7 @@
 		return kept, nil
 	}
 	var last error
-	for _, node := range slices.Concat(kept, c.config.Seeds) {
+	for _, node := range c.preferred(slices.Concat(kept, c.config.Seeds)) {
 		answer, err := c.askAddresses(ctx, node)
 		if err == nil {
 			return c.keep(answer), nil
@@ -47,6 +47,29 @@
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoServer, "no node answers for entry addresses").WithCause(last)
 }
 
+// preferred returns addresses with those that failed lately at the end.
+func (c *Client) preferred(addresses []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	var good, failed []string
+	for _, address := range addresses {
+		if now.Sub(c.failedAt[address]) < c.config.AvoidFor {
+			failed = append(failed, address)
+		} else {
+			good = append(good, address)
+		}
+	}
+	return append(good, failed...)
+}
+
+// markFailed notes that an address did not answer.
+func (c *Client) markFailed(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt[address] = time.Now()
+}
+
 // keep stores an address answer.
 func (c *Client) keep(answer addressAnswer) []string {
 	list := make([]string, 0, len(answer.Addresses))
@@ -65,7 +88,7 @@
 	var answer addressAnswer
 	ctx, cancel := context.WithTimeout(ctx, c.config.AddressTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/v1/addresses", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/v1/addresses?caller="+c.name, nil)
 	if err != nil {
 		return answer, err
 	}
--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,122 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/caller"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "caller")
+}
+
+// node is an HTTP server that names addresses and answers requests.
+type node struct {
+	server    *httptest.Server
+	addresses []string
+	requests  atomic.Int32
+	handle    http.HandlerFunc
+}
+
+func newNode(handle http.HandlerFunc) *node {
+	n := &node{handle: handle}
+	n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/addresses" {
+			quoted := make([]string, 0, len(n.addresses))
+			for _, a := range n.addresses {
+				quoted = append(quoted, fmt.Sprintf(`{"address":%q,"failureDomain":"x"}`, a))
+			}
+			fmt.Fprintf(w, `{"addresses":[%s],"ttlMs":60000}`, strings.Join(quoted, ","))
+			return
+		}
+		n.requests.Add(1)
+		n.handle(w, r)
+	}))
+	DeferCleanup(n.server.Close)
+	return n
+}
+
+func (n *node) address() string { return strings.TrimPrefix(n.server.URL, "http://") }
+
+// refuse answers with an error body.
+func refuse(v verdict.Verdict, reason verdict.Reason) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(verdict.Header, v.String())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprintf(w, `{"error":{"verdict":%q,"reason":%q,"message":"refused"}}`, v, reason)
+	}
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }
+
+var _ = Describe("Client", func() {
+	call := caller.Call{Service: "desk", Method: http.MethodPost, Path: "/deposits", Body: []byte("{}")}
+
+	client := func(first *node, others ...*node) *caller.Client {
+		for _, n := range append(others, first) {
+			first.addresses = append(first.addresses, n.address())
+		}
+		first.addresses = append([]string{first.address()}, first.addresses[:len(others)]...)
+		c := caller.New(caller.Config{Seeds: []string{first.address()}, RetryPause: time.Millisecond})
+		DeferCleanup(c.Close)
+		return c
+	}
+
+	It("goes to the next address after a refusal as not run", func() {
+		// Guards against callers that stay with a node that is stopping.
+		a, b := newNode(refuse(verdict.NotRun, verdict.ReasonDraining)), newNode(ok)
+		answer, err := client(a, b).Do(context.Background(), call)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer.Body)).To(Equal("done"))
+	})
+
+	It("does not repeat a call without a key that may have run", func() {
+		// Guards against a second charge made by the caller's own library.
+		a, b := newNode(refuse(verdict.MayHaveRun, verdict.ReasonBackendFailed)), newNode(ok)
+		_, err := client(a, b).Do(context.Background(), call)
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		Expect(a.requests.Load() + b.requests.Load()).To(Equal(int32(1)))
+	})
+
+	It("repeats a call with a key that may have run", func() {
+		// Guards against a caller that never learns the first answer.
+		a, b := newNode(func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }), newNode(ok)
+		keyed := call
+		keyed.IdempotencyKey = "k1"
+		answer, err := client(a, b).Do(context.Background(), keyed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer.Body)).To(Equal("done"))
+	})
+
+	It("keeps a doubt when a later refusal says not run", func() {
+		// Guards against "not run" for a call whose first try may have run.
+		a := newNode(refuse(verdict.MayHaveRun, verdict.ReasonOutcomeUnknown))
+		b := newNode(refuse(verdict.NotRun, verdict.ReasonPlatform))
+		keyed := call
+		keyed.IdempotencyKey = "k1"
+		_, err := client(a, b).Do(context.Background(), keyed)
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+	})
+
+	It("reports a stream without its end marker as incomplete", func() {
+		// Guards against a short answer taken as whole.
+		a := newNode(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "data: {\"choices\":[{\"text\":\" half\"}]}\n\n")
+		})
+		text, err := client(a).Complete(context.Background(), caller.Completion{Model: "m", Prompt: "p", MaxTokens: 2, Stream: true}, nil)
+		Expect(text).To(Equal(" half"))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonIncompleteAnswer))
+	})
+})
--- a/caller/client.go
+++ b/caller/client.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -19,6 +21,7 @@
 	DefaultAddressTimeout = 2 * time.Second
 	DefaultAttempts       = 4
 	DefaultRetryPause     = 50 * time.Millisecond
+	DefaultAvoidFor       = 3 * time.Second
 	maxRetryPause         = time.Second
 	dialTimeout           = 2 * time.Second
 	maxAnswerBytes        = 8 << 20
@@ -36,16 +39,21 @@
 	Attempts int
 	// RetryPause is the wait before a repeat when the refusal names none.
 	RetryPause time.Duration
+	// AvoidFor is how long an address that did not answer is tried last.
+	AvoidFor time.Duration
 }
 
 // Client sends requests of one organisation. It is safe for concurrent use.
 type Client struct {
 	config Config
 	http   *http.Client
+	// name spreads the callers of one organisation over the nodes.
+	name string
 
 	mu        sync.Mutex
 	addresses []string
 	expires   time.Time
+	failedAt  map[string]time.Time
 }
 
 // New returns a Client.
@@ -59,8 +67,13 @@
 	if config.RetryPause == 0 {
 		config.RetryPause = DefaultRetryPause
 	}
+	if config.AvoidFor == 0 {
+		config.AvoidFor = DefaultAvoidFor
+	}
 	return &Client{
-		config: config,
+		config:   config,
+		name:     uuid.NewString(),
+		failedAt: make(map[string]time.Time),
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 64,
@@ -87,6 +100,7 @@
 // caller closes the answer's body. Errors are *verdict.Error values.
 func (c *Client) send(ctx context.Context, m message) (*http.Response, error) {
 	var last *verdict.Error
+	refusals := 0
 	for attempt := range c.config.Attempts {
 		if attempt > 0 && !c.pause(ctx, last) {
 			break
@@ -96,7 +110,8 @@
 			last = verdict.Of(err)
 			continue
 		}
-		response, err := c.try(ctx, addresses[attempt%len(addresses)], m)
+		addresses = c.preferred(addresses)
+		response, err := c.try(ctx, addresses[refusals%len(addresses)], m)
 		if err == nil {
 			return response, nil
 		}
@@ -109,6 +124,11 @@
 		if !repeatable(last, m) {
 			break
 		}
+		if last.Verdict == verdict.NotRun && last.Cause == nil {
+			// The node answered with a refusal; an address that did not answer
+			// is put last by preferred.
+			refusals++
+		}
 	}
 	return nil, last
 }
@@ -162,6 +182,9 @@
 	request.Header.Set("Authorization", "Bearer "+c.config.Key)
 	response, err := c.http.Do(request)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.markFailed(address)
+		}
 		return nil, transportError(connected, address, err)
 	}
 	if response.Header.Get(verdict.Header) == "" {
--- a/cmd/rattanbench/main.go
+++ b/cmd/rattanbench/main.go
@@ -21,6 +21,7 @@
 // cli is the command line.
 type cli struct {
 	Demo    demoCommand    `cmd:"" help:"Show the request path against the stand-ins."`
+	Load    loadCommand    `cmd:"" help:"Send completions and report times and failures."`
 	Measure measureCommand `cmd:"" help:"Run the measurements with a fixed seed."`
 }
 
@@ -46,6 +47,26 @@
 	}.Run(ctx, os.Stdout)
 }
 
+// loadCommand sends load.
+type loadCommand struct {
+	Seeds        []string      `help:"Callers' addresses of nodes." required:""`
+	Organisation string        `help:"Name of the caller's organisation." required:""`
+	Key          string        `help:"Key of the caller's organisation." required:"" env:"RATTANBENCH_KEY"`
+	Model        string        `help:"Model service." default:"care-llm"`
+	Callers      int           `help:"Requests in progress at a time." default:"8"`
+	MaxTokens    int           `help:"Output tokens of a request." default:"64"`
+	Duration     time.Duration `help:"Time in which requests are started." default:"10s"`
+	CheckAnswers bool          `help:"Compare every answer with that of the stand-ins."`
+}
+
+// Run implements kong's command interface.
+func (c *loadCommand) Run(ctx context.Context) error {
+	return bench.Load{
+		Seeds: c.Seeds, Organisation: c.Organisation, Key: c.Key, Model: c.Model, Callers: c.Callers,
+		MaxTokens: c.MaxTokens, Duration: c.Duration, CheckAnswers: c.CheckAnswers,
+	}.Run(ctx, os.Stdout)
+}
+
 // measureCommand runs measurements.
 type measureCommand struct {
 	Only []string `help:"Names of the measurements to run; all by default."`
--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -26,8 +26,22 @@
 	FailureDomain string `json:"failureDomain"`
 }
 
-// addresses answers which entry instances the organisation should use.
+// callerParameter optionally names the caller, for callers that share an IP
+// address.
+const callerParameter = "caller"
+
+// maxCallerName bounds the callerParameter, in bytes.
+const maxCallerName = 128
+
+// addresses answers which entry instances the caller should use.
 func (g *Gateway) addresses(r *request) error {
+	name := r.ctx.Query(callerParameter)
+	if len(name) > maxCallerName {
+		return verdict.BadField(callerParameter, "must have at most %d bytes", maxCallerName)
+	}
+	if name == "" {
+		name = r.ctx.RemoteIP()
+	}
 	members := g.Board.Members.Load()
 	if members == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnconfirmed, "no members are known yet")
@@ -43,17 +57,18 @@
 	}
 	g.extendWrite(r.ctx)
 	r.ctx.JSON(http.StatusOK, Addresses{
-		Addresses: pick(serving, r.organisation.Name),
+		Addresses: pick(serving, r.organisation.Name+"\x00"+name),
 		TTLMs:     g.config.AddressTTL.Milliseconds(),
 	})
 	return nil
 }
 
-// pick orders members by rendezvous hash, so that an organisation's order is
-// stable when others come and go, and takes one of each failure domain before a
-// second one of any.
-func pick(members []fleet.MemberView, organisation string) []Address {
-	score := func(m fleet.MemberView) uint64 { return xxhash.Sum64String(organisation + "\x00" + m.Node) }
+// pick orders members by rendezvous hash of the caller, so that a caller's order
+// is stable when nodes come and go while the callers of one organisation spread
+// over all nodes, and takes one of each failure domain before a second one of
+// any.
+func pick(members []fleet.MemberView, caller string) []Address {
+	score := func(m fleet.MemberView) uint64 { return xxhash.Sum64String(caller + "\x00" + m.Node) }
 	slices.SortFunc(members, func(a, b fleet.MemberView) int {
 		if score(a) > score(b) {
 			return -1
--- a/gateway/completion_test.go
+++ b/gateway/completion_test.go
@@ -345,6 +345,12 @@
 		}
 		Expect(got.body).To(ContainSubstring(`"ttlMs":5000`))
 		Expect(w.do("GET", "/v1/addresses", "").body).To(Equal(got.body))
+		// Callers of one organisation must not all use the same node.
+		first := make(map[string]bool)
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+			first[w.do("GET", "/v1/addresses?caller="+name, "").body] = true
+		}
+		Expect(len(first)).To(BeNumerically(">", 1))
 		w.board.Lifecycle.Publish(&blackboard.Lifecycle{State: fleet.NodeLeaving})
 		Expect(w.do("GET", "/v1/addresses", "").body).NotTo(ContainSubstring("self"))
 	})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -74,6 +74,16 @@
   --servers 127.30.3.1:8000,127.30.3.2:8000,127.30.3.3:8000
 "$bin/rattanctl" status
 
+if [[ ${KILL_NODE:-} ]]; then
+  # Shows that killing a daemon under load gives no wrong answer.
+  (sleep 2; kill -KILL "${pids[1]}") &
+  killer=$!
+  "$bin/rattanbench" load --organisation maracas-bonsai-lodge --key example-key-maracas-bonsai-lodge \
+    --seeds 127.30.10.1:7001,127.30.10.2:7001,127.30.10.3:7001 --duration 6s --check-answers
+  wait "$killer"
+  unset 'pids[1]'
+fi
+
 trap - EXIT
 code=0
 for pid in "${pids[@]:1}"; do kill -TERM "$pid"; done
