Prove that no request is sent to a group that is not whole

The check compares the requests that reach the engines with the engines' own record of their roles and the times at which the harness killed or stopped them. Every node is loaded directly, because callers that ask for addresses keep to a few nodes. A fault's recorded time now lies within the time that it lasted. The number of runs at the same time is a flag of the proof, because ginkgo refuses that of go test.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 # in a binary of their own so that their lines are printed.
 prove: build
 	$(GO) test -c -o build/prove.test ./internal/prove
-	cd internal/prove && ../../build/prove.test -test.timeout 20m -test.parallel 2 -seed $(SEED) -point "$(POINT)"
+	cd internal/prove && ../../build/prove.test -test.timeout 20m -together 2 -seed $(SEED) -point "$(POINT)"
 
 # demo shows the whole path on this machine.
 demo: build
--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -84,6 +84,8 @@
 	servers  map[string]*process
 	nodes    []*process
 	boots    []int
+	// faulty holds the engines under a fault, so that no other one meets them.
+	faulty map[string]bool
 	// peerRelays and platformRelays have one entry a node.
 	peerRelays, platformRelays []*relay
 }
@@ -93,7 +95,7 @@
 	t.Helper()
 	c := &cluster{
 		t: t, spec: spec, dir: t.TempDir(), base: freeBase(t), recorder: &Recorder{},
-		engines: map[string]*process{}, servers: map[string]*process{},
+		engines: map[string]*process{}, servers: map[string]*process{}, faulty: map[string]bool{},
 		nodes: make([]*process, spec.nodes), boots: make([]int, spec.nodes),
 	}
 	t.Cleanup(c.close)
@@ -284,32 +286,6 @@
 	return json.Unmarshal(text.Bytes(), into)
 }
 
-// control posts faults to a stand-in's control interface.
-func (c *cluster) control(address, path string, faults any) {
-	body, err := json.Marshal(faults)
-	if err != nil {
-		c.t.Error(err)
-		return
-	}
-	response, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(body))
-	if err != nil {
-		c.t.Logf("control %s%s: %v", address, path, err)
-		return
-	}
-	_ = response.Body.Close()
-}
-
-// platformFaults replaces the platform's faults.
-func (c *cluster) platformFaults(f standin.PlatformFaults) {
-	c.control(c.platformAddress(), "/control/faults", f)
-}
-
-// cutPeers cuts or heals the link on which node from calls node to.
-func (c *cluster) cutPeers(from, to int, cut bool) { c.peerRelays[to].setCut(c.nodeIP(from), cut) }
-
-// cutPlatform cuts or heals one node's link to the platform.
-func (c *cluster) cutPlatform(node int, cut bool) { c.platformRelays[node].setCut("", cut) }
-
 // healthyGroups counts the groups that a node sees as healthy.
 func (c *cluster) healthyGroups(node int) int {
 	status, err := c.status(node)
--- a/internal/prove/faults_test.go
+++ b/internal/prove/faults_test.go
@@ -31,15 +31,24 @@
 	kinds   []faultKind
 	// rest is the least and the most time between faults.
 	rest [2]time.Duration
+	// singles, if not 0, is the number of faults that may come alone before
+	// every kind was drawn once.
+	singles int
 }
 
 // run returns when ctx has ended and every fault is mended. Each kind is drawn
 // once before any is drawn again, so that short runs do not miss one.
 func (s *schedule) run(ctx context.Context) {
 	order := s.random.Perm(len(s.kinds))
+	alone := 0
 	for next := 0; ctx.Err() == nil; {
 		pause(ctx, between(s.random, s.rest))
 		count := 1 + s.random.IntN(2)
+		if count == 1 && s.singles > 0 && next < len(order) {
+			if alone++; alone > s.singles {
+				count = 2
+			}
+		}
 		var group sync.WaitGroup
 		for range count {
 			f := s.kinds[order[next%len(order)]](s.cluster, s.random)
@@ -54,13 +63,14 @@
 	}
 }
 
-// apply breaks, waits, and mends.
+// apply breaks, waits, and mends. The recorded time lies within the time that
+// the fault lasted: it starts after the signal was sent.
 func (s *schedule) apply(ctx context.Context, f fault, hold time.Duration) {
-	mended := s.cluster.recorder.Fault(f.kind, f.target)
 	f.begin()
+	mended := s.cluster.recorder.Fault(f.kind, f.target)
 	pause(ctx, hold)
-	f.end()
 	mended()
+	f.end()
 }
 
 // between draws a time from a range.
@@ -68,6 +78,15 @@
 	return limits[0] + time.Duration(random.Int64N(int64(limits[1]-limits[0])+1))
 }
 
+// lasting returns the kind with other limits of the time that it lasts.
+func lasting(kind faultKind, least, most time.Duration) faultKind {
+	return func(c *cluster, random *rand.Rand) fault {
+		f := kind(c, random)
+		f.hold = [2]time.Duration{least, most}
+		return f
+	}
+}
+
 // killNode kills one daemon and starts it anew.
 func killNode(c *cluster, random *rand.Rand) fault {
 	i := random.IntN(c.spec.nodes)
--- a/internal/prove/history.go
+++ b/internal/prove/history.go
@@ -67,6 +67,14 @@
 	To time.Time `json:"to"`
 }
 
+// Injection is a command that the harness sent to an engine in place of an old
+// holder.
+type Injection struct {
+	At       time.Time   `json:"at"`
+	Instance string      `json:"instance"`
+	Order    fleet.Order `json:"order"`
+}
+
 // Observation is what one node said about itself.
 type Observation struct {
 	At   time.Time `json:"at"`
@@ -82,6 +90,7 @@
 	Operations   []Operation     `json:"operations"`
 	Faults       []Fault         `json:"faults"`
 	Observations []Observation   `json:"observations"`
+	Injections   []Injection     `json:"injections,omitempty"`
 	Events       []standin.Event `json:"-"`
 }
 
@@ -105,6 +114,13 @@
 	r.history.Observations = append(r.history.Observations, o)
 }
 
+// Inject adds a command that the harness sent.
+func (r *Recorder) Inject(i Injection) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Injections = append(r.history.Injections, i)
+}
+
 // Fault starts a fault and returns the function that ends it.
 func (r *Recorder) Fault(kind, target string) func() {
 	r.mu.Lock()
@@ -126,6 +142,7 @@
 		Operations:   slices.Clone(r.history.Operations),
 		Faults:       slices.Clone(r.history.Faults),
 		Observations: slices.Clone(r.history.Observations),
+		Injections:   slices.Clone(r.history.Injections),
 		Events:       events,
 	}
 }
--- a/internal/prove/prove_test.go
+++ b/internal/prove/prove_test.go
@@ -13,6 +13,8 @@
 var (
 	seedFlag  = flag.Uint64("seed", 1, "seed of the schedule of operations and faults")
 	pointFlag = flag.String("point", "", "point to prove; empty means all")
+	// The flag of go test is not used, because ginkgo refuses it.
+	togetherFlag = flag.Int("together", 2, "number of runs at the same time")
 )
 
 // proofPoint is one guarantee with the run that proves it.
@@ -24,6 +26,7 @@
 
 // points lists every proof, in the order of the design page's requirements.
 var points = []proofPoint{
+	{"whole-group", proveWholeGroup},
 	{"configuration", proveConfiguration},
 }
 
@@ -53,12 +56,15 @@
 // names it as "prove <point>".
 func TestProve(t *testing.T) {
 	known := knownRed(t)
+	places := make(chan struct{}, max(*togetherFlag, 1))
 	for _, point := range points {
 		if *pointFlag != "" && *pointFlag != point.name {
 			continue
 		}
 		t.Run(point.name, func(t *testing.T) {
 			t.Parallel()
+			places <- struct{}{}
+			defer func() { <-places }()
 			prove(t, point, known)
 		})
 	}
--- a/internal/prove/result.go
+++ b/internal/prove/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -49,6 +50,15 @@
 	}
 }
 
+// RequireFaults fails a run in which a fault of a named kind never took hold.
+func (r *Result) RequireFaults(h *History, kinds ...string) {
+	for _, kind := range kinds {
+		if !slices.ContainsFunc(h.Faults, func(f Fault) bool { return f.Kind == kind }) {
+			r.Fail("the fault %q never took hold", kind)
+		}
+	}
+}
+
 // OK tells whether the point held.
 func (r *Result) OK() bool { return len(r.Problems) == 0 }
 
