Prove that no instance belongs to two groups at once

The run moves groups by release notes, sends commands of old holders to engines that check fencing tokens and to others that ignore them, and stops the holders.

--- /dev/null
+++ b/internal/prove/onegroup_test.go
@@ -0,0 +1,141 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/release"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+const oneGroupRun = 28 * time.Second
+
+// proveOneGroup lets holders of shards fail and old commands arrive while notes
+// move instances between groups.
+func proveOneGroup(t *testing.T, p *proofRun) Result {
+	c := p.start(t, clusterSpec{
+		deployment: p.deployment(), nodes: 4, groups: 2, engines: 6, size: 2, tokensPerSecond: 200, ignoreFencing: true,
+		bounds: map[string]string{"repairDelay": "2s"},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), oneGroupRun)
+	defer cancel()
+	load := nodeLoad{cluster: c, seed: p.seed, clients: 3, maxTokens: 60, pause: 30 * time.Millisecond}
+	load.start(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { commandLate(ctx, c, rand.New(rand.NewPCG(p.seed, 20))) })
+	for d := range 2 {
+		group.Go(func() { moveGroups(ctx, c, d, rand.New(rand.NewPCG(p.seed, uint64(30+d)))) })
+	}
+	faults := schedule{
+		cluster: c, random: p.random, rest: [2]time.Duration{200 * time.Millisecond, 600 * time.Millisecond}, singles: 1,
+		kinds: []faultKind{
+			freezeHolder, killHolder, lasting(platformLosesAnswers, 3*time.Second, 6*time.Second),
+			lasting(platformDown, 2*time.Second, 5*time.Second), listWrong,
+			lasting(freezeEngine, 4*time.Second, 6*time.Second), lasting(killEngine, 4*time.Second, 6*time.Second),
+		},
+	}
+	faults.run(ctx)
+	group.Wait()
+	load.wait()
+	h := c.history()
+	r := CheckOneGroup(h)
+	r.RequireFaults(h, "freeze holder", "kill holder", "platform loses answers", "platform down",
+		"instance list wrong", FaultFreezeEngine, FaultKillEngine, faultLateCommand)
+	requireMoves(h, &r)
+	return r
+}
+
+const faultLateCommand = "late command"
+
+// commandLate sends commands that an old holder might have sent: roles of the
+// placement's past, to members of then and to others, of both fabric domains.
+func commandLate(ctx context.Context, c *cluster, random *rand.Rand) {
+	for ctx.Err() == nil {
+		pause(ctx, between(random, [2]time.Duration{300 * time.Millisecond, 1500 * time.Millisecond}))
+		d := random.IntN(2)
+		id := c.engineID(d, random.IntN(c.spec.engines))
+		events, err := ReadEvents(c.eventsFile("platform"))
+		if err != nil {
+			c.t.Error(err)
+			return
+		}
+		var past []fleet.Order
+		for _, w := range placementWrites(&History{Events: events}, &Result{}) {
+			for _, g := range w.placement.Groups {
+				if w.placement.FabricDomain != c.fabricDomain(d) {
+					continue
+				}
+				order := fleet.Order{Group: g.Name, Generation: g.Generation, Rank: random.IntN(len(g.Members)),
+					Size: len(g.Members), Service: g.Service, Version: g.Version}
+				for rank, m := range g.Members {
+					order.Members = append(order.Members, m.Address)
+					if m.Instance == id {
+						order.Rank = rank
+					}
+				}
+				past = append(past, order)
+			}
+		}
+		if len(past) == 0 {
+			continue
+		}
+		order := past[random.IntN(len(past))]
+		c.recorder.Inject(Injection{At: time.Now(), Instance: id, Order: order})
+		if c.send(http.MethodPut, c.address(id), "/v1/role", order) == http.StatusOK {
+			c.recorder.Fault(faultLateCommand, id)()
+		}
+	}
+}
+
+// moveGroups withdraws a group of a fabric domain and adds another one, again
+// and again, so that instances go from group to group.
+func moveGroups(ctx context.Context, c *cluster, d int, random *rand.Rand) {
+	present := fmt.Sprintf("g%d-1", d)
+	for n := 0; ctx.Err() == nil; n++ {
+		pause(ctx, between(random, [2]time.Duration{2 * time.Second, 4 * time.Second}))
+		node := random.IntN(c.spec.nodes)
+		status, err := c.status(node)
+		if err != nil {
+			continue
+		}
+		next := fmt.Sprintf("g%d-x%d", d, n)
+		note := release.Note{ID: "move-" + next, Base: status.Revision}
+		note.Withdrawn.Groups = []string{present}
+		note.Added.Groups = []fleet.Group{{
+			Name: next, Service: c.spec.deployment.model, Size: c.spec.size, FabricDomain: c.fabricDomain(d),
+		}}
+		for ctx.Err() == nil {
+			o := c.submit(100+d, node, note)
+			if o.OK {
+				present = next
+			}
+			if o.OK || o.Verdict == verdict.NotRun {
+				break
+			}
+			node = random.IntN(c.spec.nodes)
+			pause(ctx, 200*time.Millisecond)
+		}
+	}
+}
+
+// requireMoves fails a run in which no instance went from one group to another.
+func requireMoves(h *History, r *Result) {
+	last := map[string]string{}
+	for _, w := range placementWrites(h, r) {
+		for _, g := range w.placement.Groups {
+			for _, m := range g.Members {
+				if before := last[m.Instance]; before != "" && before != g.Name {
+					return
+				}
+				last[m.Instance] = g.Name
+			}
+		}
+	}
+	r.Fail("no instance went from one group to another")
+}
--- a/internal/prove/prove_test.go
+++ b/internal/prove/prove_test.go
@@ -27,6 +27,7 @@
 // points lists every proof, in the order of the design page's requirements.
 var points = []proofPoint{
 	{"whole-group", proveWholeGroup},
+	{"one-group", proveOneGroup},
 	{"configuration", proveConfiguration},
 }
 
