Prove that leaving backend servers get no new work

The check counts requests, calls and first collective steps from the moment at which the visible instance list shows a server as leaving. Half of the servers know that they leave, the others are only listed so.

--- a/internal/prove/prove_test.go
+++ b/internal/prove/prove_test.go
@@ -28,6 +28,7 @@
 var points = []proofPoint{
 	{"whole-group", proveWholeGroup},
 	{"one-group", proveOneGroup},
+	{"leaving-server", proveLeaving},
 	{"configuration", proveConfiguration},
 }
 
