--- a/internal/prove/answer_checks_test.go
+++ b/internal/prove/answer_checks_test.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"strings"
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,11 +14,6 @@
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
-func TestChecks(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "checks of the proofs")
-}
-
 // at returns a time of a hand-made history.
 func at(ms int) time.Time { return time.UnixMilli(1_000_000 + int64(ms)) }
 
--- a/internal/prove/history.go
+++ b/internal/prove/history.go
@@ -76,6 +76,14 @@
 	Clean bool `json:"clean"`
 }
 
+// Injection is a command that the harness sent to an engine in place of an old
+// holder.
+type Injection struct {
+	At       time.Time   `json:"at"`
+	Instance string      `json:"instance"`
+	Order    fleet.Order `json:"order"`
+}
+
 // Observation is what one node said about itself.
 type Observation struct {
 	At   time.Time `json:"at"`
@@ -92,6 +100,7 @@
 	Faults       []Fault         `json:"faults"`
 	Observations []Observation   `json:"observations"`
 	Stops        []Stop          `json:"stops"`
+	Injections   []Injection     `json:"injections,omitempty"`
 	Events       []standin.Event `json:"-"`
 }
 
@@ -122,6 +131,13 @@
 	r.history.Stops = append(r.history.Stops, s)
 }
 
+// Inject adds a command that the harness sent.
+func (r *Recorder) Inject(i Injection) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Injections = append(r.history.Injections, i)
+}
+
 // Fault starts a fault and returns the function that ends it.
 func (r *Recorder) Fault(kind, target string) func() {
 	r.mu.Lock()
@@ -144,6 +160,7 @@
 		Faults:       slices.Clone(r.history.Faults),
 		Observations: slices.Clone(r.history.Observations),
 		Stops:        slices.Clone(r.history.Stops),
+		Injections:   slices.Clone(r.history.Injections),
 		Events:       events,
 	}
 }
