--- a/internal/prove/answer_checks_test.go
+++ b/internal/prove/answer_checks_test.go
@@ -15,7 +15,7 @@
 )
 
 // at returns a time of a hand-made history.
-func at(ms int) time.Time { return time.UnixMilli(1_000_000 + int64(ms)) }
+func atMs(ms int) time.Time { return time.UnixMilli(1_000_000 + int64(ms)) }
 
 const who = "lopinot-growers"
 
@@ -25,8 +25,8 @@
 	answer, _ := json.Marshal(standin.ServerAnswer{
 		Attempt: attempt, Organisation: who, Key: key, BodyHash: hex.EncodeToString(hash[:]),
 	})
-	call := standin.CallRecord{At: at(ms), Attempt: attempt, Organisation: who, Key: key, Body: body}
-	return standin.Event{At: at(ms), Kind: standin.EventCall, Call: &call}, string(answer)
+	call := standin.CallRecord{At: atMs(ms), Attempt: attempt, Organisation: who, Key: key, Body: body}
+	return standin.Event{At: atMs(ms), Kind: standin.EventCall, Call: &call}, string(answer)
 }
 
 // begun returns the event of an engine's run.
@@ -39,12 +39,12 @@
 // completed returns a completion that was delivered as whole.
 func completed(prompt, text string) Operation {
 	return Operation{Kind: OpCompletion, Organisation: who, Prompt: prompt, MaxTokens: 4, OK: true, Text: text,
-		Start: at(0), End: at(20)}
+		Start: atMs(0), End: atMs(20)}
 }
 
 // called returns a call that got answer; an empty one means an unknown outcome.
 func called(from, to int, key, body, answer string) Operation {
-	o := Operation{Kind: OpCall, Organisation: who, Key: key, Body: body, Start: at(from), End: at(to),
+	o := Operation{Kind: OpCall, Organisation: who, Key: key, Body: body, Start: atMs(from), End: atMs(to),
 		OK: answer != "", Answer: answer}
 	if answer == "" {
 		o.Verdict = verdict.MayHaveRun
@@ -61,7 +61,7 @@
 // faulty adds the faults and events that a check requires.
 func faulty(h *History, kinds, events []string) *History {
 	for _, kind := range kinds {
-		h.Faults = append(h.Faults, Fault{Kind: kind, From: at(5), To: at(15)})
+		h.Faults = append(h.Faults, Fault{Kind: kind, From: atMs(5), To: atMs(15)})
 	}
 	for _, event := range events {
 		for _, instance := range []string{"e0-0", serverPrefix + "0"} {
--- a/internal/prove/answers_runs_test.go
+++ b/internal/prove/answers_runs_test.go
@@ -43,7 +43,7 @@
 func proveOwnAnswer(t *testing.T, p *proofRun) Result {
 	c := p.start(t, answersSpec(p))
 	short := func(kind faultKind) faultKind { return held(kind, 400*time.Millisecond, 1200*time.Millisecond) }
-	kinds := []faultKind{killEngine, killEngine, short(killNode), short(delayAnswers)}
+	kinds := []faultKind{killRankZero, killRankZero, short(killNode), short(delayAnswers)}
 	for _, kind := range distortions() {
 		kinds = append(kinds, short(kind))
 	}
@@ -62,7 +62,7 @@
 	c := p.start(t, spec)
 	short := func(kind faultKind) faultKind { return held(kind, 500*time.Millisecond, 2500*time.Millisecond) }
 	kinds := []faultKind{
-		short(killEngine), short(freezeEngine), killServer, short(freezeServer), short(loseAnswers), short(cutAnswers),
+		short(killRankZero), short(freezeRankZero), killServer, short(freezeServer), short(loseAnswers), short(cutAnswers),
 		short(platformDown), short(killNode), short(freezeNode),
 	}
 	return CheckNotRun(runUnder(c, schedule{random: p.random, kinds: kinds}, func(ctx context.Context, w *workload) {
--- a/internal/prove/backend_faults_test.go
+++ b/internal/prove/backend_faults_test.go
@@ -16,13 +16,7 @@
 	}
 }
 
-// engine and server return the present process of a back end.
-func (c *cluster) engine(d, i int) *process {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.engines[c.engineID(d, i)]
-}
-
+// server returns the present process of a plain server.
 func (c *cluster) server(i int) *process {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,23 +38,23 @@
 	return d, i
 }
 
-// killEngine kills the engine that holds a group's requests and starts it anew.
-func killEngine(c *cluster, random *rand.Rand) fault {
+// killRankZero kills the engine that holds a group's requests and starts it anew.
+func killRankZero(c *cluster, random *rand.Rand) fault {
 	d, i := c.rankZero(random)
 	return fault{
 		kind: "kill engine", target: c.engineID(d, i), hold: [2]time.Duration{500 * time.Millisecond, 3 * time.Second},
-		begin: func() { c.engine(d, i).kill() },
+		begin: func() { c.engine(c.engineID(d, i)).kill() },
 		end:   func() { c.startEngine(d, i) },
 	}
 }
 
-// freezeEngine stops the engine that holds a group's requests.
-func freezeEngine(c *cluster, random *rand.Rand) fault {
+// freezeRankZero stops the engine that holds a group's requests.
+func freezeRankZero(c *cluster, random *rand.Rand) fault {
 	d, i := c.rankZero(random)
 	return fault{
 		kind: "freeze engine", target: c.engineID(d, i), hold: [2]time.Duration{500 * time.Millisecond, 4 * time.Second},
-		begin: func() { c.engine(d, i).freeze() },
-		end:   func() { c.engine(d, i).thaw() },
+		begin: func() { c.engine(c.engineID(d, i)).freeze() },
+		end:   func() { c.engine(c.engineID(d, i)).thaw() },
 	}
 }
 
@@ -105,7 +99,7 @@
 func (c *cluster) backends(engines, servers bool) (list []string) {
 	for at := range 2 * c.spec.engines {
 		d, i := at/c.spec.engines, at%c.spec.engines
-		if p := c.engine(d, i); engines && p.running() && !p.isFrozen() {
+		if p := c.engine(c.engineID(d, i)); engines && p.running() && !p.isFrozen() {
 			list = append(list, c.engineAddress(d, i))
 		}
 	}
--- a/internal/prove/graceful_test.go
+++ b/internal/prove/graceful_test.go
@@ -122,7 +122,7 @@
 			report, err := c.report(address)
 			return err == nil && report.Group == "" && report.Running == 0
 		})
-		return released && c.engine(d, i).terminate(stopLimit)
+		return released && c.engine(c.engineID(d, i)).terminate(stopLimit)
 	})
 	c.startEngine(d, i)
 }
