--- a/internal/measure/choice.go
+++ b/internal/measure/choice.go
@@ -49,18 +49,25 @@
 		straggler.name += ", stragglers"
 		lost.lost = true
 		lost.name += ", group lost"
+		busy := size
+		busy.load = busierLoad
+		busy.name += ", a quarter more load"
 		small := size
 		small.space = kvTokens / 2
 		small.name += ", half the cache"
 		cases = append(cases, size, straggler, lost)
 		if size.nodes < 100 {
-			// One size is enough to show the cost of a smaller cache.
-			cases = append(cases, small)
+			// One size is enough for these; the larger one takes much longer.
+			cases = append(cases, busy, small)
 		}
 	}
 	return cases
 }
 
+// busierLoad multiplies the requests of the design point, to show what a cache
+// that works is worth.
+const busierLoad = 1.25
+
 // simGC is the growth of the heap between collections while simulations run;
 // their tables are short-lived.
 const simGC = 400
