--- a/internal/prove/graceful_checks_test.go
+++ b/internal/prove/graceful_checks_test.go
@@ -9,7 +9,7 @@
 	history := func(change func(h *History)) *History {
 		h := &History{Operations: []Operation{completed("p", "")}}
 		for _, kind := range gracefulStops {
-			h.Faults = append(h.Faults, Fault{Kind: kind, From: at(5), To: at(15)})
+			h.Faults = append(h.Faults, Fault{Kind: kind, From: atMs(5), To: atMs(15)})
 			h.Stops = append(h.Stops, Stop{Kind: kind, Clean: true})
 		}
 		change(h)
@@ -29,6 +29,6 @@
 		Entry("a refused request", "failed", func(h *History) { h.Operations[0] = refused(h.Operations[0]) }),
 		Entry("an exit code other than 0", "did not end cleanly", func(h *History) { h.Stops[0].Clean = false }),
 		Entry("a kind of stop that was not made", "no planned stop", func(h *History) { h.Stops[0].Kind = "other" }),
-		Entry("stops without load", "in flight", func(h *History) { h.Operations[0].Start, h.Operations[0].End = at(90), at(99) }),
+		Entry("stops without load", "in flight", func(h *History) { h.Operations[0].Start, h.Operations[0].End = atMs(90), atMs(99) }),
 	)
 })
