Measure the forming and repair of groups by policy

The measurement drives placement.Plan over simulated time with the fault rates of the design point, a dark fabric domain, returning members and a wrong instance list, and compares policies with an exhaustive bound on small cases.

--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -32,7 +32,9 @@
 
 // All lists the measurements in the order in which they run.
 func All() []Measurement {
-	return []Measurement{}
+	return []Measurement{
+		groupsMeasurement(),
+	}
 }
 
 // Options choose what Run does.
