Form every group that fits and preempt only at a high downtime weight

Cause 1: from weight 0.75 the balanced policy left the last less needed group unformed to keep one spare, even where the instances exactly fit the groups. The rule is dropped.

--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -1,20 +1,17 @@
 package placement
 
 const (
-	// eagerWeight is the downtime weight from which the balanced policy takes
-	// instances from other services before it breaks up a broken group.
-	eagerWeight = 0.5
-	// spareWeight is the downtime weight from which the last free instance is
-	// kept for repairs of more needed services.
-	spareWeight = 0.75
-	// spares is the number of free instances kept.
-	spares = 1
+	// eagerWeight is the downtime weight from which the balanced policy breaks up
+	// a whole group of a less needed service. Below it, the accelerators that
+	// stand idle meanwhile cost more than the more needed group's downtime.
+	eagerWeight = 0.75
 )
 
-// Balanced combines the other policies. DowntimeWeight, 0 to 1, weighs group
-// downtime against stranded accelerators: a high weight replaces early and
-// keeps a spare, a low one waits longer and breaks up broken groups, so that
-// fewer instances stand in groups that cannot serve.
+// Balanced combines the other policies: it replaces lost members and merges
+// broken groups. DowntimeWeight, 0 to 1, weighs group downtime against stranded
+// accelerators: a high weight replaces earlier and also takes the instances of
+// less needed groups, which shortens the downtime of needed services and strands
+// instances.
 type Balanced struct {
 	DowntimeWeight float64
 }
@@ -28,22 +25,17 @@
 		return waiting
 	}
 	if s.CanFill(short) {
-		if b.mustKeepSpare(s, short) {
-			return waiting
-		}
 		return Action{Kind: ActionFill}
 	}
 	if s.SupplyComing(short) {
 		return waiting
 	}
-	first, second := mergeVictim, preemptVictim
 	if b.DowntimeWeight >= eagerWeight {
-		first, second = preemptVictim, mergeVictim
-	}
-	if action := first(s, short); action.Kind != ActionWait {
-		return action
+		if action := preemptVictim(s, short); action.Kind != ActionWait {
+			return action
+		}
 	}
-	return second(s, short)
+	return mergeVictim(s, short)
 }
 
 // patience scales the repair delay: half of it at weight 1, one and a half at
@@ -51,11 +43,3 @@
 func (b Balanced) patience() float64 {
 	return 1.5 - min(max(b.DowntimeWeight, 0), 1)
 }
-
-// mustKeepSpare tells whether forming an unplaced group would use the last free
-// instance although a more needed service in the domain may need it.
-func (b Balanced) mustKeepSpare(s *Situation, short *Shortage) bool {
-	return b.DowntimeWeight >= spareWeight && !short.Placed &&
-		s.Free(short)-len(short.Vacant) < spares &&
-		s.MoreNeeded(short)
-}
--- a/placement/situation.go
+++ b/placement/situation.go
@@ -108,17 +108,6 @@
 	return coming >= len(short.Vacant)
 }
 
-// MoreNeeded tells whether a group of a service with a higher priority shares
-// the pool.
-func (s *Situation) MoreNeeded(short *Shortage) bool {
-	for _, o := range s.Occupants(short.Service.Pool) {
-		if o.Priority > short.Service.Priority {
-			return true
-		}
-	}
-	return false
-}
-
 // recoverable tells whether an instance will be free once it is released.
 func (s *Situation) recoverable(id string) bool {
 	view, known := s.in.Instances[id]
