--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -34,6 +34,7 @@
 func All() []Measurement {
 	return []Measurement{
 		groupsMeasurement(),
+		retriesMeasurement(),
 	}
 }
 
