--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -39,6 +39,8 @@
 		dissemination(),
 		capacity(),
 		path(),
+		groupsMeasurement(),
+		retriesMeasurement(),
 	}
 }
 
