Leave out of full mesh responses what the requester already holds

Cause: each second every node sent every other the same names, addresses, document versions and roles. A response now refers by a hash to an earlier one and carries only counters, ages and loads; a request leaves out versions that the peer has answered for. The observers of an instance take turns in having the newest evidence, so a placeholder without a usable age keeps the set stable. The Date header is left out.

Ruled out: extra rounds (there were exactly 8 calls a second at 9 nodes); compression instead, which took 23 percent of the processor time and is no longer reached. Responses above 16 members are unchanged.

--- a/peer/digest.go
+++ b/peer/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -71,10 +72,14 @@
 	d.add(m, func() { d.response.Demand = append(d.response.Demand, m) })
 }
 
-// relayed adds members and evidence in a common random order, so that a bounded
-// digest carries a fair sample of both.
+// relayed adds members and evidence, to a bounded digest in a common random
+// order, so that it carries a fair sample of both.
 func (d *digest) relayed(members []fleet.MemberView, evidence []blackboard.Observation, now time.Time) {
-	for _, i := range rand.Perm(len(members) + len(evidence)) {
+	order := rand.Perm(len(members) + len(evidence))
+	if d.limit == 0 {
+		slices.Sort(order)
+	}
+	for _, i := range order {
 		if i < len(members) {
 			v := &members[i]
 			m := encodeMember(&v.Member, v.State == fleet.NodeLeaving, encodeAge(v.HeardAt, now))
--- a/peer/node.go
+++ b/peer/node.go
@@ -29,6 +29,8 @@
 	roster  *roster
 	demand  demandTable
 	losses  lossLog
+	bases   baseLog
+	own     ownLog
 	traffic *traffic
 	dialer  *dialer
 	// urgent holds a token while an extra exchange is wanted.
--- a/peer/round.go
+++ b/peer/round.go
@@ -89,6 +89,7 @@
 		unknown = []string{unknown[rand.IntN(len(unknown))]}
 	}
 	n.dialer.forget(inUse)
+	n.bases.forget(inUse)
 	return append(targets, unknown...)
 }
 
@@ -131,11 +132,24 @@
 	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	response, err := n.dialer.client(address).Exchange(ctx, connect.NewRequest(n.request(sentAt)))
+	request := n.request(sentAt)
+	request.KnownHash = n.bases.known(address)
+	versions := versionsHash(request.GetDocuments())
+	if len(n.others())+1 <= FullMeshMembers && n.bases.hasTold(address, versions) {
+		// Unchanged versions are also in this node's own responses, which the
+		// peer asks for each second, so a fetch that failed is tried again.
+		request.Documents = nil
+	}
+	response, err := n.dialer.client(address).Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		return err
 	}
-	n.absorb(response.Msg, address, sentAt)
+	n.bases.setTold(address, versions)
+	whole, err := n.bases.expand(address, response.Msg)
+	if err != nil {
+		return err
+	}
+	n.absorb(whole, address, sentAt)
 	return nil
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,7 +12,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/peer/peerpb"
 	"github.com/rattanlanding/rattanlanding/peer/peerpb/peerpbconnect"
@@ -70,6 +69,8 @@
 			http.Error(w, "peer key missing or wrong", http.StatusUnauthorized)
 			return
 		}
+		// Nobody reads the date, which compresses badly because it changes.
+		w.Header()["Date"] = nil
 		next.ServeHTTP(w, r)
 	})
 }
@@ -95,12 +96,17 @@
 	if sender.GetLeaving() {
 		n.publishMembers()
 	}
-	return connect.NewResponse(n.respond()), nil
+	response, err := n.respond(request.Msg.GetKnownHash())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(response), nil
 }
 
-// respond builds a response. Ages are taken at one moment before encoding, so a
+// respond builds a response for a requester that holds the stable part with the
+// hash known. Ages are taken at one moment before encoding, so a
 // later delay is covered by the requester's own clock.
-func (n *Node) respond() *peerpb.ExchangeResponse {
+func (n *Node) respond(known uint64) (*peerpb.ExchangeResponse, error) {
 	now := time.Now()
 	response := &peerpb.ExchangeResponse{Responder: n.roster.heartbeat()}
 	if statement, ok := n.ports.Confirmed.Confirmation(); ok {
@@ -122,26 +128,14 @@
 	d.demand(n.config.Self.Node, &own, now)
 	evidence := n.ports.Evidence.Observations(n.config.EvidenceMaxAge)
 	if !bounded {
-		evidence = observedBy(n.config.Self.Node, evidence)
+		evidence = n.own.choose(n.config.Self.Node, evidence, now)
 	}
 	d.relayed(withoutNode(members, n.config.Self.Node), evidence, now)
 	if bounded {
 		n.demand.addTo(d, n.config.Self.Node, now)
+		return response, nil
 	}
-	return response
-}
-
-// observedBy keeps evidence from one observer. In a full mesh every observer
-// reaches everyone in one hop, so passing on the evidence of others only adds
-// traffic.
-func observedBy(node string, evidence []blackboard.Observation) []blackboard.Observation {
-	var own []blackboard.Observation
-	for i := range evidence {
-		if evidence[i].Observer == node {
-			own = append(own, evidence[i])
-		}
-	}
-	return own
+	return response, shorten(response, known)
 }
 
 // withoutNode returns members except the named one.
