Contact only the stranger when an unknown node asks

Cause: each request of an unknown node made the asked one exchange with all members. Above 16 members, where members are forgotten and found again, this fed on itself. Ruled out: losses, of which there were none.

--- a/peer/node.go
+++ b/peer/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,6 +36,9 @@
 	dialer  *dialer
 	// urgent holds a token while an extra exchange is wanted.
 	urgent chan struct{}
+	// everyone tells that the extra exchange is with all members, not only with
+	// nodes that are not members yet.
+	everyone atomic.Bool
 
 	callsMu sync.Mutex
 	calls   map[string]*callState
@@ -139,6 +143,12 @@
 
 // trigger asks for an extra exchange with all members.
 func (n *Node) trigger() {
+	n.everyone.Store(true)
+	n.triggerCandidates()
+}
+
+// triggerCandidates asks for an exchange with nodes that are not members yet.
+func (n *Node) triggerCandidates() {
 	select {
 	case n.urgent <- struct{}{}:
 	default:
--- a/peer/round.go
+++ b/peer/round.go
@@ -52,8 +52,10 @@
 		default:
 		}
 		targets := n.roster.takeCandidates()
-		for _, m := range n.others() {
-			targets = append(targets, m.PeerAddress)
+		if n.everyone.Swap(false) {
+			for _, m := range n.others() {
+				targets = append(targets, m.PeerAddress)
+			}
 		}
 		for _, address := range targets {
 			n.start(ctx, address, true)
--- a/peer/server.go
+++ b/peer/server.go
@@ -87,7 +87,7 @@
 			errors.New("request is older than what is known of its sender"))
 	}
 	if stranger {
-		n.trigger()
+		n.triggerCandidates()
 	}
 	for _, loss := range request.Msg.GetLosses() {
 		n.ports.Evidence.Lose(decodeLoss(loss, received))
