Replace lost members after half the repair delay at every weight

Cause: at downtime weights below 0.5 the balanced policy waited longer than the replace policy. The survivors of a broken group stand idle meanwhile, so waiting costs stranded accelerators as well as downtime.

--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -5,13 +5,16 @@
 	// a whole group of a less needed service. Below it, the accelerators that
 	// stand idle meanwhile cost more than the more needed group's downtime.
 	eagerWeight = 0.75
+	// balancedPatience is the part of the repair delay after which the balanced
+	// policy replaces, at every weight: waiting longer costs group downtime and
+	// stranded accelerators alike, because the survivors stand idle meanwhile.
+	balancedPatience = 0.5
 )
 
 // Balanced combines the other policies: it replaces lost members and merges
 // broken groups. DowntimeWeight, 0 to 1, weighs group downtime against stranded
-// accelerators: a high weight replaces earlier and also takes the instances of
-// less needed groups, which shortens the downtime of needed services and strands
-// instances.
+// accelerators: a high weight also takes the instances of less needed groups,
+// which shortens the downtime of needed services and strands instances.
 type Balanced struct {
 	DowntimeWeight float64
 }
@@ -21,7 +24,7 @@
 
 // Decide implements Policy.
 func (b Balanced) Decide(s *Situation, short *Shortage) Action {
-	if !s.Due(short, b.patience()) {
+	if !s.Due(short, balancedPatience) {
 		return waiting
 	}
 	if s.CanFill(short) {
@@ -37,9 +40,3 @@
 	}
 	return mergeVictim(s, short)
 }
-
-// patience scales the repair delay: half of it at weight 1, one and a half at
-// weight 0.
-func (b Balanced) patience() float64 {
-	return 1.5 - min(max(b.DowntimeWeight, 0), 1)
-}
