Join faults of one target that last at the same time

Cause: a stand-in replaces all its faults with each call, so the second fault of a pair ended the first one before it took hold. Two events counts used up by one answer also hid each other. Now the harness joins what lasts, and an answer gets one distortion, that with the most left.

--- a/internal/prove/answers_runs_test.go
+++ b/internal/prove/answers_runs_test.go
@@ -43,7 +43,7 @@
 func proveOwnAnswer(t *testing.T, p *proofRun) Result {
 	c := p.start(t, answersSpec(p))
 	short := func(kind faultKind) faultKind { return held(kind, 400*time.Millisecond, 1200*time.Millisecond) }
-	kinds := []faultKind{killEngine, killEngine, short(killNode), short(delayAnswers)}
+	kinds := []faultKind{short(killEngine), short(killEngine), short(killNode), short(delayAnswers)}
 	for _, kind := range distortions() {
 		kinds = append(kinds, short(kind))
 	}
@@ -77,7 +77,7 @@
 	spec := answersSpec(p)
 	spec.groups, spec.engines = 1, 2
 	c := p.start(t, spec)
-	short := func(kind faultKind) faultKind { return held(kind, 500*time.Millisecond, 3*time.Second) }
+	short := func(kind faultKind) faultKind { return held(kind, 500*time.Millisecond, 2500*time.Millisecond) }
 	kinds := []faultKind{
 		short(killNode), short(freezeNode), killServer, short(loseAnswers), short(delayAnswers),
 		short(platformLosesAnswers), short(platformSlow), short(platformDown),
--- a/internal/prove/backend_faults_test.go
+++ b/internal/prove/backend_faults_test.go
@@ -88,19 +88,37 @@
 func backendFault(kind string, engines, servers bool, f func(random *rand.Rand) standin.BackendFaults) faultKind {
 	return func(c *cluster, random *rand.Rand) fault {
 		faults := f(random)
-		set := func(faults standin.BackendFaults) {
-			for _, address := range c.backends(engines, servers) {
-				c.control(address, "/control/faults", faults)
+		change := func(change func(o *overlay[standin.BackendFaults], post func(standin.BackendFaults))) {
+			if engines {
+				change(&c.atEngines, func(f standin.BackendFaults) { c.distort(c.backends(true, false), f) })
+			}
+			if servers {
+				change(&c.atServers, func(f standin.BackendFaults) { c.distort(c.backends(false, true), f) })
 			}
 		}
 		return fault{
 			kind: kind, target: "back ends", hold: [2]time.Duration{time.Second, 2 * time.Second},
-			begin: func() { set(faults) },
-			end:   func() { set(standin.BackendFaults{}) },
+			begin: func() {
+				change(func(o *overlay[standin.BackendFaults], post func(standin.BackendFaults)) {
+					o.begin(&faults, joinBackend, post)
+				})
+			},
+			end: func() {
+				change(func(o *overlay[standin.BackendFaults], post func(standin.BackendFaults)) {
+					o.end(&faults, joinBackend, post)
+				})
+			},
 		}
 	}
 }
 
+// distort sets the faults of back ends.
+func (c *cluster) distort(addresses []string, f standin.BackendFaults) {
+	for _, address := range addresses {
+		c.control(address, "/control/faults", f)
+	}
+}
+
 // backends returns the addresses of the back ends that run and are not frozen.
 func (c *cluster) backends(engines, servers bool) (list []string) {
 	for at := range 2 * c.spec.engines {
--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -87,6 +87,9 @@
 	servers  map[string]*process
 	nodes    []*process
 	boots    []int
+	// atPlatform, atEngines and atServers are the faults that last.
+	atPlatform           overlay[standin.PlatformFaults]
+	atEngines, atServers overlay[standin.BackendFaults]
 	// peerRelays and platformRelays have one entry a node.
 	peerRelays, platformRelays []*relay
 }
--- a/internal/prove/faults_test.go
+++ b/internal/prove/faults_test.go
@@ -158,8 +158,8 @@
 		faults := f(random)
 		return fault{
 			kind: kind, target: "platform", hold: [2]time.Duration{2 * time.Second, 8 * time.Second},
-			begin: func() { c.platformFaults(faults) },
-			end:   func() { c.platformFaults(standin.PlatformFaults{}) },
+			begin: func() { c.atPlatform.begin(&faults, joinPlatform, c.platformFaults) },
+			end:   func() { c.atPlatform.end(&faults, joinPlatform, c.platformFaults) },
 		}
 	}
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -95,20 +95,26 @@
 	return f.faults.FailSteps
 }
 
-// next uses up one count of each fault for an answer.
-func (f *faultState) next() distortion {
+// next chooses the distortion of an answer, if any, and uses up one of its
+// count. Each answer has one, that with the most left, so that no fault hides
+// another one that lasts at the same time.
+func (f *faultState) next() (d distortion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	use := func(count *int) bool {
-		if *count <= 0 {
-			return false
+	var none int
+	most, holds := &none, new(bool)
+	for _, choice := range []struct {
+		count *int
+		holds *bool
+	}{
+		{&f.faults.Cross, &d.cross}, {&f.faults.CrossBody, &d.crossBody}, {&f.faults.Double, &d.double},
+		{&f.faults.DoubleEvents, &d.doubleEvents}, {&f.faults.Truncate, &d.truncate}, {&f.faults.Lose, &d.lose},
+	} {
+		if *choice.count > *most {
+			most, holds = choice.count, choice.holds
 		}
-		*count--
-		return true
-	}
-	return distortion{
-		cross: use(&f.faults.Cross), crossBody: use(&f.faults.CrossBody),
-		double: use(&f.faults.Double), doubleEvents: use(&f.faults.DoubleEvents),
-		truncate: use(&f.faults.Truncate), lose: use(&f.faults.Lose),
 	}
+	*most--
+	*holds = true
+	return d
 }
