--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -89,6 +89,9 @@
 	boots    []int
 	// faulty holds the engines under a fault, so that no other one meets them.
 	faulty map[string]bool
+	// atPlatform, atEngines and atServers are the faults that last.
+	atPlatform           overlay[standin.PlatformFaults]
+	atEngines, atServers overlay[standin.BackendFaults]
 	// peerRelays and platformRelays have one entry a node.
 	peerRelays, platformRelays []*relay
 }
