--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -75,8 +75,11 @@
 	}
 	listed := listedCall(service, r.ctx.Request.Method, p.path)
 	p.repeatable = !listed && idempotentMethod(r.ctx.Request.Method)
+	// A key asks for at most one run also where the configuration does not list
+	// the call, as a caller expects who sends one.
+	claimed := key != "" && !p.repeatable
 	ctx := r.ctx.Request.Context()
-	if listed && key != "" {
+	if claimed {
 		// A call that runs at most once goes on without its caller, so that its
 		// answer can be stored for a repeat.
 		ctx = context.WithoutCancel(ctx)
@@ -92,7 +95,7 @@
 	p.header = forwarded(r.ctx.Request.Header)
 	p.header.Set(backend.HeaderOrganisation, r.organisation.Name)
 	p.header.Set(backend.HeaderPriority, strconv.Itoa(priority))
-	if listed && key != "" {
+	if claimed {
 		return p.claimed(ctx, key)
 	}
 	answer, err := p.run(ctx)
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -226,6 +226,15 @@
 		Expect(a.Apply(context.Background(), parse(first), "ops")).To(Equal(release.Result{Revision: 1, Repeated: true}))
 	})
 
+	It("publishes the revision, not the platform's version", func() {
+		// Guards against a replica that refuses the own note because the object's
+		// version, which counts all writes, is taken for the revision.
+		Expect(a.Apply(context.Background(), parse(first), "ops")).To(Equal(release.Result{Revision: 1}))
+		s.version = 40
+		Expect(a.Apply(context.Background(), parse(first), "ops")).To(Equal(release.Result{Revision: 1, Repeated: true}))
+		Expect(pub.versions).To(Equal([]uint64{1, 1}))
+	})
+
 	DescribeTable("resolves a lost answer by reading", // Guards against a write that takes effect but is reported as refused, or applied twice.
 		func(write bool) {
 			calls := 0
--- a/release/round.go
+++ b/release/round.go
@@ -73,7 +73,7 @@
 	}
 	if record != nil {
 		r.uncertain = false
-		r.publish(stored.Version, stored.Value)
+		r.publish(current.Revision, stored.Value)
 		return Result{Revision: record.Revision, Repeated: r.cause == nil}, true, nil
 	}
 	next, err := Apply(current, *r.note, Meta{Operator: r.operator, At: a.cfg.Now()})
@@ -95,11 +95,11 @@
 	if err := a.cfg.Gate.Prepare(ctx, next.Revision); err != nil {
 		return Result{}, !r.uncertain, refusal(err)
 	}
-	version, err := a.cfg.Store.Update(ctx, Key, expected, body)
+	_, err = a.cfg.Store.Update(ctx, Key, expected, body)
 	switch {
 	case err == nil:
 		r.uncertain = false
-		r.publish(version, body)
+		r.publish(next.Revision, body)
 		return Result{Revision: next.Revision}, true, nil
 	case errors.Is(err, object.ErrConflict):
 		a.conflicts.Inc(1)
@@ -117,9 +117,11 @@
 	}
 }
 
-func (r *round) publish(version object.Version, body []byte) {
+// publish hands the configuration to the replica, whose version of the document
+// is the revision, not the platform's version of the object.
+func (r *round) publish(revision fleet.Revision, body []byte) {
 	if p := r.applier.cfg.Publisher; p != nil {
-		p.Publish(Key.String(), uint64(version), body)
+		p.Publish(Key.String(), uint64(revision), body)
 	}
 }
 
--- a/replica/confirmer.go
+++ b/replica/confirmer.go
@@ -195,8 +195,12 @@
 	// its versions offered before.
 	members := c.board.Members.Load()
 	now := c.config.Now()
+	left := make(map[string]bool)
 	if members != nil {
 		for _, m := range members.All {
+			if m.State == fleet.NodeLeaving && m.PeerAddress != c.config.Self {
+				left[m.PeerAddress] = true
+			}
 			if m.HeardAt.After(c.heardAt[m.PeerAddress]) {
 				c.heardAt[m.PeerAddress] = m.HeardAt
 			}
@@ -215,5 +219,6 @@
 	return &Knowledge{
 		Now: now, Held: held, Revision: revision, Newest: newest, ConfirmedAt: c.confirmedAt,
 		Self: c.config.Self, Electorate: c.electorate.voters(), HeardAt: c.heardAt,
+		Left: left,
 	}
 }
--- a/replica/judge.go
+++ b/replica/judge.go
@@ -65,6 +65,8 @@
 	// Electorate holds the peer addresses of which a majority is needed, Self
 	// among them.
 	Electorate []string
+	// Left holds the peer addresses of members that announced their stop.
+	Left map[string]bool
 	// HeardAt maps peer addresses to the newest contact, direct or relayed.
 	HeardAt map[string]time.Time
 }
@@ -146,7 +148,8 @@
 	return voters
 }
 
-// update adds the members heard and drops the silent ones. It changes nothing
+// update adds the members heard and drops the silent ones and those that
+// announced their stop. It changes nothing
 // unless the node is confirmed. Members are dropped only in a majority, else an
 // isolated node would become its own majority and serve an old revision for
 // ever once the platform is gone too.
@@ -155,7 +158,7 @@
 		return
 	}
 	for address, at := range k.HeardAt {
-		if k.Now.Sub(at) < rules.ForgetAfter && at.After(e.since[address]) {
+		if !k.Left[address] && k.Now.Sub(at) < rules.ForgetAfter && at.After(e.since[address]) {
 			e.since[address] = at
 		}
 	}
@@ -163,7 +166,7 @@
 		return
 	}
 	for voter, at := range e.since {
-		if voter != e.self && k.Now.Sub(at) >= rules.ForgetAfter {
+		if voter != e.self && (k.Left[voter] || k.Now.Sub(at) >= rules.ForgetAfter) {
 			delete(e.since, voter)
 		}
 	}
--- a/replica/judge_test.go
+++ b/replica/judge_test.go
@@ -105,6 +105,17 @@
 		Expect(e.voters()).To(ConsistOf("0", "1", "2", "9"))
 	})
 
+	It("drops members that announced their stop and counts them again as new processes", func() {
+		// Guards against notes refused after a planned removal, because the node
+		// that left still counts.
+		heard := map[string]time.Time{"1": ago(1), "2": now}
+		in := Judgement{Confirmed: true, Majority: true}
+		e.update(&Knowledge{Now: now, HeardAt: heard, Left: map[string]bool{"1": true}}, in, rules)
+		Expect(e.voters()).To(ConsistOf("0", "2"))
+		e.update(&Knowledge{Now: now, HeardAt: heard}, in, rules)
+		Expect(e.voters()).To(ConsistOf("0", "1", "2"))
+	})
+
 	It("drops members silent for 60 s while confirmed in a majority", func() {
 		// Guards against replaced nodes that count for ever.
 		e.update(&Knowledge{Now: now, HeardAt: map[string]time.Time{"1": ago(59)}},
