--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -89,6 +89,18 @@
 		}, "Idempotency-Key", "c1"),
 	)
 
+	It("claims an unlisted POST with a key too", func() {
+		// Guards against a second run of a keyed call that the configuration
+		// does not list, when the caller's library repeats it.
+		w.server(func(rw http.ResponseWriter, _ *http.Request) { runs.Add(1); panic(http.ErrAbortHandler) })
+		w.start()
+		for range 2 {
+			got := w.do("POST", "/services/desk/unlisted", "5", "Idempotency-Key", "u1")
+			Expect(got.verdict).To(Equal("may-have-run"))
+		}
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
 	It("answers a repeat with the first answer, per organisation", func() {
 		// Guards against a second charge and against another organisation's
 		// answer.
