Resume a stream only on groups of the same model version

Cause: read in the code: during a rollout a stream that lost its group could go on at a group of another version, which gives an answer of neither. Ruled out: the pools' engines check it, since a request names group and generation but not the version of its first tokens. The spec fails without the filter.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -31,6 +31,10 @@
 	sink     sink
 	// delivered are the tokens that the sink took, in order.
 	delivered []string
+	// version is the model version that produced the delivered tokens. A stream
+	// resumes only on groups of that version, because an answer of two versions
+	// is not the whole answer of either.
+	version string
 	// tried names the groups of attempts since the last progress.
 	tried []string
 	// sent tells that an attempt was not provably refused.
@@ -137,7 +141,16 @@
 	if len(c.delivered) > 0 {
 		wait = c.gateway.config.ResumeWait
 	}
-	return c.gateway.pick(ctx, c.gateway.config.Groups, c.query.model, c.tried, route.Request{Prefix: route.Prefix(c.query.prompt)}, wait)
+	return c.gateway.pick(ctx, c.gateway.config.Groups, c.query.model, c.tried, c.wanted(), wait)
+}
+
+// wanted describes the target that the request needs.
+func (c *completion) wanted() route.Request {
+	q := route.Request{Prefix: route.Prefix(c.query.prompt)}
+	if len(c.delivered) > 0 {
+		q.Version = c.version
+	}
+	return q
 }
 
 // fail delivers the error of the whole request. It is NotRun only if every
@@ -242,6 +255,7 @@
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "the caller went away").WithCause(err)
 		}
 		c.delivered = append(c.delivered, event.Text)
+		c.version = target.Version
 		c.gateway.meters.tokens.Inc(1)
 	}
 }
--- a/gateway/completion_test.go
+++ b/gateway/completion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -139,6 +140,32 @@
 		}, time.Minute).Should(Equal(1))
 	})
 
+	It("does not resume on a group of another model version", func() {
+		// Guards against an answer made of two versions during a rollout.
+		w.engine(func(a attempt) { a.say(len(a.Resume), 2) })
+		w.engine(func(a attempt) { rest(a) })
+		for i := range w.place.Groups {
+			w.place.Groups[i].Version = fmt.Sprint("v", i)
+			seen := w.evidence[w.place.Groups[i].Name]
+			seen.Report.Version = w.place.Groups[i].Version
+			w.evidence[w.place.Groups[i].Name] = seen
+		}
+		w.start()
+		for range 4 {
+			got := complete(streamed)
+			if texts(got.body) == allFour {
+				Expect(got.body).To(ContainSubstring("[DONE]"))
+			} else {
+				Expect(got.body).NotTo(ContainSubstring("[DONE]"))
+			}
+		}
+		for _, a := range w.seen() {
+			if a.Group == "g1" {
+				Expect(a.Resume).To(BeEmpty())
+			}
+		}
+	})
+
 	It("ends a stream that can't go on with an error event and no end marker", func() {
 		// Guards against a cut answer that looks whole.
 		w.engine(func(a attempt) { a.say(len(a.Resume), len(a.Resume)) })
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -53,7 +53,7 @@
 	targets := g.Table.Load().Service(service).Fresh(now, tried)
 	young := targets[:0]
 	for _, t := range targets {
-		if now.Sub(t.Observed) <= age {
+		if now.Sub(t.Observed) <= age && (q.Version == "" || q.Version == t.Version) {
 			young = append(young, t)
 		}
 	}
--- a/route/builder.go
+++ b/route/builder.go
@@ -211,6 +211,7 @@
 	seen := s.evidence[first.Instance]
 	target := b.target(group.Name, first.Address, float64(seen.Report.QueuedPromptTokens), seen.ObservedAt, oldest)
 	target.Generation = group.Generation
+	target.Version = group.Version
 	target.Tracker.queued.Store(int64(seen.Report.QueuedPromptTokens))
 	target.space = float64(seen.Report.FreeKVTokens)
 	if instance := s.instances[first.Instance]; instance != nil {
--- a/route/policy.go
+++ b/route/policy.go
@@ -6,6 +6,9 @@
 type Request struct {
 	// Prefix is the hash of the first part of the prompt; 0 means none.
 	Prefix uint64
+	// Version, when not empty, is the only model version that may answer. The
+	// caller of Choose leaves out the others.
+	Version string
 }
 
 // Policy chooses among targets. Targets is not empty, and all are fresh at now.
--- a/route/table.go
+++ b/route/table.go
@@ -12,6 +12,8 @@
 	Name string
 	// Generation is that of the group; 0 for a plain server.
 	Generation fleet.Generation
+	// Version is the model version that the group runs; empty for a plain server.
+	Version string
 	// Address is that of the group's rank 0, or of the plain server.
 	Address       string
 	FailureDomain string
