Kill the accepting node at the start of an outage in the configuration proof

The run now leaves one node as the only one that reaches the platform and kills it as soon as a note took effect there; the other four are without the platform for 14 to 16 s and were not told of the note.

--- a/internal/prove/configuration_test.go
+++ b/internal/prove/configuration_test.go
@@ -1,9 +1,11 @@
 package prove
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"regexp"
 	"sync"
 	"testing"
@@ -15,7 +17,7 @@
 )
 
 const (
-	configurationRun = 45 * time.Second
+	configurationRun = 60 * time.Second
 	observeInterval  = 150 * time.Millisecond
 	// stopTimeout exceeds the daemons' drain timeout.
 	stopTimeout = 75 * time.Second
@@ -39,7 +41,7 @@
 	load.calls(ctx, 2, 1)
 	faults := schedule{
 		cluster: c, random: p.random, rest: [2]time.Duration{500 * time.Millisecond, 2 * time.Second},
-		first: isolateNode,
+		first: []faultKind{isolateNode, killAcceptor},
 		kinds: []faultKind{
 			killNode, freezeNode, cutNodeFromPlatform, isolateNode, cutOneWay, splitRegions,
 			platformDown, platformHang, platformSlow, platformLosesAnswers,
@@ -110,3 +112,45 @@
 		pause(ctx, observeInterval)
 	}
 }
+
+// killAcceptor leaves one daemon as the only one that reaches the platform,
+// kills it as soon as a note took effect there, and so begins an outage of the
+// platform for the others, who were not told that the note was accepted.
+func killAcceptor(c *cluster, random *rand.Rand) fault {
+	acceptor := random.IntN(c.spec.nodes)
+	others := func(cut bool) {
+		for j := range c.spec.nodes {
+			if j != acceptor {
+				c.cutPlatform(j, cut)
+			}
+		}
+	}
+	return fault{
+		kind: "kill acceptor", target: fmt.Sprint(acceptor), hold: isolationHold,
+		begin: func() {
+			others(true)
+			before := c.acceptedNotes()
+			end := time.Now().Add(acceptorWait)
+			for c.acceptedNotes() == before && time.Now().Before(end) {
+				time.Sleep(time.Millisecond)
+			}
+			c.node(acceptor).kill()
+		},
+		end: func() {
+			others(false)
+			c.startNode(acceptor)
+		},
+	}
+}
+
+// acceptorWait is the time in which an operator meets the acceptor.
+const acceptorWait = 5 * time.Second
+
+// acceptedNotes counts the writes of the configuration in the platform's record.
+func (c *cluster) acceptedNotes() int {
+	data, err := os.ReadFile(c.eventsFile("platform"))
+	if err != nil {
+		return 0
+	}
+	return bytes.Count(data, []byte(`"key":"config/current"`))
+}
--- a/internal/prove/faults_test.go
+++ b/internal/prove/faults_test.go
@@ -29,9 +29,9 @@
 	cluster *cluster
 	random  *rand.Rand
 	kinds   []faultKind
-	// first is applied before any other, for a fault without which a run of the
-	// point proves little; nil means none.
-	first faultKind
+	// first are applied before any other, one after another, for faults without
+	// which a run of the point proves little.
+	first []faultKind
 	// rest is the least and the most time between faults.
 	rest [2]time.Duration
 	// singles, if not 0, is the number of faults that may come alone before
@@ -43,9 +43,10 @@
 // once before any is drawn again, so that short runs do not miss one.
 func (s *schedule) run(ctx context.Context) {
 	order := s.random.Perm(len(s.kinds))
-	if s.first != nil {
-		f := s.first(s.cluster, s.random)
+	for _, kind := range s.first {
+		f := kind(s.cluster, s.random)
 		s.apply(ctx, f, between(s.random, f.hold))
+		pause(ctx, between(s.random, s.rest))
 	}
 	alone := 0
 	for next := 0; ctx.Err() == nil; {
