Measure groups while a rack of a fabric domain is lost

Two broken groups of one domain at once were too rare in the cases so far for the policy merge to differ from replace. The new case takes a random third of a domain's instances away for 3 h of 6 h, at the design shape and at the 60-engine shape, without and with 2 spares a domain.

--- a/internal/measure/groups.go
+++ b/internal/measure/groups.go
@@ -83,6 +83,9 @@
 	if err := runGroupsShapes(ctx, seed, emit); err != nil {
 		return err
 	}
+	if err := runGroupsRack(ctx, seed, emit); err != nil {
+		return err
+	}
 	if err := runGroupsWrongList(ctx, seed, emit); err != nil {
 		return err
 	}
@@ -102,7 +105,7 @@
 		if err != nil {
 			return sum, err
 		}
-		sum.add(figures)
+		sum.add(&figures)
 	}
 	return sum, nil
 }
--- a/internal/measure/groups_world.go
+++ b/internal/measure/groups_world.go
@@ -56,7 +56,7 @@
 	generations int
 }
 
-func (f *groupsFigures) add(o groupsFigures) {
+func (f *groupsFigures) add(o *groupsFigures) {
 	f.downtime += o.downtime
 	f.neededDowntime += o.neededDowntime
 	f.stranded += o.stranded
