Merge breaks up broken groups of less needed services first

With a rack of a domain lost, the policy merge completed broken groups of less needed services while a group of the needed one stayed down for hours: a victim had to be of the same service. Breaking up whole groups (the policy preempt) is not needed for this; a broken group serves nobody.

Now the broken group of the least needed service in the pool goes first.

--- a/placement/merge.go
+++ b/placement/merge.go
@@ -1,7 +1,9 @@
 package placement
 
+import "cmp"
+
 // Merge replaces like Replace and, when free instances are short, breaks up one
-// broken group to make others of the same service whole.
+// broken group to make others of the same or a more needed service whole.
 type Merge struct{}
 
 // Name implements Policy.
@@ -18,28 +20,39 @@
 	return mergeVictim(s, short)
 }
 
-// mergeVictim picks the broken group of the same service that lacks most
-// members. Only a group that lacks fewer is worth completing, or one of equal
-// lack with the smaller name, so that two groups never break up each other.
+// mergeVictim picks a broken group that frees enough instances: the least
+// needed service first, because a broken group serves nobody and breaking it up
+// costs no downtime, then the group that lacks most members. A group of an
+// equally needed service is broken up only if it runs the same service and lacks
+// more, or as many with the larger name, so that two groups never break up each
+// other.
 func mergeVictim(s *Situation, short *Shortage) Action {
 	if !short.Placed {
 		return waiting
 	}
-	victim, lack := "", 0
-	for _, other := range s.Broken(short.Service.Name) {
-		if other.Group.Name == short.Group.Name || len(other.Vacant) < len(short.Vacant) {
-			continue
-		}
-		if len(other.Vacant) == len(short.Vacant) && other.Group.Name < short.Group.Name {
+	var victim *Shortage
+	broken := s.Broken(short.Service.Pool)
+	for i := range broken {
+		other := &broken[i]
+		if !yields(other, short) || other.Group.Size-len(other.Vacant)+s.Free(short) < len(short.Vacant) {
 			continue
 		}
-		survivors := other.Group.Size - len(other.Vacant)
-		if len(other.Vacant) > lack && survivors+s.Free(short) >= len(short.Vacant) {
-			victim, lack = other.Group.Name, len(other.Vacant)
+		if victim == nil || cmp.Or(cmp.Compare(other.Service.Priority, victim.Service.Priority),
+			cmp.Compare(len(victim.Vacant), len(other.Vacant))) < 0 {
+			victim = other
 		}
 	}
-	if victim == "" {
+	if victim == nil {
 		return waiting
 	}
-	return Action{Kind: ActionBreak, Victim: victim}
+	return Action{Kind: ActionBreak, Victim: victim.Group.Name}
+}
+
+// yields tells whether a broken group may be broken up to complete short.
+func yields(other, short *Shortage) bool {
+	if other.Service.Name != short.Service.Name {
+		return other.Service.Priority < short.Service.Priority
+	}
+	return cmp.Or(cmp.Compare(len(other.Vacant), len(short.Vacant)),
+		cmp.Compare(other.Group.Name, short.Group.Name)) > 0
 }
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -151,6 +151,13 @@
 	Entry("breaks up one of two broken groups", placement.Merge{},
 		newScene().group("h1", "high", "a", "b").group("h2", "high", "c", "d").
 			view("a", lost(time.Minute)).view("d", lost(time.Minute)), "h1:serving a b", "h2:withdrawn c d"),
+	Entry("breaks up a broken group of a less needed service first", placement.Merge{},
+		newScene().group("h1", "high", "a", "b").group("h2", "high", "c", "d").group("l", "low", "e", "f").
+			view("a", lost(time.Minute)).view("d", lost(time.Minute)).view("e", lost(time.Minute)),
+		"h1:serving a b", "h2:serving c d", "l:withdrawn e f"),
+	Entry("breaks up no broken group of a more needed service", placement.Merge{},
+		newScene().group("h", "high", "a", "b").group("l", "low", "c", "d").
+			view("a", lost(time.Minute)).view("c", lost(time.Minute)), "h:serving a b", "l:withdrawn c d"),
 	Entry("does not break up a whole group of the same service", placement.Merge{},
 		newScene().group("h1", "high", "a", "b").group("h2", "high", "c", "d").
 			view("a", lost(time.Minute)), "h1:serving a b", "h2:serving c d"),
--- a/placement/situation.go
+++ b/placement/situation.go
@@ -52,12 +52,13 @@
 	return loads == 0 || s.draft.loadsLeft > 0
 }
 
-// Broken returns the placed shortages of a service, in the order of need.
-func (s *Situation) Broken(service string) []Shortage {
+// Broken returns the placed shortages on instances of a pool, in the order of
+// need.
+func (s *Situation) Broken(pool string) []Shortage {
 	var broken []Shortage
 	for i := range s.short {
 		g := s.draft.next.Group(s.short[i].Group.Name)
-		if s.short[i].Placed && s.short[i].Service.Name == service && g != nil && g.Phase != fleet.PhaseWithdrawn {
+		if s.short[i].Placed && s.short[i].Service.Pool == pool && g != nil && g.Phase != fleet.PhaseWithdrawn {
 			broken = append(broken, s.short[i])
 		}
 	}
