Do not complete a withdrawn group that a more needed one waits for

The reasons in a trace of the plans showed two causes. A group that had been broken up itself broke up another one in the pass that removed it. And a broken-up group that was drained took free instances and was completed again before the needed group, which waited for the rest of its members, had enough.

--- a/placement/merge.go
+++ b/placement/merge.go
@@ -1,6 +1,10 @@
 package placement
 
-import "cmp"
+import (
+	"cmp"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+)
 
 // Merge replaces like Replace and, when free instances are short, breaks up one
 // broken group to make others of the same or a more needed service whole.
@@ -27,7 +31,8 @@
 // more, or as many with the larger name, so that two groups never break up each
 // other.
 func mergeVictim(s *Situation, short *Shortage) Action {
-	if !short.Placed {
+	// A withdrawn group gives its own instances up.
+	if g := s.draft.next.Group(short.Group.Name); g == nil || g.Phase == fleet.PhaseWithdrawn {
 		return waiting
 	}
 	var victim *Shortage
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -254,8 +254,10 @@
 	return false
 }
 
-// repair lets the policy decide on each shortage and carries out its actions.
+// repair lets the policy decide on each shortage and carries out its actions. A
+// withdrawn group is not completed while a more needed one waits for its members.
 func (s *Situation) repair(policy Policy) {
+	awaited := make(map[string]bool) // by pool
 	for i := range s.short {
 		short := &s.short[i]
 		g := s.draft.next.Group(short.Group.Name)
@@ -264,6 +266,7 @@
 		}
 		action := policy.Decide(s, short)
 		switch {
+		case g != nil && g.Phase == fleet.PhaseWithdrawn && s.draft.leaves(g) && awaited[short.Service.Pool]:
 		case action.Kind == ActionFill && s.CanFill(short):
 			chosen := s.candidates(short)[:len(short.Vacant)]
 			s.draft.form(short.Group, &short.Service, short.Vacant, chosen)
@@ -273,6 +276,8 @@
 			if victim != nil && victim.Phase != fleet.PhaseWithdrawn {
 				s.draft.withdraw(victim, "group "+short.Group.Name+" needs its instances")
 			}
+		case action.Kind == ActionWait && s.Free(short) < len(short.Vacant) && s.SupplyComing(short):
+			awaited[short.Service.Pool] = true
 		}
 		if g != nil && g.Phase == fleet.PhaseWithdrawn {
 			s.draft.remove(g.Name, "drained and not complete")
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -155,6 +155,20 @@
 		newScene().group("h1", "high", "a", "b").group("h2", "high", "c", "d").group("l", "low", "e", "f").
 			view("a", lost(time.Minute)).view("d", lost(time.Minute)).view("e", lost(time.Minute)),
 		"h1:serving a b", "h2:serving c d", "l:withdrawn e f"),
+	Entry("completes no withdrawn group whose instances a more needed one waits for", placement.Merge{},
+		func() *scene {
+			s := newScene().group("h", "high", "a", "b").group("l", "low", "c", "d").free("e").
+				view("a", lost(time.Minute)).view("b", lost(time.Minute)).view("c", lost(time.Minute))
+			s.Current.Groups[1].Phase = fleet.PhaseWithdrawn
+			return s
+		}(), "h:serving a b"),
+	Entry("breaks up no group for one that is withdrawn itself", placement.Merge{},
+		func() *scene {
+			s := newScene().group("h1", "high", "a", "b").group("h2", "high", "c", "d").
+				view("a", lost(time.Minute)).view("d", lost(time.Minute))
+			s.Current.Groups[0].Phase = fleet.PhaseWithdrawn
+			return s
+		}(), "h2:serving c d"),
 	Entry("breaks up no broken group of a more needed service", placement.Merge{},
 		newScene().group("h", "high", "a", "b").group("l", "low", "c", "d").
 			view("a", lost(time.Minute)).view("c", lost(time.Minute)), "h:serving a b", "l:withdrawn c d"),
