--- a/internal/measure/retries.go
+++ b/internal/measure/retries.go
@@ -162,7 +162,7 @@
 			w.emit(fault.name, emit)
 		}
 	}
-	return runResume(ctx, emit)
+	return runResume(ctx, seed, emit)
 }
 
 func (w *retriesWorld) emit(name string, emit Emit) {
