Test the accounting of the measurements' worlds

A measurement that counts an instance twice or loses requests gives figures that look right. Each world but the dissemination's gets a short spec: groups (members, downtime and stranded instances of every step, the bound, the lost rack), retries and resume, the choice's engine, limits and fair shares, and the counters of path and capacity.

--- /dev/null
+++ b/internal/measure/accounting_test.go
@@ -0,0 +1,257 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/object"
+	"github.com/rattanlanding/rattanlanding/placement"
+	"github.com/rattanlanding/rattanlanding/retry"
+)
+
+func TestMeasure(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "measure")
+}
+
+// smallGroups is a domain of two groups of three and two spares.
+var smallGroups = groupsShape{name: "small", domains: 1, groups: 2, size: 3, spares: 2}
+
+var _ = Describe("The groups' world", func() {
+	balanced := groupsPolicy{"balanced", placement.Balanced{DowntimeWeight: 0.5}}
+
+	It("counts each instance once and each group that does not serve", func() {
+		// Guards against figures of an instance that is in two groups, or that is
+		// stranded and serves at once.
+		w := newGroupsWorld("f", balanced.policy, &smallGroups)
+		_, err := w.run(nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		t := newGroupsTimeline(rand.New(rand.NewPCG(1, 1)), len(w.slots), time.Hour)
+		t.faults(groupsRates{lost: 20_000, restarted: 20_000, replaced: 10_000, paused: 10_000}, 0)
+		events, start := t.sorted(), w.now
+		Expect(events).NotTo(BeEmpty())
+		for w.now.Sub(start) < time.Hour {
+			for len(events) > 0 && !start.Add(events[0].at).After(w.now) {
+				w.apply(events[0])
+				events = events[1:]
+			}
+			before := w.figures
+			Expect(w.pass(time.Second)).To(Succeed())
+			w.account(time.Second)
+			members, down, serving := 0, 0, 0
+			for i := range w.groups {
+				g := w.current.Group(w.groups[i].Name)
+				if g != nil {
+					members += len(g.Members)
+				}
+				if w.serves(g) {
+					serving += len(g.Members)
+				} else {
+					down++
+				}
+			}
+			up := 0
+			for _, e := range w.engines {
+				if e.up {
+					up++
+				}
+			}
+			Expect(w.members()).To(HaveLen(members))
+			Expect(w.figures.downtime - before.downtime).To(Equal(time.Duration(down) * time.Second))
+			Expect(w.figures.stranded - before.stranded).To(BeNumerically("<=", time.Duration(up-serving)*time.Second))
+			w.now = w.now.Add(time.Second)
+		}
+		Expect(w.figures.downtime).To(BeNumerically(">", 0))
+	})
+
+	It("counts nothing without faults and all groups while the domain is dark", func() {
+		// Guards against time that is counted twice or left out between steps.
+		for _, dark := range []bool{false, true} {
+			w := newGroupsWorld("f", placement.Wait{}, &smallGroups)
+			t := newGroupsTimeline(nil, len(w.slots), time.Hour)
+			want := time.Duration(0)
+			if dark {
+				t.dark(0)
+				want = time.Duration(smallGroups.groups) * groupsDarkFor
+			}
+			figures, err := w.run(t.sorted(), groupsDarkFor)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(figures).To(Equal(groupsFigures{downtime: want, neededDowntime: want}))
+		}
+	})
+
+	It("keeps the bound below the cost of the planner", func() {
+		// Guards against a bound that leaves a better assignment out.
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 10 {
+			c, w := drawGroupsBest(random), newGroupsWorld("f", balanced.policy, &smallGroups)
+			_, err := w.run(nil, 0)
+			Expect(err).NotTo(HaveOccurred())
+			bound := c.bound(w.owners(), 0.5)
+			figures, err := w.run(c.events(), groupsBestHorizon)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(figures.cost(0.5, smallGroups.size)).To(BeNumerically(">=", bound))
+		}
+	})
+
+	It("brings back every instance of a lost rack", func() {
+		// Guards against a rack that stays away and makes every policy look alike.
+		w := newGroupsWorld("f", balanced.policy, &smallGroups)
+		t := newGroupsTimeline(rand.New(rand.NewPCG(1, 1)), len(w.slots), time.Hour)
+		t.rack()
+		lost := make(map[int]bool)
+		for _, event := range t.sorted() {
+			w.apply(event)
+			lost[event.slot] = true
+		}
+		Expect(lost).To(HaveLen(len(w.slots) / groupsRackPart))
+		for _, e := range w.slots {
+			Expect(e.up && e.listed).To(BeTrue())
+		}
+	})
+})
+
+var _ = Describe("The retries' world", func() {
+	DescribeTable("accounts for each request", func(policy retriesPolicy, lost int, failing bool) {
+		// Guards against requests that vanish or are answered twice, and against
+		// attempts that no request made.
+		policy.budget = retry.NewBudget(0, 0)
+		w := &retriesWorld{policy: policy, random: rand.New(rand.NewPCG(1, 1)), lost: lost, failing: failing}
+		w.run()
+		arrived, sent, good, open := 0, 0, 0, len(w.waiting)
+		for i := range w.arrived {
+			arrived, sent, good = arrived+w.arrived[i], sent+w.sent[i], good+w.good[i]
+			Expect(w.good[i]).To(BeNumerically("<=", w.arrived[i]))
+		}
+		for i := range w.queues {
+			open += len(w.queues[i]) + len(w.running[i])
+		}
+		Expect(good + open).To(BeNumerically("<=", arrived))
+		if lost == 0 && !failing {
+			Expect(good + open).To(Equal(arrived))
+		}
+		Expect(sent).To(And(BeNumerically(">=", arrived-open), BeNumerically("<=", arrived*policy.attempts)))
+	},
+		Entry("without a fault", retriesPolicy{name: "budgeted", attempts: 3}, 0, false),
+		Entry("without retries", retriesPolicy{name: "never", attempts: 1}, 5, false),
+		Entry("retried at once", retriesPolicy{name: "at-once", attempts: 3}, 5, false),
+		Entry("within the budget", retriesPolicy{name: "budgeted", attempts: 3}, 0, true))
+
+	It("moves a stream at each loss and loses no token", func() {
+		// Guards against a stand-in that hides a loss or counts a token twice.
+		w := newPlainResumeWorld()
+		defer w.close()
+		s, err := w.stream(context.Background(), "p", "reset", 3, 20, 40)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.produced).To(Equal(resumeTokens))
+		Expect((&resumeStream{groups: []string{"g0", "g0"}}).check(1)).NotTo(Succeed())
+		Expect((&resumeStream{groups: []string{"g0"}}).check(1)).NotTo(Succeed())
+	})
+
+	It("counts each request of an outage once", func() {
+		// Guards against shares of requests that were not sent.
+		w := newPlainResumeWorld()
+		defer w.close()
+		l := &platformLoad{world: w, outcomes: make(map[string]*platformOutcomes)}
+		Expect(l.part(context.Background(), "before", 5*platformTick, false)).To(Succeed())
+		for _, kind := range platformKinds {
+			o := l.outcomes["before"+kindSeparator+kind]
+			Expect([]int{o.served, o.notRun, o.other}).To(Equal([]int{5, 0, 0}))
+			Expect(o.times).To(HaveLen(5))
+		}
+	})
+})
+
+var _ = Describe("The choice's engine", func() {
+	It("conserves tokens", func() {
+		// Guards against load and cache space that leak with each request.
+		e := &simEngine{slow: 1, space: kvTokens, cache: newPrefixCache()}
+		prompts, outputs, done := 0, 0, 0
+		for i := range 20 {
+			r := &simRequest{turn: turn{conversation: i + 1, system: i % 3, systemTokens: 400, prompt: 500 + 100*i, output: 1 + 7*i}}
+			prompts += r.prompt - e.add(r)
+			outputs += r.output - 1
+		}
+		for range 10_000 {
+			if len(e.waiting)+len(e.running) == 0 {
+				break
+			}
+			e.begin()
+			e.end(func(*simRequest) {}, func(r *simRequest) {
+				done++
+				Expect(r.produced).To(Equal(r.output))
+			})
+		}
+		Expect(done).To(Equal(20))
+		Expect([]int{e.kv, e.queued}).To(Equal([]int{0, 0}))
+		Expect(e.served).To(BeNumerically("==", prompts+outputs))
+		held := 0
+		for _, element := range e.cache.entries {
+			held += element.Value.(*cached).tokens
+		}
+		Expect(held).To(Equal(e.cache.used))
+	})
+})
+
+var _ = Describe("The limits' load", func() {
+	It("admits at most what is asked and asks for what is due", func() {
+		// Guards against overrun and unused parts of demand that was not offered.
+		s := newLimitsSim(limitsCase{name: "9 nodes", nodes: 9, change: "come and go"}, 1, limit.ProportionalShare{})
+		Expect(s.run(context.Background(), 2)).To(Succeed())
+		for o := range s.organisations {
+			asked := 0.0
+			for t := range s.asked[o] {
+				Expect(s.admitted[o][t]).To(BeNumerically("<=", s.asked[o][t]))
+				asked += s.asked[o][t]
+			}
+			due := 2 * s.organisations[o].TokensPerSecond * limitsEnd.Seconds()
+			Expect(asked + s.credit[o]).To(BeNumerically("~", due, 1e-3*due))
+		}
+	})
+
+	It("divides exactly the whole in fair shares", func() {
+		// Guards against an index that compares with more or less than was served.
+		asked := []float64{50, 5, 30, 1, 2, 3, 4, 5, 6, 7}
+		fair, sum := fairShares(asked, 60), 0.0
+		for i := range fair {
+			Expect(fair[i]).To(BeNumerically("<=", asked[i]))
+			sum += fair[i]
+		}
+		Expect(sum).To(BeNumerically("~", 60, 1e-9))
+		Expect(jain(fair, fair)).To(BeNumerically("~", 1, 1e-9))
+	})
+})
+
+var _ = Describe("The counters of path and capacity", func() {
+	It("see each token once", func() {
+		// Guards against latencies of lines that carry no token.
+		body, seen := new(strings.Builder), 0
+		for i := range 5 {
+			fmt.Fprintf(body, "data: {\"position\":%d,\"choices\":[{\"text\":\"%d\"}]}\n\n", i, time.Now().UnixNano())
+		}
+		body.WriteString("data: [DONE]\n\n")
+		Expect(readTokens(strings.NewReader(body.String()), func(time.Duration) { seen++ })).To(Succeed())
+		Expect(seen).To(Equal(5))
+	})
+
+	It("see each call to the platform once", func() {
+		// Guards against a platform budget that leaves out calls or counts them twice.
+		ctx, s, key := context.Background(), &countingStore{Store: object.NewMemory()}, object.Key{Kind: "k", Name: "n"}
+		version, err := s.Update(ctx, key, 0, []byte("12"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Get(ctx, key)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = s.Watch(ctx, key, version, time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Delete(ctx, key, version)).To(Succeed())
+		Expect([]int64{s.writes.Load(), s.reads.Load(), s.watches.Load(), s.bytes.Load()}).To(Equal([]int64{2, 1, 1, 2}))
+	})
+})
