Rank by rendezvous hashing in one place

Observers, lease candidates and address answers each had their own copy of the hash and the sort. They now use RankBy, Spread and Score of package rendezvous. The hash and the orders stay as they were.

--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -2,11 +2,9 @@
 
 import (
 	"net/http"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/rendezvous"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -68,24 +66,11 @@
 // over all nodes, and takes one of each failure domain before a second one of
 // any.
 func pick(members []fleet.MemberView, caller string) []Address {
-	score := func(m fleet.MemberView) uint64 { return xxhash.Sum64String(caller + "\x00" + m.Node) }
-	slices.SortFunc(members, func(a, b fleet.MemberView) int {
-		if score(a) > score(b) {
-			return -1
-		}
-		return 1
-	})
-	var chosen, rest []Address
-	domains := make(map[string]bool)
-	for _, member := range members {
-		address := Address{Address: member.CallerAddress, FailureDomain: member.FailureDomain}
-		if domains[member.FailureDomain] {
-			rest = append(rest, address)
-			continue
-		}
-		domains[member.FailureDomain] = true
-		chosen = append(chosen, address)
+	ranked := rendezvous.RankBy(caller, members, func(m fleet.MemberView) string { return m.Node })
+	ranked = rendezvous.Spread(ranked, func(m fleet.MemberView) string { return m.FailureDomain })
+	chosen := make([]Address, min(len(ranked), maxAddresses))
+	for i := range chosen {
+		chosen[i] = Address{Address: ranked[i].CallerAddress, FailureDomain: ranked[i].FailureDomain}
 	}
-	chosen = append(chosen, rest...)
-	return chosen[:min(len(chosen), maxAddresses)]
+	return chosen
 }
--- a/health/prober.go
+++ b/health/prober.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
 // Defaults of Config.
@@ -155,7 +156,7 @@
 	if known {
 		return now.Add(p.cfg.Interval)
 	}
-	spread := score(id, p.cfg.Node) % uint64(p.cfg.Interval)
+	spread := rendezvous.Score(id, p.cfg.Node) % uint64(p.cfg.Interval)
 	// The probe in flight must have ended before the next one starts.
 	return now.Add(max(time.Duration(spread), p.cfg.Timeout))
 }
--- a/lease/record.go
+++ b/lease/record.go
@@ -1,14 +1,11 @@
 package lease
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
 // Kind is the object kind of lease records.
@@ -34,24 +31,13 @@
 // candidates returns the members that may hold shards, first choice first. A
 // member silent for longer than suspect is left out, except this node.
 func candidates(shard string, members *blackboard.Members, suspect time.Duration, now time.Time) []string {
-	type scored struct {
-		node  string
-		score uint64
-	}
-	var found []scored
+	var nodes []string
 	for i := range members.All {
 		m := &members.All[i]
 		heard := m.Node == members.Self || now.Sub(m.HeardAt) <= suspect
 		if m.State == fleet.NodeServing && heard {
-			found = append(found, scored{m.Node, xxhash.Sum64String(shard + "\x00" + m.Node)})
+			nodes = append(nodes, m.Node)
 		}
 	}
-	slices.SortFunc(found, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
-	})
-	nodes := make([]string, len(found))
-	for i := range found {
-		nodes[i] = found[i].node
-	}
-	return nodes
+	return rendezvous.Rank(shard, nodes)
 }
--- a/rendezvous/rank.go
+++ b/rendezvous/rank.go
@@ -7,8 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// scored is a node with its weight for one key.
-type scored struct {
+// scored is an item with its node's name and weight for one key.
+type scored[T any] struct {
+	item  T
 	node  string
 	score uint64
 }
@@ -17,22 +18,46 @@
 // depends only on the key and the names, not on the order of nodes, which stays
 // unmodified.
 func Rank(key string, nodes []string) []string {
-	weighted := make([]scored, len(nodes))
-	for i, node := range nodes {
-		weighted[i] = scored{node: node, score: weight(key, node)}
+	return RankBy(key, nodes, func(node string) string { return node })
+}
+
+// RankBy is Rank for items that node names.
+func RankBy[T any](key string, items []T, node func(T) string) []T {
+	weighted := make([]scored[T], len(items))
+	for i, item := range items {
+		name := node(item)
+		weighted[i] = scored[T]{item: item, node: name, score: Score(key, name)}
 	}
-	slices.SortFunc(weighted, func(a, b scored) int {
+	slices.SortFunc(weighted, func(a, b scored[T]) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
 	})
-	ranked := make([]string, len(nodes))
+	ranked := make([]T, len(items))
 	for i := range weighted {
-		ranked[i] = weighted[i].node
+		ranked[i] = weighted[i].item
 	}
 	return ranked
 }
 
-// weight hashes key and node with a separator that occurs in neither.
-func weight(key, node string) uint64 {
+// Spread returns ranked with the first item of each domain before a second one
+// of any. Otherwise the order stays.
+func Spread[T any](ranked []T, domain func(T) string) []T {
+	firsts := make([]T, 0, len(ranked))
+	var rest []T
+	seen := make(map[string]bool)
+	for _, item := range ranked {
+		if name := domain(item); !seen[name] {
+			seen[name] = true
+			firsts = append(firsts, item)
+		} else {
+			rest = append(rest, item)
+		}
+	}
+	return append(firsts, rest...)
+}
+
+// Score returns the weight of node for key. The separator occurs in no node's
+// name.
+func Score(key, node string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(key)
