--- a/caller/client.go
+++ b/caller/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -149,14 +150,7 @@
 	if last != nil && last.RetryAfter > 0 {
 		d = min(last.RetryAfter, maxRetryPause)
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
 
 // try sends m to one node. An error says whether the request may have run: it
--- a/claim/registry.go
+++ b/claim/registry.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -128,7 +129,7 @@
 	waitUntil := time.Now().Add(r.config.AnswerWait)
 	for {
 		res := r.begin(ctx, h)
-		if !res.pending || time.Now().After(waitUntil) || !sleep(ctx, r.config.AnswerPoll) {
+		if !res.pending || time.Now().After(waitUntil) || !wait.For(ctx, r.config.AnswerPoll) {
 			return r.settle(h, res)
 		}
 	}
@@ -229,15 +230,3 @@
 	}
 	return res.err
 }
-
-// sleep waits for d and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -242,9 +243,9 @@
 	due := time.Now().Add(time.Duration(prompt) * perToken)
 	for i := one.from(); i < out.stop; i++ {
 		due = due.Add(perToken)
-		if wait := time.Until(due); wait > 0 {
+		if left := time.Until(due); left > 0 {
 			out.flush()
-			sleep(ctx, wait)
+			wait.For(ctx, left)
 		}
 		e.faults.awaitThaw(ctx)
 		if ctx.Err() != nil {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -244,12 +245,12 @@
 // load gets the weights and makes the engine ready if its role is unchanged.
 func (e *Engine) load(order fleet.Order, weights string, roleCount int) {
 	for e.registry.load(e.ctx, order.Service, order.Version) != nil {
-		sleep(e.ctx, loadRetry)
+		wait.For(e.ctx, loadRetry)
 		if e.ctx.Err() != nil || !e.holds(roleCount) {
 			return
 		}
 	}
-	sleep(e.ctx, time.Duration(e.pool.LoadMs)*time.Millisecond)
+	wait.For(e.ctx, time.Duration(e.pool.LoadMs)*time.Millisecond)
 	e.faults.awaitThaw(e.ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // BackendFaults is the body of POST /control/faults at an engine or a plain
@@ -70,7 +72,7 @@
 			return
 		}
 		// A short sleep lets an end of the fault take effect soon.
-		sleep(ctx, min(left, 20*time.Millisecond))
+		wait.For(ctx, min(left, 20*time.Millisecond))
 	}
 }
 
@@ -83,7 +85,7 @@
 		delay := time.Duration(f.faults.DelayMs) * time.Millisecond
 		f.mu.Unlock()
 		if delay > 0 {
-			sleep(context.Background(), delay)
+			wait.For(context.Background(), delay)
 		}
 		next(w, r)
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 )
 
@@ -126,7 +127,7 @@
 			r = r.WithContext(context.WithoutCancel(r.Context()))
 		}
 		if f.DelayMs > 0 {
-			sleep(r.Context(), time.Duration(f.DelayMs)*time.Millisecond)
+			wait.For(r.Context(), time.Duration(f.DelayMs)*time.Millisecond)
 		}
 		if f.Down {
 			http.Error(w, "platform down", http.StatusServiceUnavailable)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // Set is the running stand-ins of one process.
@@ -120,7 +122,7 @@
 	}
 	for _, e := range s.Engines {
 		for s.Platform == nil && ctx.Err() == nil && e.busy() {
-			sleep(ctx, 50*time.Millisecond)
+			wait.For(ctx, 50*time.Millisecond)
 		}
 	}
 	if s.Platform == nil && s.registry != nil && len(gone) > 0 {
@@ -179,13 +181,3 @@
 func sever() {
 	panic(http.ErrAbortHandler)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/steps.go
+++ b/internal/standin/steps.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 const (
@@ -76,7 +77,7 @@
 // keepStepping repeats the collective step and cancels the run when one fails.
 func (e *Engine) keepStepping(ctx context.Context, one *run, cancel context.CancelCauseFunc) {
 	for {
-		sleep(ctx, stepInterval)
+		wait.For(ctx, stepInterval)
 		e.faults.awaitThaw(ctx)
 		if ctx.Err() != nil {
 			return
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
 	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/lease"
 	"github.com/rattanlanding/rattanlanding/limit"
 	"github.com/rattanlanding/rattanlanding/peer"
@@ -148,7 +149,7 @@
 	defer cancel()
 	_ = level.Info(d.logger).Log("msg", "leaving", "node", d.settings.Node, "inFlight", d.gateway.InFlight())
 	d.publishLeaving(started)
-	wait(ctx, d.settings.Bounds.AddressTTL+leaveSpread)
+	wait.For(ctx, d.settings.Bounds.AddressTTL+leaveSpread)
 	err := d.gateway.Drain(ctx)
 	if err != nil {
 		_ = level.Warn(d.logger).Log("msg", "drain timeout, requests cut off", "inFlight", d.gateway.InFlight())
@@ -178,13 +179,3 @@
 	d.running.Wait()
 	d.claims.Close()
 }
-
-// wait blocks for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/object/memory.go
+++ b/object/memory.go
@@ -6,6 +6,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // Faults are the failures that Memory simulates. The zero value is no fault.
@@ -240,10 +242,7 @@
 	f := m.faults
 	m.mu.Unlock()
 	if f.Delay > 0 {
-		select {
-		case <-time.After(f.Delay):
-		case <-ctx.Done():
-		}
+		wait.For(ctx, f.Delay)
 	}
 	if err := ctx.Err(); err != nil {
 		return unavailable(err)
--- a/object/mutate.go
+++ b/object/mutate.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 const (
@@ -107,12 +109,8 @@
 // pause waits with exponential backoff and full jitter.
 func pause(ctx context.Context, try int) error {
 	limit := min(mutateBackoffMin<<min(try, 10), mutateBackoffMax)
-	timer := time.NewTimer(rand.N(limit) + 1)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, rand.N(limit)+1) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/release/applier.go
+++ b/release/applier.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -208,8 +209,5 @@
 // pause waits a random time that grows with the number of failed rounds.
 func (a *Applier) pause(ctx context.Context, failed int) {
 	limit := a.cfg.Backoff << min(failed, 6)
-	select {
-	case <-time.After(rand.N(limit)):
-	case <-ctx.Done():
-	}
+	wait.For(ctx, rand.N(limit))
 }
--- a/replica/documents_test.go
+++ b/replica/documents_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/peer"
 	"github.com/rattanlanding/rattanlanding/verdict"
@@ -142,13 +143,13 @@
 
 // Watch implements object.Store.
 func (f *fakePlatform) Watch(ctx context.Context, key object.Key, known object.Version, _ time.Duration) (object.Object, bool, error) {
-	sleep(ctx, 5*time.Millisecond)
+	wait.For(ctx, 5*time.Millisecond)
 	return f.GetIfNewer(ctx, key, known)
 }
 
 // WatchKind implements object.Store.
 func (f *fakePlatform) WatchKind(ctx context.Context, _ string, cursor object.Version, _ time.Duration) (object.Listing, error) {
-	sleep(ctx, 5*time.Millisecond)
+	wait.For(ctx, 5*time.Millisecond)
 	body := []byte(`{"fabricDomain":"x","nextGeneration":1}`)
 	return object.Listing{Cursor: 1, Changed: cursor != 1, Objects: []object.Object{
 		{Key: object.Key{Kind: PlacementKind, Name: "broken"}, Version: 1, Value: []byte("{")},
@@ -158,7 +159,7 @@
 
 // Instances implements InstanceSource.
 func (f *fakePlatform) Instances(ctx context.Context, after uint64, _ time.Duration) (fleet.InstanceList, bool, error) {
-	sleep(ctx, 5*time.Millisecond)
+	wait.For(ctx, 5*time.Millisecond)
 	return fleet.InstanceList{Version: 1}, after != 1, nil
 }
 
--- a/replica/sources.go
+++ b/replica/sources.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 )
 
@@ -132,12 +133,12 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if !s.watching() {
-			sleep(ctx, s.config.PollInterval/4)
+			wait.For(ctx, s.config.PollInterval/4)
 			continue
 		}
 		failures = s.outcome(ctx, call(ctx, s.config.WatchWait), failures)
 		if failures > 0 {
-			sleep(ctx, s.backoff(failures))
+			wait.For(ctx, s.backoff(failures))
 		}
 	}
 }
@@ -148,7 +149,7 @@
 func (s *Sources) pollLoop(ctx context.Context, call func(context.Context, time.Duration) error, always bool) {
 	failures := 0
 	if !always {
-		sleep(ctx, rand.N(s.config.PollInterval))
+		wait.For(ctx, rand.N(s.config.PollInterval))
 	}
 	for ctx.Err() == nil {
 		pause := s.config.PollInterval*3/4 + rand.N(s.config.PollInterval/4)
@@ -158,7 +159,7 @@
 				pause = s.backoff(failures)
 			}
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
@@ -179,9 +180,9 @@
 	return s.config.BackoffMin + rand.N(limit)
 }
 
-// readConfiguration reads the configuration; wait > 0 makes it a watch.
-func (s *Sources) readConfiguration(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, s.config.ReadTimeout+wait)
+// readConfiguration reads the configuration; hold > 0 makes it a watch.
+func (s *Sources) readConfiguration(ctx context.Context, hold time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, s.config.ReadTimeout+hold)
 	defer cancel()
 	s.mu.Lock()
 	known := s.shown
@@ -191,8 +192,8 @@
 	var found object.Object
 	var changed bool
 	var err error
-	if wait > 0 {
-		found, changed, err = s.store.Watch(ctx, ConfigurationKey, known.version, wait)
+	if hold > 0 {
+		found, changed, err = s.store.Watch(ctx, ConfigurationKey, known.version, hold)
 	} else {
 		found, changed, err = s.store.GetIfNewer(ctx, ConfigurationKey, known.version)
 	}
@@ -211,10 +212,10 @@
 	}
 	s.setShown(shown)
 	s.confirmer.Read(PlatformRead{Shown: shown.revision, HeldBefore: held, SentAt: sentAt})
-	if errors.Is(err, object.ErrNotFound) && wait > 0 {
+	if errors.Is(err, object.ErrNotFound) && hold > 0 {
 		// A store that does not hold watches of missing objects is asked at the
 		// poll interval instead.
-		sleep(ctx, s.config.PollInterval/4)
+		wait.For(ctx, s.config.PollInterval/4)
 	}
 	return nil
 }
@@ -238,14 +239,14 @@
 	return shownConfiguration{version: found.Version, revision: head.Revision}, err
 }
 
-// readPlacements reads all placements; wait > 0 makes it a watch.
-func (s *Sources) readPlacements(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, s.config.ReadTimeout+wait)
+// readPlacements reads all placements; hold > 0 makes it a watch.
+func (s *Sources) readPlacements(ctx context.Context, hold time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, s.config.ReadTimeout+hold)
 	defer cancel()
 	s.mu.Lock()
 	cursor := s.placements
 	s.mu.Unlock()
-	listing, err := s.store.WatchKind(ctx, PlacementKind, cursor, wait)
+	listing, err := s.store.WatchKind(ctx, PlacementKind, cursor, hold)
 	if err != nil || !listing.Changed {
 		return err
 	}
@@ -261,15 +262,15 @@
 	return nil
 }
 
-// readInstances reads the instance list; wait > 0 makes it a long poll.
-func (s *Sources) readInstances(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, s.config.ReadTimeout+wait)
+// readInstances reads the instance list; hold > 0 makes it a long poll.
+func (s *Sources) readInstances(ctx context.Context, hold time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, s.config.ReadTimeout+hold)
 	defer cancel()
 	var after uint64
 	if list := s.board.Instances.Load(); list != nil {
 		after = list.Version
 	}
-	list, changed, err := s.instances.Instances(ctx, after, wait)
+	list, changed, err := s.instances.Instances(ctx, after, hold)
 	if err != nil || !changed {
 		return err
 	}
@@ -280,13 +281,3 @@
 	_, err = s.documents.Publish(InstancesName, list.Version, body)
 	return err
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // Backoff defaults.
@@ -39,12 +41,8 @@
 
 // Wait sleeps after the given attempt. It returns ctx's error if ctx ends first.
 func (b Backoff) Wait(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(rand.N(b.Ceiling(attempt) + 1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, rand.N(b.Ceiling(attempt)+1)) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/route/builder.go
+++ b/route/builder.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // Defaults of Config.
@@ -82,7 +83,7 @@
 		configuration, placements := b.board.Configuration.Changed(), b.board.Placements.Changed()
 		instances, evidence := b.board.Instances.Changed(), b.board.Evidence.Changed()
 		b.Build()
-		if !sleep(ctx, b.config.MinInterval) {
+		if !wait.For(ctx, b.config.MinInterval) {
 			return ctx.Err()
 		}
 		timer := time.NewTimer(b.config.MaxInterval)
@@ -101,17 +102,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // snapshot is what one build reads.
 type snapshot struct {
 	now       time.Time
