Check names, hashes and ranges in one place

Settings and release notes had the same patterns and range check. They are now methods of strictjson.Problems.

--- a/release/validate.go
+++ b/release/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"path"
 	"regexp"
 	"strings"
@@ -25,9 +24,7 @@
 )
 
 var (
-	namePattern    = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
-	hashPattern    = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	callPattern    = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) (/[A-Za-z0-9._~/-]*)$`)
 )
 
@@ -35,7 +32,7 @@
 // form and range of each field, and that no entry stands twice.
 func (n *Note) Validate() error {
 	var p strictjson.Problems
-	checkName(&p, "id", n.ID)
+	p.CheckName("id", n.ID)
 	if len(n.Reason) > maxReasonBytes {
 		p.Add("reason", "must have at most %d bytes", maxReasonBytes)
 	}
@@ -96,7 +93,7 @@
 
 func checkNames(p *strictjson.Problems, names Names) {
 	names.each(func(kind string, i int, name string) {
-		checkName(p, fmt.Sprintf("%s.%s[%d]", OperationWithdraw, kind, i), name)
+		p.CheckName(fmt.Sprintf("%s.%s[%d]", OperationWithdraw, kind, i), name)
 	})
 }
 
@@ -112,30 +109,18 @@
 	}
 }
 
-func checkName(p *strictjson.Problems, field, name string) {
-	if !namePattern.MatchString(name) {
-		p.Add(field, "must match %s", namePattern)
-	}
-}
-
 func checkUnset(p *strictjson.Problems, field string, changed fleet.Revision) {
 	if changed != 0 {
 		p.Add(field+".changed", "is set by the system")
 	}
 }
 
-func checkRange(p *strictjson.Problems, field string, value, low, high float64) {
-	if math.IsNaN(value) || value < low || value > high {
-		p.Add(field, "must be from %g to %g", low, high)
-	}
-}
-
 func checkService(p *strictjson.Problems, field string, s *fleet.Service) {
-	checkName(p, field+".name", s.Name)
-	checkName(p, field+".pool", s.Pool)
+	p.CheckName(field+".name", s.Name)
+	p.CheckName(field+".pool", s.Pool)
 	checkUnset(p, field, s.Changed)
-	checkRange(p, field+".timeoutMs", float64(s.TimeoutMs), 0, maxTimeoutMs)
-	checkRange(p, field+".priority", float64(s.Priority), 0, maxPriority)
+	p.CheckRange(field+".timeoutMs", float64(s.TimeoutMs), 0, maxTimeoutMs)
+	p.CheckRange(field+".priority", float64(s.Priority), 0, maxPriority)
 	switch s.Kind {
 	case fleet.KindModel:
 		if !versionPattern.MatchString(s.Version) {
@@ -178,23 +163,21 @@
 }
 
 func checkOrganisation(p *strictjson.Problems, field string, o *fleet.Organisation) {
-	checkName(p, field+".name", o.Name)
+	p.CheckName(field+".name", o.Name)
 	checkUnset(p, field, o.Changed)
-	checkRange(p, field+".tokensPerSecond", o.TokensPerSecond, 0, maxTokensPerSec)
-	checkRange(p, field+".weight", o.Weight, 0, maxWeight)
-	checkRange(p, field+".priority", float64(o.Priority), 0, maxPriority)
+	p.CheckRange(field+".tokensPerSecond", o.TokensPerSecond, 0, maxTokensPerSec)
+	p.CheckRange(field+".weight", o.Weight, 0, maxWeight)
+	p.CheckRange(field+".priority", float64(o.Priority), 0, maxPriority)
 	if len(o.KeyHashes) < 1 || len(o.KeyHashes) > maxKeys {
 		p.Add(field+".keyHashes", "must have from 1 to %d entries", maxKeys)
 	}
 	for i, hash := range o.KeyHashes {
-		if !hashPattern.MatchString(hash) {
-			p.Add(fmt.Sprintf("%s.keyHashes[%d]", field, i), "must be a hex SHA-256 in lower case")
-		}
+		p.CheckHash(fmt.Sprintf("%s.keyHashes[%d]", field, i), hash)
 	}
 	seen := make(map[string]bool, len(o.Services))
 	for i, name := range o.Services {
 		at := fmt.Sprintf("%s.services[%d]", field, i)
-		checkName(p, at, name)
+		p.CheckName(at, name)
 		if seen[name] {
 			p.Add(at, "stands twice")
 		}
@@ -203,11 +186,11 @@
 }
 
 func checkGroup(p *strictjson.Problems, field string, g *fleet.Group) {
-	checkName(p, field+".name", g.Name)
-	checkName(p, field+".service", g.Service)
-	checkName(p, field+".fabricDomain", g.FabricDomain)
+	p.CheckName(field+".name", g.Name)
+	p.CheckName(field+".service", g.Service)
+	p.CheckName(field+".fabricDomain", g.FabricDomain)
 	checkUnset(p, field, g.Changed)
-	checkRange(p, field+".size", float64(g.Size), 1, maxGroupSize)
+	p.CheckRange(field+".size", float64(g.Size), 1, maxGroupSize)
 }
 
 // splitEntry returns the kind and name of an entry.
--- a/settings/check.go
+++ b/settings/check.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"math"
 	"net/netip"
-	"regexp"
 	"slices"
 	"time"
 	"unicode/utf8"
@@ -28,11 +26,7 @@
 	maxAddresses     = 1000
 )
 
-var (
-	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
-	logLevels   = []string{"debug", "info", "warn", "error"}
-)
+var logLevels = []string{"debug", "info", "warn", "error"}
 
 // durationRange is the allowed range of one bound.
 type durationRange struct {
@@ -42,9 +36,9 @@
 }
 
 func (s *Settings) check(p *strictjson.Problems) {
-	checkName(p, "node", s.Node)
-	checkName(p, "region", s.Region)
-	checkName(p, "failureDomain", s.FailureDomain)
+	p.CheckName("node", s.Node)
+	p.CheckName("region", s.Region)
+	p.CheckName("failureDomain", s.FailureDomain)
 	s.checkAddresses(p)
 	s.checkKeys(p)
 	if !slices.Contains(logLevels, s.Log.Level) {
@@ -55,12 +49,6 @@
 	s.checkLimits(p)
 }
 
-func checkName(p *strictjson.Problems, field, name string) {
-	if !namePattern.MatchString(name) {
-		p.Add(field, "must match %s", namePattern)
-	}
-}
-
 func (s *Settings) checkAddresses(p *strictjson.Problems) {
 	listeners := []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress}
 	for i, field := range []string{"callerAddress", "operatorAddress", "peerAddress"} {
@@ -112,10 +100,8 @@
 	names, hashes := make(map[string]bool), make(map[string]bool)
 	for i, key := range s.OperatorKeys {
 		at := fmt.Sprintf("operatorKeys[%d]", i)
-		checkName(p, at+".name", key.Name)
-		if !hashPattern.MatchString(key.KeySHA256) {
-			p.Add(at+".keySha256", "must be a hex SHA-256 in lower case")
-		}
+		p.CheckName(at+".name", key.Name)
+		p.CheckHash(at+".keySha256", key.KeySHA256)
 		if names[key.Name] {
 			p.Add(at+".name", "stands twice")
 		}
@@ -177,16 +163,10 @@
 }
 
 func (s *Settings) checkLimits(p *strictjson.Problems) {
-	checkNumber(p, "limits.maxBodyBytes", float64(s.Limits.MaxBodyBytes), 1024, 64<<20)
-	checkNumber(p, "limits.maxConcurrentRequests", float64(s.Limits.MaxConcurrentRequests), 1, 100_000)
-	checkNumber(p, "limits.retryBudgetRatio", s.Limits.RetryBudgetRatio, 0, 1)
-	checkNumber(p, "limits.maxAttempts", float64(s.Limits.MaxAttempts), 1, 10)
-	checkNumber(p, "placement.downtimeWeight", s.Placement.DowntimeWeight, 0, 1)
-	checkName(p, "placement.policy", s.Placement.Policy)
-}
-
-func checkNumber(p *strictjson.Problems, field string, value, low, high float64) {
-	if math.IsNaN(value) || value < low || value > high {
-		p.Add(field, "must be from %.10g to %.10g", low, high)
-	}
+	p.CheckRange("limits.maxBodyBytes", float64(s.Limits.MaxBodyBytes), 1024, 64<<20)
+	p.CheckRange("limits.maxConcurrentRequests", float64(s.Limits.MaxConcurrentRequests), 1, 100_000)
+	p.CheckRange("limits.retryBudgetRatio", s.Limits.RetryBudgetRatio, 0, 1)
+	p.CheckRange("limits.maxAttempts", float64(s.Limits.MaxAttempts), 1, 10)
+	p.CheckRange("placement.downtimeWeight", s.Placement.DowntimeWeight, 0, 1)
+	p.CheckName("placement.policy", s.Placement.Policy)
 }
