Set configuration defaults the same way everywhere

Each Config has withDefaults with cmp.Or, in place of six idioms. A negative duration or count is no longer replaced by the default; the documentation never promised that.

--- a/caller/client.go
+++ b/caller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -57,20 +58,18 @@
 	failedAt  map[string]time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.AddressTimeout = cmp.Or(c.AddressTimeout, DefaultAddressTimeout)
+	c.Attempts = cmp.Or(c.Attempts, DefaultAttempts)
+	c.RetryPause = cmp.Or(c.RetryPause, DefaultRetryPause)
+	c.AvoidFor = cmp.Or(c.AvoidFor, DefaultAvoidFor)
+	return c
+}
+
 // New returns a Client.
 func New(config Config) *Client {
-	if config.AddressTimeout == 0 {
-		config.AddressTimeout = DefaultAddressTimeout
-	}
-	if config.Attempts == 0 {
-		config.Attempts = DefaultAttempts
-	}
-	if config.RetryPause == 0 {
-		config.RetryPause = DefaultRetryPause
-	}
-	if config.AvoidFor == 0 {
-		config.AvoidFor = DefaultAvoidFor
-	}
+	config = config.withDefaults()
 	return &Client{
 		config:   config,
 		name:     uuid.NewString(),
--- a/claim/registry.go
+++ b/claim/registry.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strconv"
@@ -50,22 +51,16 @@
 
 // withDefaults returns c with its zero fields set.
 func (c Config) withDefaults() Config {
-	setDefault(&c.Retention, DefaultRetention)
-	setDefault(&c.BatchWindow, DefaultBatchWindow)
-	setDefault(&c.CallTimeout, DefaultCallTimeout)
-	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&c.FinishTimeout, DefaultFinishTimeout)
-	setDefault(&c.AnswerWait, DefaultAnswerWait)
-	setDefault(&c.AnswerPoll, DefaultAnswerPoll)
+	c.Retention = cmp.Or(c.Retention, DefaultRetention)
+	c.BatchWindow = cmp.Or(c.BatchWindow, DefaultBatchWindow)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.ClaimTimeout = cmp.Or(c.ClaimTimeout, DefaultClaimTimeout)
+	c.FinishTimeout = cmp.Or(c.FinishTimeout, DefaultFinishTimeout)
+	c.AnswerWait = cmp.Or(c.AnswerWait, DefaultAnswerWait)
+	c.AnswerPoll = cmp.Or(c.AnswerPoll, DefaultAnswerPoll)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // registryMetrics counts platform work, in calls.
 type registryMetrics struct {
 	writes    metrics.Counter
--- a/health/prober.go
+++ b/health/prober.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,24 +51,15 @@
 	ConfirmRate int
 }
 
-func (c *Config) setDefaults() {
-	for _, d := range []struct {
-		field *time.Duration
-		value time.Duration
-	}{
-		{&c.Interval, DefaultInterval}, {&c.Timeout, DefaultTimeout},
-		{&c.LossBatch, DefaultLossBatch}, {&c.ConfirmAge, DefaultConfirmAge},
-	} {
-		if *d.field <= 0 {
-			*d.field = d.value
-		}
-	}
-	if c.Observers <= 0 {
-		c.Observers = DefaultObservers
-	}
-	if c.ConfirmRate <= 0 {
-		c.ConfirmRate = DefaultConfirmRate
-	}
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.Observers = cmp.Or(c.Observers, DefaultObservers)
+	c.LossBatch = cmp.Or(c.LossBatch, DefaultLossBatch)
+	c.ConfirmAge = cmp.Or(c.ConfirmAge, DefaultConfirmAge)
+	c.ConfirmRate = cmp.Or(c.ConfirmRate, DefaultConfirmRate)
+	return c
 }
 
 // Prober probes the instances that this node observes.
@@ -91,7 +83,7 @@
 // NewProber returns a prober that writes into table.
 func NewProber(cfg Config, board *blackboard.Board, table *Table, source StatusSource,
 	announcer LossAnnouncer, logger log.Logger, registry metrics.Registry) *Prober {
-	cfg.setDefaults()
+	cfg = cfg.withDefaults()
 	return &Prober{
 		cfg: cfg, board: board, table: table, source: source, announcer: announcer,
 		logger:   log.With(logger, "component", "prober"),
--- a/health/table.go
+++ b/health/table.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -35,6 +36,14 @@
 	RenewInterval time.Duration
 }
 
+// withDefaults returns c with its zero fields set.
+func (c TableConfig) withDefaults() TableConfig {
+	c.TimeToLive = cmp.Or(c.TimeToLive, DefaultTimeToLive)
+	c.PublishInterval = cmp.Or(c.PublishInterval, DefaultPublishInterval)
+	c.RenewInterval = cmp.Or(c.RenewInterval, DefaultRenewInterval)
+	return c
+}
+
 // Table holds the newest evidence of each instance and publishes it. It is safe
 // for concurrent use.
 type Table struct {
@@ -53,15 +62,7 @@
 
 // NewTable returns an empty table that publishes into section.
 func NewTable(cfg TableConfig, section *blackboard.Section[blackboard.Evidence]) *Table {
-	if cfg.TimeToLive <= 0 {
-		cfg.TimeToLive = DefaultTimeToLive
-	}
-	if cfg.PublishInterval <= 0 {
-		cfg.PublishInterval = DefaultPublishInterval
-	}
-	if cfg.RenewInterval <= 0 {
-		cfg.RenewInterval = DefaultRenewInterval
-	}
+	cfg = cfg.withDefaults()
 	return &Table{
 		cfg:     cfg,
 		section: section,
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -45,18 +46,14 @@
 	CallTimeout time.Duration
 }
 
-func (c *Config) setDefaults() {
-	for _, d := range []struct {
-		field *time.Duration
-		value time.Duration
-	}{
-		{&c.Duration, DefaultDuration}, {&c.Renew, DefaultRenew}, {&c.Stable, DefaultStable},
-		{&c.Suspect, DefaultSuspect}, {&c.CallTimeout, DefaultCallTimeout},
-	} {
-		if *d.field <= 0 {
-			*d.field = d.value
-		}
-	}
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.Duration = cmp.Or(c.Duration, DefaultDuration)
+	c.Renew = cmp.Or(c.Renew, DefaultRenew)
+	c.Stable = cmp.Or(c.Stable, DefaultStable)
+	c.Suspect = cmp.Or(c.Suspect, DefaultSuspect)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	return c
 }
 
 // Manager claims, renews and releases the shards of this node and publishes
@@ -76,7 +73,7 @@
 // New returns a manager for the shards that the function names.
 func New(cfg Config, store object.Store, board *blackboard.Board, shards func() []string,
 	logger log.Logger, registry metrics.Registry) *Manager {
-	cfg.setDefaults()
+	cfg = cfg.withDefaults()
 	return &Manager{
 		cfg: cfg, store: store, board: board, shards: shards,
 		logger: log.With(logger, "component", "lease"),
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync/atomic"
@@ -48,21 +49,11 @@
 
 // withDefaults returns c with its zero fields set.
 func (c Config) withDefaults() Config {
-	if c.Interval == 0 {
-		c.Interval = DefaultInterval
-	}
-	if c.DemandLifetime == 0 {
-		c.DemandLifetime = DefaultDemandLifetime
-	}
-	if c.Burst == 0 {
-		c.Burst = DefaultBurst
-	}
-	if c.Policy == nil {
-		c.Policy = ProportionalShare{}
-	}
-	if c.TargetWait == 0 {
-		c.TargetWait = DefaultTargetWait
-	}
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.DemandLifetime = cmp.Or(c.DemandLifetime, DefaultDemandLifetime)
+	c.Burst = cmp.Or(c.Burst, DefaultBurst)
+	c.Policy = cmp.Or[SharePolicy](c.Policy, ProportionalShare{})
+	c.TargetWait = cmp.Or(c.TargetWait, DefaultTargetWait)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/object/endpoints.go
+++ b/object/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,13 @@
 	Registry metrics.Registry
 }
 
+// withDefaults returns c with its zero fields set.
+func (c ClientConfig) withDefaults() ClientConfig {
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.Registry = cmp.Or(c.Registry, metrics.NewRegistry())
+	return c
+}
+
 // Endpoints sends calls to the platform and classifies failures.
 //
 // No write is ever sent twice by net/http, because a repeated conditional write
@@ -77,12 +85,7 @@
 
 // NewEndpoints returns a caller of the configured addresses.
 func NewEndpoints(cfg ClientConfig) *Endpoints {
-	if cfg.Timeout <= 0 {
-		cfg.Timeout = DefaultTimeout
-	}
-	if cfg.Registry == nil {
-		cfg.Registry = metrics.NewRegistry()
-	}
+	cfg = cfg.withDefaults()
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	transport := &http.Transport{
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -60,6 +61,17 @@
 	Now func() time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.EvidenceLifetime = cmp.Or(c.EvidenceLifetime, settings.Default().Bounds.EvidenceLifetime)
+	c.Registry = cmp.Or(c.Registry, metrics.NewRegistry())
+	c.Logger = cmp.Or(c.Logger, log.NewNopLogger())
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
 // handler serves the operators' requests.
 type handler struct {
 	cfg  Config
@@ -75,18 +87,7 @@
 // NewHandler returns the operators' HTTP handler. It fails on a key hash that
 // is not hex.
 func NewHandler(cfg Config) (http.Handler, error) {
-	if cfg.EvidenceLifetime == 0 {
-		cfg.EvidenceLifetime = settings.Default().Bounds.EvidenceLifetime
-	}
-	if cfg.Registry == nil {
-		cfg.Registry = metrics.NewRegistry()
-	}
-	if cfg.Logger == nil {
-		cfg.Logger = log.NewNopLogger()
-	}
-	if cfg.Now == nil {
-		cfg.Now = time.Now
-	}
+	cfg = cfg.withDefaults()
 	h := &handler{cfg: cfg}
 	for _, k := range cfg.Keys {
 		hash, err := hex.DecodeString(k.KeySHA256)
--- a/release/applier.go
+++ b/release/applier.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -74,6 +75,23 @@
 	Now func() time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.Attempts = cmp.Or(c.Attempts, DefaultAttempts)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.UpdateTimeout = cmp.Or(c.UpdateTimeout, DefaultUpdateTimeout)
+	c.Backoff = cmp.Or(c.Backoff, DefaultBackoff)
+	c.Logger = cmp.Or(c.Logger, log.NewNopLogger())
+	c.Registry = cmp.Or(c.Registry, metrics.NewRegistry())
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Known == nil {
+		c.Known = func() fleet.Revision { return 0 }
+	}
+	return c
+}
+
 // Applier applies release notes to the configuration in the platform.
 type Applier struct {
 	cfg       Config
@@ -101,22 +119,7 @@
 
 // NewApplier returns an Applier.
 func NewApplier(cfg Config) *Applier {
-	setDefault(&cfg.Attempts, DefaultAttempts)
-	setDefault(&cfg.Timeout, DefaultTimeout)
-	setDefault(&cfg.UpdateTimeout, DefaultUpdateTimeout)
-	setDefault(&cfg.Backoff, DefaultBackoff)
-	if cfg.Logger == nil {
-		cfg.Logger = log.NewNopLogger()
-	}
-	if cfg.Registry == nil {
-		cfg.Registry = metrics.NewRegistry()
-	}
-	if cfg.Now == nil {
-		cfg.Now = time.Now
-	}
-	if cfg.Known == nil {
-		cfg.Known = func() fleet.Revision { return 0 }
-	}
+	cfg = cfg.withDefaults()
 	return &Applier{
 		cfg:       cfg,
 		accepted:  metrics.GetOrRegisterCounter("release.accepted", cfg.Registry),
@@ -126,13 +129,6 @@
 	}
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Apply merges the note into the stored configuration. Errors are
 // *verdict.Error values: NotRun means that this call's write did not and will
 // not take effect; MayHaveRun means that the operator should repeat the same
--- a/replica/confirmer.go
+++ b/replica/confirmer.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -33,6 +34,16 @@
 	Now func() time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c ConfirmerConfig) withDefaults() ConfirmerConfig {
+	c.Rules = c.Rules.withDefaults()
+	c.UpdateInterval = cmp.Or(c.UpdateInterval, DefaultUpdateInterval)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
 // PlatformRead is the outcome of a read of the configuration at the platform.
 type PlatformRead struct {
 	// Shown is the revision that the platform showed.
@@ -70,13 +81,7 @@
 
 // NewConfirmer returns a Confirmer of the revision that documents holds.
 func NewConfirmer(config ConfirmerConfig, documents *Documents, board *blackboard.Board, logger log.Logger) *Confirmer {
-	config.Rules = config.Rules.withDefaults()
-	if config.UpdateInterval == 0 {
-		config.UpdateInterval = DefaultUpdateInterval
-	}
-	if config.Now == nil {
-		config.Now = time.Now
-	}
+	config = config.withDefaults()
 	return &Confirmer{
 		config: config, documents: documents, board: board, logger: logger,
 		electorate: newElectorate(config.Self, config.Seeds, config.Now()),
--- a/replica/judge.go
+++ b/replica/judge.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,18 +33,10 @@
 
 // withDefaults returns r with its zero fields set.
 func (r Rules) withDefaults() Rules {
-	if r.ConfirmedFor == 0 {
-		r.ConfirmedFor = DefaultConfirmedFor
-	}
-	if r.HeardWithin == 0 {
-		r.HeardWithin = DefaultHeardWithin
-	}
-	if r.ForgetAfter == 0 {
-		r.ForgetAfter = DefaultForgetAfter
-	}
-	if r.PendingFor == 0 {
-		r.PendingFor = DefaultPendingFor
-	}
+	r.ConfirmedFor = cmp.Or(r.ConfirmedFor, DefaultConfirmedFor)
+	r.HeardWithin = cmp.Or(r.HeardWithin, DefaultHeardWithin)
+	r.ForgetAfter = cmp.Or(r.ForgetAfter, DefaultForgetAfter)
+	r.PendingFor = cmp.Or(r.PendingFor, DefaultPendingFor)
 	return r
 }
 
--- a/replica/sources.go
+++ b/replica/sources.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -53,21 +54,12 @@
 
 // withDefaults returns c with its zero fields set.
 func (c SourcesConfig) withDefaults() SourcesConfig {
-	for _, d := range []struct {
-		field *time.Duration
-		value time.Duration
-	}{
-		{&c.PollInterval, DefaultPollInterval}, {&c.ReadTimeout, DefaultReadTimeout},
-		{&c.WatchWait, DefaultWatchWait},
-		{&c.BackoffMin, DefaultBackoffMin}, {&c.BackoffMax, DefaultBackoffMax},
-	} {
-		if *d.field == 0 {
-			*d.field = d.value
-		}
-	}
-	if c.Policy == nil {
-		c.Policy = RankedWatchers{}
-	}
+	c.PollInterval = cmp.Or(c.PollInterval, DefaultPollInterval)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.WatchWait = cmp.Or(c.WatchWait, DefaultWatchWait)
+	c.BackoffMin = cmp.Or(c.BackoffMin, DefaultBackoffMin)
+	c.BackoffMax = cmp.Or(c.BackoffMax, DefaultBackoffMax)
+	c.Policy = cmp.Or[WatchPolicy](c.Policy, RankedWatchers{})
 	return c
 }
 
--- a/replica/watch_policy.go
+++ b/replica/watch_policy.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
@@ -31,13 +32,8 @@
 
 // Watches implements WatchPolicy.
 func (p RankedWatchers) Watches(self string, serving []fleet.MemberView) bool {
-	all, each := p.AllUpTo, p.PerFailureDomain
-	if all == 0 {
-		all = DefaultAllWatchUpTo
-	}
-	if each == 0 {
-		each = DefaultWatchersPerFailure
-	}
+	all := cmp.Or(p.AllUpTo, DefaultAllWatchUpTo)
+	each := cmp.Or(p.PerFailureDomain, DefaultWatchersPerFailure)
 	if len(serving) <= all {
 		return true
 	}
--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -26,13 +27,7 @@
 
 // Ceiling returns the longest wait after the given attempt, counted from 1.
 func (b Backoff) Ceiling(attempt int) time.Duration {
-	base, limit := b.Base, b.Max
-	if base <= 0 {
-		base = DefaultBase
-	}
-	if limit <= 0 {
-		limit = DefaultMax
-	}
+	base, limit := cmp.Or(b.Base, DefaultBase), cmp.Or(b.Max, DefaultMax)
 	for i := 1; i < attempt && base < limit; i++ {
 		base *= 2
 	}
--- a/route/builder.go
+++ b/route/builder.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -44,6 +45,17 @@
 	Now func() time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.Lifetime = cmp.Or(c.Lifetime, DefaultLifetime)
+	c.MinInterval = cmp.Or(c.MinInterval, DefaultMinInterval)
+	c.MaxInterval = cmp.Or(c.MaxInterval, DefaultMaxInterval)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
 // Builder is the controller that owns the Table section.
 type Builder struct {
 	// Table is the newest table.
@@ -58,18 +70,7 @@
 
 // NewBuilder returns a builder that reads board.
 func NewBuilder(config Config, board *blackboard.Board, registry metrics.Registry) *Builder {
-	if config.Lifetime <= 0 {
-		config.Lifetime = DefaultLifetime
-	}
-	if config.MinInterval <= 0 {
-		config.MinInterval = DefaultMinInterval
-	}
-	if config.MaxInterval <= 0 {
-		config.MaxInterval = DefaultMaxInterval
-	}
-	if config.Now == nil {
-		config.Now = time.Now
-	}
+	config = config.withDefaults()
 	return &Builder{
 		config: config, board: board, trackers: make(map[string]*Tracker),
 		targets: metrics.GetOrRegisterGauge("route.targets", registry),
