Write all metric names in one style

Names are lower case words with underscores after a dotted package name, such as claim.platform_failures; before, three other styles stood beside it. gateway.refused.<reason> also counted calls that may have run, so it is now gateway.errors.<reason>, with "_" for the "-" of a reason.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -155,7 +155,7 @@
 		e.Verdict = verdict.MayHaveRun
 	}
 	if c.sink.fail(&e) {
-		c.gateway.meters.refused(e.Reason)
+		c.gateway.meters.failed(e.Reason)
 		return nil
 	}
 	return &e
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strings"
+
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/verdict"
@@ -25,11 +27,11 @@
 	return meters{
 		registry: registry, requests: counter("requests"), retries: counter("retries"),
 		resumes: counter("resumes"), replayed: counter("replayed"), confirms: counter("confirms"),
-		tokens: counter("tokens"), firstToken: metrics.GetOrRegisterTimer("gateway.firstToken", registry),
+		tokens: counter("tokens"), firstToken: metrics.GetOrRegisterTimer("gateway.first_token", registry),
 	}
 }
 
-// refused counts an error answer by its reason.
-func (m *meters) refused(reason verdict.Reason) {
-	metrics.GetOrRegisterCounter("gateway.refused."+string(reason), m.registry).Inc(1)
+// failed counts an error answer by its reason, whatever its verdict.
+func (m *meters) failed(reason verdict.Reason) {
+	metrics.GetOrRegisterCounter("gateway.errors."+strings.ReplaceAll(string(reason), "-", "_"), m.registry).Inc(1)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -116,7 +116,7 @@
 // fail writes err as the answer, unless an answer has begun.
 func (g *Gateway) fail(c *gin.Context, err *verdict.Error) {
 	id := c.GetString(headerRequest)
-	g.meters.refused(err.Reason)
+	g.meters.failed(err.Reason)
 	level.Debug(g.Logger).Log("msg", "request failed", "request", id, "err", err)
 	if c.Writer.Written() {
 		return
--- a/health/prober.go
+++ b/health/prober.go
@@ -88,7 +88,7 @@
 		cfg: cfg, board: board, table: table, source: source, announcer: announcer,
 		logger:   log.With(logger, "component", "prober"),
 		probes:   metrics.GetOrRegisterCounter("health.probes", registry),
-		failures: metrics.GetOrRegisterCounter("health.probe-failures", registry),
+		failures: metrics.GetOrRegisterCounter("health.probe_failures", registry),
 		extra:    rate.NewLimiter(rate.Limit(cfg.ConfirmRate), cfg.ConfirmRate),
 	}
 }
--- a/internal/measure/dissemination_events.go
+++ b/internal/measure/dissemination_events.go
@@ -85,7 +85,7 @@
 // failed.
 func (c *cluster) freeze(emit Emit) {
 	frozen := c.nodes[len(c.nodes)/2]
-	failures := c.sum("health.probe-failures")
+	failures := c.sum("health.probe_failures")
 	suspects, removed := map[string]bool{}, map[string]bool{}
 	frozen.frozen.Lock()
 	started, thawed := time.Now(), false
@@ -107,7 +107,7 @@
 	policy, at := policyOf(len(c.nodes)-1), fmt.Sprintf("%d nodes, one frozen for 2 s, ", len(c.nodes)-1)
 	emit(policy, at+"nodes that suspect it", countTrue(suspects), "nodes")
 	emit(policy, at+"nodes that remove it", countTrue(removed), "nodes")
-	emit(policy, at+"failed probes of live instances", c.sum("health.probe-failures")-failures, "probes")
+	emit(policy, at+"failed probes of live instances", c.sum("health.probe_failures")-failures, "probes")
 }
 
 // stateOf returns a member's state as n sees it.
--- a/object/client.go
+++ b/object/client.go
@@ -35,7 +35,7 @@
 
 // GetIfNewer implements Store.
 func (c *Client) GetIfNewer(ctx context.Context, key Key, known Version) (Object, bool, error) {
-	return c.watch(ctx, "get-if-newer", key, known, 0)
+	return c.watch(ctx, "get_if_newer", key, known, 0)
 }
 
 // Watch implements Store. A deleted object is returned with version 0.
@@ -70,7 +70,7 @@
 
 // WatchKind implements Store.
 func (c *Client) WatchKind(ctx context.Context, kind string, cursor Version, wait time.Duration) (Listing, error) {
-	call := Call{Op: "watch-kind", Path: "/objects/" + url.PathEscape(kind) + watchQuery(cursor, wait), Wait: wait}
+	call := Call{Op: "watch_kind", Path: "/objects/" + url.PathEscape(kind) + watchQuery(cursor, wait), Wait: wait}
 	listing, err := c.list(ctx, kind, call)
 	if err == nil && !listing.Changed {
 		listing.Cursor = cursor
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -9,8 +9,8 @@
 // Names of the counters of control traffic, in bytes as seen by the TCP
 // connections of this process.
 const (
-	MetricBytesSent     = "peer/bytes-sent"
-	MetricBytesReceived = "peer/bytes-received"
+	MetricBytesSent     = "peer.bytes_sent"
+	MetricBytesReceived = "peer.bytes_received"
 )
 
 // traffic counts control bytes.
--- a/release/applier.go
+++ b/release/applier.go
@@ -125,7 +125,7 @@
 		accepted:  metrics.GetOrRegisterCounter("release.accepted", cfg.Registry),
 		refused:   metrics.GetOrRegisterCounter("release.refused", cfg.Registry),
 		unknown:   metrics.GetOrRegisterCounter("release.unknown", cfg.Registry),
-		conflicts: metrics.GetOrRegisterCounter("release.versionConflicts", cfg.Registry),
+		conflicts: metrics.GetOrRegisterCounter("release.version_conflicts", cfg.Registry),
 	}
 }
 
