Name the fields of a state dump in one style and hide key hashes

Blackboard and route types have lower-camel-case JSON names, as the fleet types do. A target shows its own share, load and first-token time in place of its tracker, whose fields encoded as {}. Of a key hash the dump shows the first 8 characters. /v1/status lists no groups as [] on a fresh node.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -32,39 +32,39 @@
 
 // Placements maps fabric domains to their newest placement.
 type Placements struct {
-	ByDomain map[string]*VersionedPlacement
+	ByDomain map[string]*VersionedPlacement `json:"byDomain"`
 }
 
 // VersionedPlacement is a placement with its object version.
 type VersionedPlacement struct {
-	Version   uint64
-	Placement fleet.Placement
+	Version   uint64          `json:"version"`
+	Placement fleet.Placement `json:"placement"`
 	// ChangedAt is this process's clock when it learnt the version.
-	ChangedAt time.Time
+	ChangedAt time.Time `json:"changedAt"`
 }
 
 // Confirmation states how far the configuration revision is known to be the
 // newest one.
 type Confirmation struct {
-	Revision fleet.Revision
+	Revision fleet.Revision `json:"revision"`
 	// ConfirmedAt is the newest moment, on this process's clock, at which
 	// Revision was known to be the newest accepted revision.
-	ConfirmedAt time.Time
+	ConfirmedAt time.Time `json:"confirmedAt"`
 	// ServeUntil is the moment after which this node takes no new work unless
 	// the confirmation is renewed. The request path compares it with its clock.
-	ServeUntil time.Time
+	ServeUntil time.Time `json:"serveUntil"`
 	// Majority tells whether a majority of the members was heard lately.
-	Majority bool
+	Majority bool `json:"majority"`
 	// PlatformBehind tells that the platform showed an older revision than this
 	// node has, as after a restore from a backup.
-	PlatformBehind bool
+	PlatformBehind bool `json:"platformBehind"`
 }
 
 // Members are the members of the system as known here.
 type Members struct {
-	Self string
+	Self string `json:"self"`
 	// All is sorted by node name and holds live members and this node.
-	All []fleet.MemberView
+	All []fleet.MemberView `json:"all"`
 }
 
 // Serving returns the members that take requests.
@@ -81,58 +81,58 @@
 // Evidence maps instances to the newest positive evidence about them. An
 // instance that is lost has no entry.
 type Evidence struct {
-	ByInstance map[string]Observation
+	ByInstance map[string]Observation `json:"byInstance"`
 }
 
 // Observation is a report with the time it stands for.
 type Observation struct {
-	Report fleet.Report
+	Report fleet.Report `json:"report"`
 	// ObservedAt is this process's clock at the moment the probe was sent, or
 	// an earlier moment when a peer observed the report.
-	ObservedAt time.Time
+	ObservedAt time.Time `json:"observedAt"`
 	// Observer is the node that probed.
-	Observer string
+	Observer string `json:"observer"`
 }
 
 // Demand is what organisations ask for at each node.
 type Demand struct {
 	// ByNode maps nodes to their newest statement.
-	ByNode map[string]NodeDemand
+	ByNode map[string]NodeDemand `json:"byNode"`
 }
 
 // NodeDemand is the demand seen by one node.
 type NodeDemand struct {
-	HeardAt time.Time
+	HeardAt time.Time `json:"heardAt"`
 	// TokensPerSecond maps organisations to tokens asked for per second.
-	TokensPerSecond map[string]float64
+	TokensPerSecond map[string]float64 `json:"tokensPerSecond"`
 }
 
 // Shards are the control shards that this node holds.
 type Shards struct {
-	Held map[string]HeldShard
+	Held map[string]HeldShard `json:"held"`
 }
 
 // HeldShard is a held lease.
 type HeldShard struct {
-	Epoch uint64
+	Epoch uint64 `json:"epoch"`
 	// GoodUntil is the moment, on this process's clock, until which no other
 	// node will claim the shard.
-	GoodUntil time.Time
+	GoodUntil time.Time `json:"goodUntil"`
 }
 
 // Lifecycle is the state of this node.
 type Lifecycle struct {
-	State     fleet.NodeState
-	StartedAt time.Time
+	State     fleet.NodeState `json:"state"`
+	StartedAt time.Time       `json:"startedAt"`
 	// LeavingSince is zero until a graceful shutdown began.
-	LeavingSince time.Time
+	LeavingSince time.Time `json:"leavingSince,omitzero"`
 }
 
 // Loss tells that a probe of an instance failed.
 type Loss struct {
-	Instance string
+	Instance string `json:"instance"`
 	// Boot is the boot identity in the last report, or empty.
-	Boot string
+	Boot string `json:"boot"`
 	// At is this process's clock at the moment the failed probe was sent.
-	At time.Time
+	At time.Time `json:"at"`
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -136,6 +136,22 @@
 		Expect(w.Body.String()).To(And(ContainSubstring(`"budget":7`), ContainSubstring(`"lifecycle":null`)))
 	})
 
+	It("shows only the start of a key hash in a dump", func() {
+		// Guards against a dump that lets its reader test guessed keys, and
+		// against a change of the published configuration.
+		hash := strings.Repeat("0123456789abcdef", 4)
+		configuration := &fleet.Configuration{Organisations: []fleet.Organisation{{Name: "o", KeyHashes: []string{hash}}}}
+		board.Configuration.Publish(configuration)
+		Expect(call("GET", "/debug/state", "secret", "", "").Body.String()).To(ContainSubstring(`"keyHashes":["01234567"]`))
+		Expect(configuration.Organisations[0].KeyHashes).To(Equal([]string{hash}))
+	})
+
+	It("lists no groups, members and shards as empty lists", func() {
+		// Guards against null on a fresh node, which clients can't iterate over.
+		body := call("GET", "/v1/status", "secret", "", "").Body.String()
+		Expect(body).To(And(ContainSubstring(`"groups":[]`), ContainSubstring(`"members":[]`), ContainSubstring(`"shards":[]`)))
+	})
+
 	It("writes metrics as JSON and as text", func() {
 		// Guards against names and units that a scraper refuses.
 		metrics.GetOrRegisterCounter("a.b-c", registry).Inc(2)
--- a/operator/state.go
+++ b/operator/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +12,9 @@
 	"github.com/rattanlanding/rattanlanding/fleet"
 )
 
+// shownHash is the length of a key hash in a dump, in characters.
+const shownHash = 8
+
 // State is the answer of GET /debug/state.
 type State struct {
 	Node       string         `json:"node"`
@@ -39,7 +43,7 @@
 		Node: h.cfg.Node,
 		At:   h.cfg.Now(),
 		Blackboard: BoardState{
-			Configuration: board.Configuration.Load(),
+			Configuration: redacted(board.Configuration.Load()),
 			Placements:    board.Placements.Load(),
 			Instances:     board.Instances.Load(),
 			Confirmation:  board.Confirmation.Load(),
@@ -57,6 +61,24 @@
 	c.JSON(http.StatusOK, state)
 }
 
+// redacted returns a copy with the key hashes cut to shownHash characters, which
+// tell keys apart but can't be used to test a guessed key.
+func redacted(c *fleet.Configuration) *fleet.Configuration {
+	if c == nil {
+		return nil
+	}
+	shown := *c
+	shown.Organisations = slices.Clone(c.Organisations)
+	for i := range shown.Organisations {
+		o := &shown.Organisations[i]
+		o.KeyHashes = slices.Clone(o.KeyHashes)
+		for k, hash := range o.KeyHashes {
+			o.KeyHashes[k] = hash[:min(len(hash), shownHash)]
+		}
+	}
+	return &shown
+}
+
 func (h *handler) metrics(c *gin.Context) {
 	if strings.Contains(c.GetHeader("Accept"), "text/plain") {
 		c.Data(http.StatusOK, "text/plain; version=0.0.4; charset=utf-8", exposition(h.cfg.Registry))
--- a/operator/status.go
+++ b/operator/status.go
@@ -162,9 +162,11 @@
 			}
 		}
 	}
-	return slices.SortedFunc(maps.Values(byKey), func(a, b GroupStatus) int {
+	groups := slices.AppendSeq([]GroupStatus{}, maps.Values(byKey))
+	slices.SortFunc(groups, func(a, b GroupStatus) int {
 		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.FabricDomain, b.FabricDomain))
 	})
+	return groups
 }
 
 func (h *handler) readyMembers(g *fleet.PlacedGroup, evidence *blackboard.Evidence, now time.Time) int {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -104,6 +105,17 @@
 		Entry("removed from the configuration", func(w *world) { w.config.Groups = w.config.Groups[1:] }),
 	)
 
+	It("shows each target's load and own share in a state dump", func() {
+		// Guards against a dump that hides what the choice is based on, and
+		// against internals in it.
+		w := newWorld(1)
+		w.table().Service("llm").Targets[0].Tracker.Add(7)
+		body, err := json.Marshal(w.table())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(And(ContainSubstring(`"name":"g0"`), ContainSubstring(`"own":7`),
+			ContainSubstring(`"load":8`), Not(ContainSubstring("racker"))))
+	})
+
 	It("rebuilds on every change while it runs", func() {
 		// Guards against routes that stay after a loss was published.
 		w := newWorld(1)
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
@@ -9,21 +10,21 @@
 // Target is a group or a plain server that may receive new work until Expires.
 type Target struct {
 	// Name is the group's name, or the instance of a plain server.
-	Name string
+	Name string `json:"name"`
 	// Generation is that of the group; 0 for a plain server.
-	Generation fleet.Generation
+	Generation fleet.Generation `json:"generation"`
 	// Address is that of the group's rank 0, or of the plain server.
-	Address       string
-	FailureDomain string
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
 	// Reported is the reported load: queued prompt tokens and a share of the
 	// output space in use for a group, running requests for a plain server.
-	Reported float64
+	Reported float64 `json:"reported"`
 	// Observed is the time of the oldest evidence that the target depends on.
-	Observed time.Time
+	Observed time.Time `json:"observed"`
 	// Expires is the earliest expiry of that evidence.
-	Expires time.Time
+	Expires time.Time `json:"expires"`
 	// Tracker counts what this node sent.
-	Tracker *Tracker
+	Tracker *Tracker `json:"-"`
 
 	// base is the tracker's count when the load was reported.
 	base int64
@@ -45,19 +46,30 @@
 // behind an idle normal target.
 func (t *Target) Load() float64 { return (t.Reported + t.Own() + 1) * max(t.slowness, 1) }
 
+// MarshalJSON adds to the fields what this node measured itself.
+func (t *Target) MarshalJSON() ([]byte, error) {
+	type fields Target
+	return json.Marshal(struct {
+		*fields
+		Own               float64 `json:"own"`
+		Load              float64 `json:"load"`
+		FirstTokenSeconds float64 `json:"firstTokenSeconds"`
+	}{(*fields)(t), t.Own(), t.Load(), t.Tracker.Latency()})
+}
+
 // Service lists the targets of one service.
 type Service struct {
-	Kind    fleet.Kind
-	Targets []*Target
+	Kind    fleet.Kind `json:"kind"`
+	Targets []*Target  `json:"targets"`
 	// Unproven names placed groups that have members without evidence, and live
 	// instances of a plain service without evidence.
 	// A node that has nothing fresher may probe them itself.
-	Unproven []string
+	Unproven []string `json:"unproven,omitempty"`
 }
 
 // Table is an immutable snapshot of all routes.
 type Table struct {
-	Services map[string]*Service
+	Services map[string]*Service `json:"services"`
 	// proven holds every placed group, withdrawn ones too, whose members all
 	// filled their ranks, for streams in progress.
 	proven map[placed]time.Time
