Call the probing of a target on demand "refresh"

The gateway's Confirmer and Prober.Confirm probed a target, while replica.Confirmer confirms the configuration revision.

--- a/gateway/completion_test.go
+++ b/gateway/completion_test.go
@@ -23,10 +23,10 @@
 	allFour  = "t0 t1 t2 t3 "
 )
 
-// confirmFunc is a Confirmer.
-type confirmFunc func(group string)
+// refreshFunc is a Refresher.
+type refreshFunc func(group string)
 
-func (f confirmFunc) Confirm(_ context.Context, group string) { f(group) }
+func (f refreshFunc) Refresh(_ context.Context, group string) { f(group) }
 
 // pause is a policy after whose choice the process seems to have slept.
 type pause struct{ wake func(t *route.Target) }
@@ -306,15 +306,15 @@
 		}, "configuration"),
 	)
 
-	It("confirms old evidence before it sends", func() {
+	It("refreshes old evidence before it sends", func() {
 		// Guards against a node cut off from its peers that stops serving
 		// groups it can reach.
-		w.settings.ConfirmAge = time.Minute
+		w.settings.RefreshAge = time.Minute
 		w.engine(rest)
 		w.evidence["g0"] = blackboard.Observation{ObservedAt: time.Now().Add(-2 * time.Hour), Report: w.evidence["g0"].Report}
-		var confirmed []string
-		w.confirm = confirmFunc(func(group string) {
-			confirmed = append(confirmed, group)
+		var refreshed []string
+		w.refresher = refreshFunc(func(group string) {
+			refreshed = append(refreshed, group)
 			seen := w.evidence["g0"]
 			seen.ObservedAt = time.Now()
 			w.evidence["g0"] = seen
@@ -322,7 +322,7 @@
 		})
 		w.start()
 		Expect(complete(whole).status).To(Equal(200))
-		Expect(confirmed).To(Equal([]string{"g0"}))
+		Expect(refreshed).To(Equal([]string{"g0"}))
 	})
 })
 
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -26,9 +26,9 @@
 	CompletionTimeout time.Duration
 	// PlainTimeout is the deadline of calls to plain services without one; 15 s.
 	PlainTimeout time.Duration
-	// ConfirmAge is the age of evidence from which the node probes the members
+	// RefreshAge is the age of evidence from which the node probes the members
 	// itself if it has nothing fresher; 2 s.
-	ConfirmAge time.Duration
+	RefreshAge time.Duration
 	// PickWait is how long a new request waits for a target that may receive
 	// work; 1 s.
 	PickWait time.Duration
@@ -60,7 +60,7 @@
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, 75*time.Second)
 	c.CompletionTimeout = cmp.Or(c.CompletionTimeout, 5*time.Minute)
 	c.PlainTimeout = cmp.Or(c.PlainTimeout, 15*time.Second)
-	c.ConfirmAge = cmp.Or(c.ConfirmAge, 2*time.Second)
+	c.RefreshAge = cmp.Or(c.RefreshAge, 2*time.Second)
 	c.PickWait = cmp.Or(c.PickWait, time.Second)
 	c.ResumeWait = cmp.Or(c.ResumeWait, 15*time.Second)
 	c.StallCheck = cmp.Or(c.StallCheck, 500*time.Millisecond)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 	Servers   Servers
 	Limiter   Limiter
 	Claims    Claims
-	Confirmer Confirmer
+	Refresher Refresher
 	Budget    *retry.Budget
 	Logger    log.Logger
 	Registry  metrics.Registry
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -35,17 +35,17 @@
 
 // world is a gateway with its backend servers.
 type world struct {
-	board    blackboard.Board
-	config   fleet.Configuration
-	list     fleet.InstanceList
-	place    fleet.Placement
-	evidence map[string]blackboard.Observation
-	builder  *route.Builder
-	claims   claim.Fake
-	settings gateway.Config
-	confirm  gateway.Confirmer
-	gateway  *gateway.Gateway
-	url      string
+	board     blackboard.Board
+	config    fleet.Configuration
+	list      fleet.InstanceList
+	place     fleet.Placement
+	evidence  map[string]blackboard.Observation
+	builder   *route.Builder
+	claims    claim.Fake
+	settings  gateway.Config
+	refresher gateway.Refresher
+	gateway   *gateway.Gateway
+	url       string
 
 	mu       sync.Mutex
 	attempts []attempt
@@ -64,8 +64,8 @@
 }
 
 func newWorld() *world {
-	w := &world{evidence: make(map[string]blackboard.Observation), confirm: gateway.Unlimited{}}
-	w.settings = gateway.Config{ConfirmAge: time.Hour, PickWait: time.Millisecond, ResumeWait: time.Millisecond,
+	w := &world{evidence: make(map[string]blackboard.Observation), refresher: gateway.Unlimited{}}
+	w.settings = gateway.Config{RefreshAge: time.Hour, PickWait: time.Millisecond, ResumeWait: time.Millisecond,
 		Groups: &route.RoundRobin{}, Servers: &route.RoundRobin{}}
 	hash := func(key string) []string {
 		sum := sha256.Sum256([]byte(key))
@@ -144,7 +144,7 @@
 	registry := metrics.NewRegistry()
 	w.gateway = gateway.New(w.settings, gateway.Parts{Board: &w.board, Table: &w.builder.Table,
 		Engines: backend.NewEngines(registry), Servers: backend.NewPlain(registry), Limiter: gateway.Unlimited{},
-		Claims: &w.claims, Confirmer: w.confirm, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
+		Claims: &w.claims, Refresher: w.refresher, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = w.gateway.Server()
 	server.Start()
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -26,11 +26,11 @@
 	Begin(ctx context.Context, key claim.Key, hash string) (claim.Claim, *claim.Answer, error)
 }
 
-// Confirmer probes a target at once and publishes the evidence: all members of a
+// Refresher probes a target at once and publishes the evidence: all members of a
 // group, or the plain server of an instance. It is called by many requests at
 // the same time.
-type Confirmer interface {
-	Confirm(ctx context.Context, target string)
+type Refresher interface {
+	Refresh(ctx context.Context, target string)
 }
 
 // Engines is the part of backend.Engines that the gateway uses.
@@ -56,5 +56,5 @@
 // Done implements Admission.
 func (Unlimited) Done(int) {}
 
-// Confirm implements Confirmer and does nothing.
-func (Unlimited) Confirm(context.Context, string) {}
+// Refresh implements Refresher and does nothing.
+func (Unlimited) Refresh(context.Context, string) {}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -15,7 +15,7 @@
 	retries    metrics.Counter
 	resumes    metrics.Counter
 	replayed   metrics.Counter
-	confirms   metrics.Counter
+	refreshes  metrics.Counter
 	tokens     metrics.Counter
 	firstToken metrics.Timer
 }
@@ -26,7 +26,7 @@
 	}
 	return meters{
 		registry: registry, requests: counter("requests"), retries: counter("retries"),
-		resumes: counter("resumes"), replayed: counter("replayed"), confirms: counter("confirms"),
+		resumes: counter("resumes"), replayed: counter("replayed"), refreshes: counter("refreshes"),
 		tokens: counter("tokens"), firstToken: metrics.GetOrRegisterTimer("gateway.first_token", registry),
 	}
 }
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -10,23 +10,23 @@
 )
 
 const (
-	// confirmTimeout bounds an on-demand probe of a target.
-	confirmTimeout = 700 * time.Millisecond
-	// rebuildWait is the time for confirmed evidence to reach the table.
+	// refreshTimeout bounds an on-demand probe of a target.
+	refreshTimeout = 700 * time.Millisecond
+	// rebuildWait is the time for refreshed evidence to reach the table.
 	rebuildWait = 50 * time.Millisecond
-	// confirmInterval is the time between probes of one waiting request. Each
+	// refreshInterval is the time between probes of one waiting request. Each
 	// result changes the table, which would start the next probe at once.
-	confirmInterval = 500 * time.Millisecond
+	refreshInterval = 500 * time.Millisecond
 )
 
 // pick chooses a target for a new attempt, waiting up to wait for one. It
 // returns nil when none may receive work. Targets in tried come last.
 func (g *Gateway) pick(ctx context.Context, policy route.Policy, service string, tried []string, q route.Request, wait time.Duration) *route.Target {
 	deadline := time.Now().Add(wait)
-	var confirmed time.Time
+	var refreshed time.Time
 	for {
 		changed := g.Table.Changed()
-		for _, age := range []time.Duration{g.config.ConfirmAge, math.MaxInt64} {
+		for _, age := range []time.Duration{g.config.RefreshAge, math.MaxInt64} {
 			for _, skip := range [][]string{tried, nil} {
 				if target := g.choose(policy, service, skip, q, age); target != nil {
 					return target
@@ -34,10 +34,10 @@
 			}
 			// Nothing fresher exists, so a target with old evidence is probed
 			// before it is used.
-			if name := g.doubtful(service); age == g.config.ConfirmAge && name != "" &&
-				time.Since(confirmed) > confirmInterval {
-				g.confirm(ctx, name)
-				confirmed = time.Now()
+			if name := g.doubtful(service); age == g.config.RefreshAge && name != "" &&
+				time.Since(refreshed) > refreshInterval {
+				g.refresh(ctx, name)
+				refreshed = time.Now()
 			}
 		}
 		if left := time.Until(deadline); left <= 0 || !await(ctx, changed, left) {
@@ -72,7 +72,7 @@
 	}
 	names := make([]string, 0, len(s.Targets)+len(s.Unproven))
 	for _, t := range s.Targets {
-		if time.Since(t.Observed) > g.config.ConfirmAge {
+		if time.Since(t.Observed) > g.config.RefreshAge {
 			names = append(names, t.Name)
 		}
 	}
@@ -85,13 +85,13 @@
 	return names[rand.IntN(len(names))]
 }
 
-// confirm probes a target and waits for the result to reach the table.
-func (g *Gateway) confirm(ctx context.Context, name string) {
-	g.meters.confirms.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+// refresh probes a target and waits for the result to reach the table.
+func (g *Gateway) refresh(ctx context.Context, name string) {
+	g.meters.refreshes.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	changed := g.Table.Changed()
-	g.Confirmer.Confirm(ctx, name)
+	g.Refresher.Refresh(ctx, name)
 	await(ctx, changed, rebuildWait)
 }
 
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -267,23 +267,23 @@
 }
 
 // Guards against a storm of extra probes when many requests find old evidence.
-func TestConfirmSharesAndLimitsProbes(t *testing.T) {
+func TestRefreshSharesAndLimitsProbes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		b := newBench(100 * time.Millisecond)
 		group := &fleet.PlacedGroup{Name: "g", Members: []fleet.GroupMember{{Instance: "a", Address: "a"}, {Instance: "b", Address: "b"}}}
 		var all sync.WaitGroup
 		for range 50 {
-			all.Go(func() { g.Expect(b.prober.Confirm(context.Background(), group)).To(Succeed()) })
+			all.Go(func() { g.Expect(b.prober.Refresh(context.Background(), group)).To(Succeed()) })
 		}
 		all.Wait()
 		g.Expect(b.source.Calls("a")).To(Equal(1))
-		g.Expect(b.prober.Confirm(context.Background(), group)).To(Succeed())
+		g.Expect(b.prober.Refresh(context.Background(), group)).To(Succeed())
 		g.Expect(b.source.Calls("a")).To(Equal(1))
 		b.source.Down("b")
 		time.Sleep(3 * time.Second)
-		var failed *health.ConfirmError
-		g.Expect(errors.As(b.prober.Confirm(context.Background(), group), &failed)).To(BeTrue())
+		var failed *health.RefreshError
+		g.Expect(errors.As(b.prober.Refresh(context.Background(), group), &failed)).To(BeTrue())
 		g.Expect(failed.Instance).To(Equal("b"))
 		g.Expect(b.announcer.taken()).To(BeEmpty())
 		time.Sleep(3 * time.Second)
@@ -291,13 +291,13 @@
 		for i := range 20 {
 			other := *group
 			other.Generation = fleet.Generation(i + 1)
-			all.Go(func() { _ = b.prober.Confirm(context.Background(), &other) })
+			all.Go(func() { _ = b.prober.Refresh(context.Background(), &other) })
 		}
 		all.Wait()
-		g.Expect(b.source.Calls("a") + b.source.Calls("b") - before).To(Equal(health.DefaultConfirmRate))
+		g.Expect(b.source.Calls("a") + b.source.Calls("b") - before).To(Equal(health.DefaultRefreshRate))
 		time.Sleep(3 * time.Second)
-		for range health.DefaultConfirmRate / 2 {
-			g.Expect(b.prober.Confirm(context.Background(), group)).NotTo(MatchError(health.ErrProbeLimit))
+		for range health.DefaultRefreshRate / 2 {
+			g.Expect(b.prober.Refresh(context.Background(), group)).NotTo(MatchError(health.ErrProbeLimit))
 		}
 	})
 }
--- a/health/prober.go
+++ b/health/prober.go
@@ -29,11 +29,11 @@
 	DefaultObservers = 2
 	// DefaultLossBatch is the time for which losses are collected.
 	DefaultLossBatch = 20 * time.Millisecond
-	// DefaultConfirmAge is the age of shared evidence beyond which Confirm
+	// DefaultRefreshAge is the age of shared evidence beyond which Refresh
 	// probes. It is below the time-to-live so that a probe can finish in time.
-	DefaultConfirmAge = 2 * time.Second
-	// DefaultConfirmRate bounds the extra probes of Confirm, per second.
-	DefaultConfirmRate = 20
+	DefaultRefreshAge = 2 * time.Second
+	// DefaultRefreshRate bounds the extra probes of Refresh, per second.
+	DefaultRefreshRate = 20
 )
 
 // errWrongInstance means that another backend server answered at the address.
@@ -47,8 +47,8 @@
 	Timeout     time.Duration
 	Observers   int
 	LossBatch   time.Duration
-	ConfirmAge  time.Duration
-	ConfirmRate int
+	RefreshAge  time.Duration
+	RefreshRate int
 }
 
 // withDefaults returns c with its zero fields set.
@@ -57,8 +57,8 @@
 	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
 	c.Observers = cmp.Or(c.Observers, DefaultObservers)
 	c.LossBatch = cmp.Or(c.LossBatch, DefaultLossBatch)
-	c.ConfirmAge = cmp.Or(c.ConfirmAge, DefaultConfirmAge)
-	c.ConfirmRate = cmp.Or(c.ConfirmRate, DefaultConfirmRate)
+	c.RefreshAge = cmp.Or(c.RefreshAge, DefaultRefreshAge)
+	c.RefreshRate = cmp.Or(c.RefreshRate, DefaultRefreshRate)
 	return c
 }
 
@@ -89,7 +89,7 @@
 		logger:   log.With(logger, "component", "prober"),
 		probes:   metrics.GetOrRegisterCounter("health.probes", registry),
 		failures: metrics.GetOrRegisterCounter("health.probe_failures", registry),
-		extra:    rate.NewLimiter(rate.Limit(cfg.ConfirmRate), cfg.ConfirmRate),
+		extra:    rate.NewLimiter(rate.Limit(cfg.RefreshRate), cfg.RefreshRate),
 	}
 }
 
--- a/health/confirm.go
+++ b/health/refresh.go
@@ -14,29 +14,29 @@
 // ErrProbeLimit means that the bound on extra probes is used up.
 var ErrProbeLimit = errors.New("limit of extra probes reached")
 
-// ConfirmError names the group member without proof of health.
-type ConfirmError struct {
+// RefreshError names the group member without proof of health.
+type RefreshError struct {
 	Group    string
 	Instance string
 	Err      error
 }
 
 // Error implements error.
-func (e *ConfirmError) Error() string {
-	return fmt.Sprintf("confirm group %s, instance %s: %v", e.Group, e.Instance, e.Err)
+func (e *RefreshError) Error() string {
+	return fmt.Sprintf("refresh group %s, instance %s: %v", e.Group, e.Instance, e.Err)
 }
 
 // Unwrap returns the cause.
-func (e *ConfirmError) Unwrap() error { return e.Err }
+func (e *RefreshError) Unwrap() error { return e.Err }
 
-// Confirm makes sure that the table holds evidence of at most ConfirmAge about
+// Refresh makes sure that the table holds evidence of at most RefreshAge about
 // every member of the group, and probes all members if it does not. Concurrent
 // calls for one generation share one round of probes. It returns a
-// *ConfirmError if a member could not be confirmed, ErrProbeLimit if the bound
+// *RefreshError if a member could not be probed with success, ErrProbeLimit if the bound
 // on extra probes forbids the round, or ctx's error. A failed probe removes the
 // evidence on this node only: the instance's observers decide for the others.
-func (p *Prober) Confirm(ctx context.Context, group *fleet.PlacedGroup) error {
-	if p.confirmed(group) {
+func (p *Prober) Refresh(ctx context.Context, group *fleet.PlacedGroup) error {
+	if p.fresh(group) {
 		return nil
 	}
 	key := fmt.Sprintf("%s/%d", group.Name, group.Generation)
@@ -53,11 +53,11 @@
 	}
 }
 
-func (p *Prober) confirmed(group *fleet.PlacedGroup) bool {
+func (p *Prober) fresh(group *fleet.PlacedGroup) bool {
 	now := time.Now()
 	for _, m := range group.Members {
 		o, ok := p.table.Get(m.Instance)
-		if !ok || now.Sub(o.ObservedAt) > p.cfg.ConfirmAge {
+		if !ok || now.Sub(o.ObservedAt) > p.cfg.RefreshAge {
 			return false
 		}
 	}
@@ -68,13 +68,13 @@
 	// A group larger than the burst could never be admitted; it pays the burst.
 	cost := min(len(group.Members), p.extra.Burst())
 	if !p.extra.AllowN(time.Now(), cost) {
-		return fmt.Errorf("confirm group %s: %w", group.Name, ErrProbeLimit)
+		return fmt.Errorf("refresh group %s: %w", group.Name, ErrProbeLimit)
 	}
 	var all errgroup.Group
 	for _, m := range group.Members {
 		all.Go(func() error {
 			if _, err := p.probe(ctx, engine(m)); err != nil {
-				return &ConfirmError{Group: group.Name, Instance: m.Instance, Err: err}
+				return &RefreshError{Group: group.Name, Instance: m.Instance, Err: err}
 			}
 			return nil
 		})
--- a/internal/measure/path_world.go
+++ b/internal/measure/path_world.go
@@ -88,9 +88,9 @@
 	p.closers = append(p.closers, cancel)
 	go func() { _ = builder.Run(ctx) }()
 	builder.Build()
-	g := gateway.New(gateway.Config{ConfirmAge: time.Hour}, gateway.Parts{Board: board, Table: &builder.Table,
+	g := gateway.New(gateway.Config{RefreshAge: time.Hour}, gateway.Parts{Board: board, Table: &builder.Table,
 		Engines: backend.NewEngines(registry), Servers: backend.NewPlain(registry), Limiter: pathLimiter{limiter},
-		Claims: &claim.Fake{}, Confirmer: gateway.Unlimited{}, Budget: retry.NewBudget(10, 10),
+		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Budget: retry.NewBudget(10, 10),
 		Logger: log.NewNopLogger(), Registry: registry})
 	var err error
 	p.node, err = p.listen(g.Server())
--- a/internal/measure/retries_resume.go
+++ b/internal/measure/retries_resume.go
@@ -93,9 +93,9 @@
 	registry := metrics.NewRegistry()
 	builder := route.NewBuilder(route.Config{Lifetime: time.Hour}, &board, registry)
 	builder.Build()
-	return gateway.New(gateway.Config{ConfirmAge: time.Hour}, gateway.Parts{Board: &board, Table: &builder.Table,
+	return gateway.New(gateway.Config{RefreshAge: time.Hour}, gateway.Parts{Board: &board, Table: &builder.Table,
 		Engines: backend.NewEngines(registry), Servers: backend.NewPlain(registry), Limiter: gateway.Unlimited{},
-		Claims: &claim.Fake{}, Confirmer: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
+		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
 		Logger: log.NewNopLogger(), Registry: registry}).Handler()
 }
 
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -47,33 +47,33 @@
 	}
 }
 
-// confirmer is the gateway's view of the prober.
-type confirmer struct {
+// refresher is the gateway's view of the prober.
+type refresher struct {
 	board  *blackboard.Board
 	prober *health.Prober
 }
 
-// Confirm implements gateway.Confirmer.
-func (c confirmer) Confirm(ctx context.Context, target string) {
-	group := c.find(target)
+// Refresh implements gateway.Refresher.
+func (r refresher) Refresh(ctx context.Context, target string) {
+	group := r.find(target)
 	if group == nil {
 		return
 	}
 	// A failed probe shows as missing evidence, which the gateway checks.
-	_ = c.prober.Confirm(ctx, group)
+	_ = r.prober.Refresh(ctx, group)
 }
 
 // find returns the placed group with the given name, or the plain server with
 // that instance ID as a group of one.
-func (c confirmer) find(target string) *fleet.PlacedGroup {
-	if placements := c.board.Placements.Load(); placements != nil {
+func (r refresher) find(target string) *fleet.PlacedGroup {
+	if placements := r.board.Placements.Load(); placements != nil {
 		for _, placement := range placements.ByDomain {
 			if group := placement.Placement.Group(target); group != nil {
 				return group
 			}
 		}
 	}
-	list := c.board.Instances.Load()
+	list := r.board.Instances.Load()
 	if list == nil {
 		return nil
 	}
--- a/node/serving.go
+++ b/node/serving.go
@@ -60,7 +60,7 @@
 		Servers:   servers,
 		Limiter:   admitter{limiter: limiter},
 		Claims:    claims,
-		Confirmer: confirmer{board: board, prober: prober},
+		Refresher: refresher{board: board, prober: prober},
 		Budget:    retry.NewBudget(int(s.Limits.RetryBudgetRatio*percent), retryBurst),
 		Logger:    logger,
 		Registry:  registry,
