Give the gateway the same default limits as the settings

An embedded gateway took bodies of 4 MiB and 4096 requests at once, the daemon 1 MiB and 512. The comment of setRate said that the level keeps its part of the burst; the code cuts it to the new burst.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -10,9 +10,9 @@
 
 // Config holds the limits of the gateway; 0 means the default given.
 type Config struct {
-	// MaxBodyBytes bounds a request's body; 4 MiB.
+	// MaxBodyBytes bounds a request's body; 1 MiB.
 	MaxBodyBytes int64
-	// MaxConcurrent bounds the requests in flight at this node; 4096.
+	// MaxConcurrent bounds the requests in flight at this node; 512.
 	MaxConcurrent int64
 	// HeaderTimeout bounds the time to send a request's header; 5 s.
 	HeaderTimeout time.Duration
@@ -52,8 +52,8 @@
 
 // withDefaults returns c with defaults in place of zero values.
 func (c Config) withDefaults() Config {
-	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, 4<<20)
-	c.MaxConcurrent = cmp.Or(c.MaxConcurrent, 4096)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, 1<<20)
+	c.MaxConcurrent = cmp.Or(c.MaxConcurrent, 512)
 	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, 5*time.Second)
 	c.BodyTimeout = cmp.Or(c.BodyTimeout, 15*time.Second)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, 15*time.Second)
--- a/health/refresh.go
+++ b/health/refresh.go
@@ -31,10 +31,10 @@
 
 // Refresh makes sure that the table holds evidence of at most RefreshAge about
 // every member of the group, and probes all members if it does not. Concurrent
-// calls for one generation share one round of probes. It returns a
-// *RefreshError if a member could not be probed with success, ErrProbeLimit if the bound
-// on extra probes forbids the round, or ctx's error. A failed probe removes the
-// evidence on this node only: the instance's observers decide for the others.
+// calls for one generation share one round of probes. It returns a *RefreshError
+// if the probe of a member failed, ErrProbeLimit if the bound on extra probes
+// forbids the round, or ctx's error. A failed probe removes the evidence on this
+// node only: the instance's observers decide for the others.
 func (p *Prober) Refresh(ctx context.Context, group *fleet.PlacedGroup) error {
 	if p.fresh(group) {
 		return nil
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -31,7 +31,7 @@
 	return &bucket{rate: rate, burst: burst, level: burst, updated: now, sampled: now}
 }
 
-// setRate changes the refill and the burst. The level keeps its part of the
+// setRate changes the refill and the burst. The level stays, cut to the new
 // burst.
 func (b *bucket) setRate(rate, burst float64, now time.Time) {
 	b.mu.Lock()
