Log refused peer keys at warn level

A node with another peer key was visible only in debug lines. The node that refuses a key now logs "peer key refused" at most every 10 s, with a count.

--- a/peer/server.go
+++ b/peer/server.go
@@ -43,7 +43,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           authenticate(n.config.Key, handler),
+		Handler:           authenticate(n.config.Key, &refusalLog{logger: n.logger}, handler),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -65,12 +65,13 @@
 
 // authenticate refuses requests without the peer key. Hashing first makes the
 // compared values equal in length.
-func authenticate(key string, next http.Handler) http.Handler {
+func authenticate(key string, refusals *refusalLog, next http.Handler) http.Handler {
 	expected := sha256.Sum256([]byte(key))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		presented, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		hash := sha256.Sum256([]byte(presented))
 		if subtle.ConstantTimeCompare(hash[:], expected[:]) != 1 || !ok {
+			refusals.add(r)
 			http.Error(w, "peer key missing or wrong", http.StatusUnauthorized)
 			return
 		}
