Stop the peer listener as soon as it answers nothing

A graceful stop took 1 s more than addressTtl plus 1 s: net/http keeps idle HTTP/2 connections for a second after it announced the end, and every peer has one. The listener now closes when no answer is in progress.

--- a/peer/node.go
+++ b/peer/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -17,9 +18,6 @@
 	"github.com/rattanlanding/rattanlanding/blackboard"
 )
 
-// shutdownTimeout is the time that answers in progress get when Run ends.
-const shutdownTimeout = time.Second
-
 // Node takes part in the exchange between nodes. It is safe for concurrent use.
 type Node struct {
 	config  Config
@@ -79,14 +77,12 @@
 // serve runs the server until ctx ends.
 func (n *Node) serve(ctx context.Context, listener net.Listener) error {
 	server := newServer(n)
+	var running atomic.Int64
+	server.Handler = counted(&running, server.Handler)
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
-		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-		defer cancel()
-		if server.Shutdown(grace) != nil {
-			_ = server.Close()
-		}
+		shutdown(context.WithoutCancel(ctx), server, &running)
 	})
 	err := server.Serve(&countingListener{Listener: listener, traffic: n.traffic})
 	if !stop() {
