--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattanlanding/rattanlanding/caller"
 	"github.com/rattanlanding/rattanlanding/internal/standin"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 const (
@@ -63,10 +64,8 @@
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, demoReadyWait) {
 			return fmt.Errorf("the system did not serve in time: %w", err)
-		case <-time.After(demoReadyWait):
 		}
 	}
 }
