--- a/caller/client.go
+++ b/caller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +14,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -56,20 +58,18 @@
 	failedAt  map[string]time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.AddressTimeout = cmp.Or(c.AddressTimeout, DefaultAddressTimeout)
+	c.Attempts = cmp.Or(c.Attempts, DefaultAttempts)
+	c.RetryPause = cmp.Or(c.RetryPause, DefaultRetryPause)
+	c.AvoidFor = cmp.Or(c.AvoidFor, DefaultAvoidFor)
+	return c
+}
+
 // New returns a Client.
 func New(config Config) *Client {
-	if config.AddressTimeout == 0 {
-		config.AddressTimeout = DefaultAddressTimeout
-	}
-	if config.Attempts == 0 {
-		config.Attempts = DefaultAttempts
-	}
-	if config.RetryPause == 0 {
-		config.RetryPause = DefaultRetryPause
-	}
-	if config.AvoidFor == 0 {
-		config.AvoidFor = DefaultAvoidFor
-	}
+	config = config.withDefaults()
 	return &Client{
 		config:   config,
 		name:     uuid.NewString(),
@@ -149,14 +149,7 @@
 	if last != nil && last.RetryAfter > 0 {
 		d = min(last.RetryAfter, maxRetryPause)
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
 
 // try sends m to one node. An error says whether the request may have run: it
--- a/claim/registry.go
+++ b/claim/registry.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -49,22 +51,16 @@
 
 // withDefaults returns c with its zero fields set.
 func (c Config) withDefaults() Config {
-	setDefault(&c.Retention, DefaultRetention)
-	setDefault(&c.BatchWindow, DefaultBatchWindow)
-	setDefault(&c.CallTimeout, DefaultCallTimeout)
-	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&c.FinishTimeout, DefaultFinishTimeout)
-	setDefault(&c.AnswerWait, DefaultAnswerWait)
-	setDefault(&c.AnswerPoll, DefaultAnswerPoll)
+	c.Retention = cmp.Or(c.Retention, DefaultRetention)
+	c.BatchWindow = cmp.Or(c.BatchWindow, DefaultBatchWindow)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.ClaimTimeout = cmp.Or(c.ClaimTimeout, DefaultClaimTimeout)
+	c.FinishTimeout = cmp.Or(c.FinishTimeout, DefaultFinishTimeout)
+	c.AnswerWait = cmp.Or(c.AnswerWait, DefaultAnswerWait)
+	c.AnswerPoll = cmp.Or(c.AnswerPoll, DefaultAnswerPoll)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // registryMetrics counts platform work, in calls.
 type registryMetrics struct {
 	writes    metrics.Counter
@@ -128,7 +124,7 @@
 	waitUntil := time.Now().Add(r.config.AnswerWait)
 	for {
 		res := r.begin(ctx, h)
-		if !res.pending || time.Now().After(waitUntil) || !sleep(ctx, r.config.AnswerPoll) {
+		if !res.pending || time.Now().After(waitUntil) || !wait.For(ctx, r.config.AnswerPoll) {
 			return r.settle(h, res)
 		}
 	}
@@ -229,15 +225,3 @@
 	}
 	return res.err
 }
-
-// sleep waits for d and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -10,9 +10,9 @@
 
 // Config holds the limits of the gateway; 0 means the default given.
 type Config struct {
-	// MaxBodyBytes bounds a request's body; 4 MiB.
+	// MaxBodyBytes bounds a request's body; 1 MiB.
 	MaxBodyBytes int64
-	// MaxConcurrent bounds the requests in flight at this node; 4096.
+	// MaxConcurrent bounds the requests in flight at this node; 512.
 	MaxConcurrent int64
 	// HeaderTimeout bounds the time to send a request's header; 5 s.
 	HeaderTimeout time.Duration
@@ -26,9 +26,9 @@
 	CompletionTimeout time.Duration
 	// PlainTimeout is the deadline of calls to plain services without one; 15 s.
 	PlainTimeout time.Duration
-	// ConfirmAge is the age of evidence from which the node probes the members
+	// RefreshAge is the age of evidence from which the node probes the members
 	// itself if it has nothing fresher; 2 s.
-	ConfirmAge time.Duration
+	RefreshAge time.Duration
 	// PickWait is how long a new request waits for a target that may receive
 	// work; 1 s.
 	PickWait time.Duration
@@ -52,15 +52,15 @@
 
 // withDefaults returns c with defaults in place of zero values.
 func (c Config) withDefaults() Config {
-	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, 4<<20)
-	c.MaxConcurrent = cmp.Or(c.MaxConcurrent, 4096)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, 1<<20)
+	c.MaxConcurrent = cmp.Or(c.MaxConcurrent, 512)
 	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, 5*time.Second)
 	c.BodyTimeout = cmp.Or(c.BodyTimeout, 15*time.Second)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, 15*time.Second)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, 75*time.Second)
 	c.CompletionTimeout = cmp.Or(c.CompletionTimeout, 5*time.Minute)
 	c.PlainTimeout = cmp.Or(c.PlainTimeout, 15*time.Second)
-	c.ConfirmAge = cmp.Or(c.ConfirmAge, 2*time.Second)
+	c.RefreshAge = cmp.Or(c.RefreshAge, 2*time.Second)
 	c.PickWait = cmp.Or(c.PickWait, time.Second)
 	c.ResumeWait = cmp.Or(c.ResumeWait, 15*time.Second)
 	c.StallCheck = cmp.Or(c.StallCheck, 500*time.Millisecond)
--- a/health/prober.go
+++ b/health/prober.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
 // Defaults of Config.
@@ -27,11 +29,11 @@
 	DefaultObservers = 2
 	// DefaultLossBatch is the time for which losses are collected.
 	DefaultLossBatch = 20 * time.Millisecond
-	// DefaultConfirmAge is the age of shared evidence beyond which Confirm
+	// DefaultRefreshAge is the age of shared evidence beyond which Refresh
 	// probes. It is below the time-to-live so that a probe can finish in time.
-	DefaultConfirmAge = 2 * time.Second
-	// DefaultConfirmRate bounds the extra probes of Confirm, per second.
-	DefaultConfirmRate = 20
+	DefaultRefreshAge = 2 * time.Second
+	// DefaultRefreshRate bounds the extra probes of Refresh, per second.
+	DefaultRefreshRate = 20
 )
 
 // errWrongInstance means that another backend server answered at the address.
@@ -45,28 +47,19 @@
 	Timeout     time.Duration
 	Observers   int
 	LossBatch   time.Duration
-	ConfirmAge  time.Duration
-	ConfirmRate int
+	RefreshAge  time.Duration
+	RefreshRate int
 }
 
-func (c *Config) setDefaults() {
-	for _, d := range []struct {
-		field *time.Duration
-		value time.Duration
-	}{
-		{&c.Interval, DefaultInterval}, {&c.Timeout, DefaultTimeout},
-		{&c.LossBatch, DefaultLossBatch}, {&c.ConfirmAge, DefaultConfirmAge},
-	} {
-		if *d.field <= 0 {
-			*d.field = d.value
-		}
-	}
-	if c.Observers <= 0 {
-		c.Observers = DefaultObservers
-	}
-	if c.ConfirmRate <= 0 {
-		c.ConfirmRate = DefaultConfirmRate
-	}
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.Observers = cmp.Or(c.Observers, DefaultObservers)
+	c.LossBatch = cmp.Or(c.LossBatch, DefaultLossBatch)
+	c.RefreshAge = cmp.Or(c.RefreshAge, DefaultRefreshAge)
+	c.RefreshRate = cmp.Or(c.RefreshRate, DefaultRefreshRate)
+	return c
 }
 
 // Prober probes the instances that this node observes.
@@ -90,13 +83,13 @@
 // NewProber returns a prober that writes into table.
 func NewProber(cfg Config, board *blackboard.Board, table *Table, source StatusSource,
 	announcer LossAnnouncer, logger log.Logger, registry metrics.Registry) *Prober {
-	cfg.setDefaults()
+	cfg = cfg.withDefaults()
 	return &Prober{
 		cfg: cfg, board: board, table: table, source: source, announcer: announcer,
 		logger:   log.With(logger, "component", "prober"),
 		probes:   metrics.GetOrRegisterCounter("health.probes", registry),
-		failures: metrics.GetOrRegisterCounter("health.probe-failures", registry),
-		extra:    rate.NewLimiter(rate.Limit(cfg.ConfirmRate), cfg.ConfirmRate),
+		failures: metrics.GetOrRegisterCounter("health.probe_failures", registry),
+		extra:    rate.NewLimiter(rate.Limit(cfg.RefreshRate), cfg.RefreshRate),
 	}
 }
 
@@ -155,7 +148,7 @@
 	if known {
 		return now.Add(p.cfg.Interval)
 	}
-	spread := score(id, p.cfg.Node) % uint64(p.cfg.Interval)
+	spread := rendezvous.Score(id, p.cfg.Node) % uint64(p.cfg.Interval)
 	// The probe in flight must have ended before the next one starts.
 	return now.Add(max(time.Duration(spread), p.cfg.Timeout))
 }
--- a/release/applier.go
+++ b/release/applier.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -73,6 +75,23 @@
 	Now func() time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.Attempts = cmp.Or(c.Attempts, DefaultAttempts)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.UpdateTimeout = cmp.Or(c.UpdateTimeout, DefaultUpdateTimeout)
+	c.Backoff = cmp.Or(c.Backoff, DefaultBackoff)
+	c.Logger = cmp.Or(c.Logger, log.NewNopLogger())
+	c.Registry = cmp.Or(c.Registry, metrics.NewRegistry())
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Known == nil {
+		c.Known = func() fleet.Revision { return 0 }
+	}
+	return c
+}
+
 // Applier applies release notes to the configuration in the platform.
 type Applier struct {
 	cfg       Config
@@ -100,35 +119,13 @@
 
 // NewApplier returns an Applier.
 func NewApplier(cfg Config) *Applier {
-	setDefault(&cfg.Attempts, DefaultAttempts)
-	setDefault(&cfg.Timeout, DefaultTimeout)
-	setDefault(&cfg.UpdateTimeout, DefaultUpdateTimeout)
-	setDefault(&cfg.Backoff, DefaultBackoff)
-	if cfg.Logger == nil {
-		cfg.Logger = log.NewNopLogger()
-	}
-	if cfg.Registry == nil {
-		cfg.Registry = metrics.NewRegistry()
-	}
-	if cfg.Now == nil {
-		cfg.Now = time.Now
-	}
-	if cfg.Known == nil {
-		cfg.Known = func() fleet.Revision { return 0 }
-	}
+	cfg = cfg.withDefaults()
 	return &Applier{
 		cfg:       cfg,
 		accepted:  metrics.GetOrRegisterCounter("release.accepted", cfg.Registry),
 		refused:   metrics.GetOrRegisterCounter("release.refused", cfg.Registry),
 		unknown:   metrics.GetOrRegisterCounter("release.unknown", cfg.Registry),
-		conflicts: metrics.GetOrRegisterCounter("release.versionConflicts", cfg.Registry),
-	}
-}
-
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
+		conflicts: metrics.GetOrRegisterCounter("release.version_conflicts", cfg.Registry),
 	}
 }
 
@@ -208,8 +205,5 @@
 // pause waits a random time that grows with the number of failed rounds.
 func (a *Applier) pause(ctx context.Context, failed int) {
 	limit := a.cfg.Backoff << min(failed, 6)
-	select {
-	case <-time.After(rand.N(limit)):
-	case <-ctx.Done():
-	}
+	wait.For(ctx, rand.N(limit))
 }
--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -1,9 +1,12 @@
 package retry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // Backoff defaults.
@@ -24,13 +27,7 @@
 
 // Ceiling returns the longest wait after the given attempt, counted from 1.
 func (b Backoff) Ceiling(attempt int) time.Duration {
-	base, limit := b.Base, b.Max
-	if base <= 0 {
-		base = DefaultBase
-	}
-	if limit <= 0 {
-		limit = DefaultMax
-	}
+	base, limit := cmp.Or(b.Base, DefaultBase), cmp.Or(b.Max, DefaultMax)
 	for i := 1; i < attempt && base < limit; i++ {
 		base *= 2
 	}
@@ -39,12 +36,8 @@
 
 // Wait sleeps after the given attempt. It returns ctx's error if ctx ends first.
 func (b Backoff) Wait(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(rand.N(b.Ceiling(attempt) + 1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, rand.N(b.Ceiling(attempt)+1)) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/route/builder.go
+++ b/route/builder.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // Defaults of Config.
@@ -43,6 +45,17 @@
 	Now func() time.Time
 }
 
+// withDefaults returns c with its zero fields set.
+func (c Config) withDefaults() Config {
+	c.Lifetime = cmp.Or(c.Lifetime, DefaultLifetime)
+	c.MinInterval = cmp.Or(c.MinInterval, DefaultMinInterval)
+	c.MaxInterval = cmp.Or(c.MaxInterval, DefaultMaxInterval)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
 // Builder is the controller that owns the Table section.
 type Builder struct {
 	// Table is the newest table.
@@ -57,18 +70,7 @@
 
 // NewBuilder returns a builder that reads board.
 func NewBuilder(config Config, board *blackboard.Board, registry metrics.Registry) *Builder {
-	if config.Lifetime <= 0 {
-		config.Lifetime = DefaultLifetime
-	}
-	if config.MinInterval <= 0 {
-		config.MinInterval = DefaultMinInterval
-	}
-	if config.MaxInterval <= 0 {
-		config.MaxInterval = DefaultMaxInterval
-	}
-	if config.Now == nil {
-		config.Now = time.Now
-	}
+	config = config.withDefaults()
 	return &Builder{
 		config: config, board: board, trackers: make(map[string]*Tracker),
 		targets: metrics.GetOrRegisterGauge("route.targets", registry),
@@ -82,7 +84,7 @@
 		configuration, placements := b.board.Configuration.Changed(), b.board.Placements.Changed()
 		instances, evidence := b.board.Instances.Changed(), b.board.Evidence.Changed()
 		b.Build()
-		if !sleep(ctx, b.config.MinInterval) {
+		if !wait.For(ctx, b.config.MinInterval) {
 			return ctx.Err()
 		}
 		timer := time.NewTimer(b.config.MaxInterval)
@@ -101,17 +103,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // snapshot is what one build reads.
 type snapshot struct {
 	now       time.Time
