Announce a loss once, not on every failed probe

Cause: each failed probe is announced in a call to every member, and an instance that stays down is probed each second by two observers. Ruled out: dropping repeats in package peer, which cannot tell a repeated loss from a new one after a short recovery; only the prober sees its own probes. Change: the prober announces a failed probe if evidence was at hand or if it has not announced the instance since its last answer. The dissemination measurement now emits the bytes of an instance that stays down.

--- a/health/health_test.go
+++ b/health/health_test.go
@@ -209,7 +209,8 @@
 }
 
 // Guards against evidence that is dated at the answer instead of the question,
-// and against losses of a rack that go out one by one.
+// against losses of a rack that go out one by one, and against a loss that is
+// announced on every probe or not again after the instance returned.
 func TestProberDatesEvidenceAndBatchesLosses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -230,6 +231,20 @@
 		o, ok := b.table.Get("a")
 		g.Expect(ok).To(BeTrue())
 		g.Expect(time.Since(o.ObservedAt)).To(BeNumerically(">=", 300*time.Millisecond))
+		// An instance that stays down would cost a call to every member each second.
+		announced := len(b.announcer.taken())
+		b.source.Down("b")
+		time.Sleep(10 * time.Second)
+		g.Expect(b.announcer.taken()).To(HaveLen(announced + 1))
+		b.source.Set("b", fleet.Report{Instance: "b"})
+		time.Sleep(2 * time.Second)
+		b.source.Down("b")
+		time.Sleep(10 * time.Second)
+		g.Expect(b.announcer.taken()).To(HaveLen(announced + 2))
+		// The loss is announced again when another observer has seen the instance.
+		b.table.Observe(observation("b", time.Now()))
+		time.Sleep(2 * time.Second)
+		g.Expect(b.announcer.taken()).To(HaveLen(announced + 3))
 		// The report of another instance at the address is no evidence.
 		b.source.Set("a", fleet.Report{Instance: "z"})
 		time.Sleep(1500 * time.Millisecond)
--- a/health/prober.go
+++ b/health/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -85,6 +86,9 @@
 
 	mu     sync.Mutex
 	losses []blackboard.Loss
+	// down holds the instances whose loss was announced and that have not
+	// answered a probe of this node since.
+	down map[string]bool
 }
 
 // NewProber returns a prober that writes into table.
@@ -97,6 +101,7 @@
 		probes:   metrics.GetOrRegisterCounter("health.probes", registry),
 		failures: metrics.GetOrRegisterCounter("health.probe-failures", registry),
 		extra:    rate.NewLimiter(rate.Limit(cfg.ConfirmRate), cfg.ConfirmRate),
+		down:     make(map[string]bool),
 	}
 }
 
@@ -133,6 +138,7 @@
 			delete(due, id)
 		}
 	}
+	p.forget(targets)
 	now := time.Now()
 	next := now.Add(p.cfg.Interval)
 	for id, t := range targets {
@@ -161,16 +167,52 @@
 }
 
 func (p *Prober) probeAndAnnounce(ctx context.Context, t target) {
-	if loss, err := p.probe(ctx, t); err != nil && ctx.Err() == nil {
+	failure, err := p.probe(ctx, t)
+	if ctx.Err() != nil {
+		return
+	}
+	if p.isNewLoss(t.instance, err != nil, failure.known) {
 		level.Debug(p.logger).Log("msg", "probe failed", "instance", t.instance, "err", err)
-		p.announce(loss)
+		p.announce(failure.loss)
+	}
+}
+
+// isNewLoss notes the outcome of a probe and tells whether it is to be announced.
+// An announcement is a call to every member, so an instance that stays down is
+// announced again only if evidence about it was at hand.
+func (p *Prober) isNewLoss(instance string, failed, known bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	announced := p.down[instance]
+	if !failed {
+		delete(p.down, instance)
+		return false
 	}
+	p.down[instance] = true
+	return known || !announced
+}
+
+// forget drops the notes on instances that are no targets any more.
+func (p *Prober) forget(targets map[string]target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.down, func(instance string, _ bool) bool {
+		_, still := targets[instance]
+		return !still
+	})
+}
+
+// failure is a failed probe.
+type failure struct {
+	loss blackboard.Loss
+	// known tells that evidence about the instance was at hand.
+	known bool
 }
 
 // probe asks one backend server and records the result in the table. After an
-// error it returns the loss. A probe cut off by the caller's context proves
+// error it returns the failure. A probe cut off by the caller's context proves
 // nothing and is not recorded.
-func (p *Prober) probe(ctx context.Context, t target) (blackboard.Loss, error) {
+func (p *Prober) probe(ctx context.Context, t target) (failure, error) {
 	p.probes.Inc(1)
 	sent := time.Now()
 	limited, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
@@ -186,18 +228,17 @@
 	}
 	if err == nil {
 		p.table.Observe(blackboard.Observation{Report: report, ObservedAt: sent, Observer: p.cfg.Node})
-		return blackboard.Loss{}, nil
+		return failure{}, nil
 	}
 	loss := blackboard.Loss{Instance: t.instance, At: sent}
 	if ctx.Err() != nil {
-		return loss, err
-	}
-	if known, ok := p.table.Get(t.instance); ok {
-		loss.Boot = known.Report.Boot
+		return failure{loss: loss}, err
 	}
+	evidence, known := p.table.Get(t.instance)
+	loss.Boot = evidence.Report.Boot
 	p.failures.Inc(1)
 	p.table.Lose(loss)
-	return loss, err
+	return failure{loss, known}, err
 }
 
 // announce collects losses for LossBatch and announces them together, so that
--- a/internal/measure/dissemination.go
+++ b/internal/measure/dissemination.go
@@ -14,6 +14,7 @@
 const (
 	settleLimit   = 5 * time.Second
 	trafficWindow = 3 * time.Second
+	lossSettle    = 3500 * time.Millisecond
 	idleWindow    = 500 * time.Millisecond
 	eventLimit    = 5 * time.Second
 	deathLimit    = 14 * time.Second
--- a/internal/measure/dissemination_events.go
+++ b/internal/measure/dissemination_events.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/peer"
 )
 
 // measureEventsAt emits the time until every node knows of each event.
@@ -28,7 +30,7 @@
 	if err := c.revision(report); err != nil {
 		return err
 	}
-	c.loss(report)
+	c.loss(report, emit)
 	if err := c.join(report); err != nil {
 		return err
 	}
@@ -50,20 +52,36 @@
 	return nil
 }
 
-// loss breaks an engine that every node has evidence for, as far as possible.
-func (c *cluster) loss(report func(string, time.Duration, bool)) {
+// loss breaks an engine that every node has evidence for, as far as possible, and
+// emits the peer bytes that this costs while the engine stays down.
+func (c *cluster) loss(report func(string, time.Duration, bool), emit Emit) {
 	lost := c.list.list.Instances[0]
+	var down *atomic.Bool
 	for i, a := range c.engines.addresses {
 		if a == lost.Address {
-			c.engines.lost[i].Store(true)
-			defer c.engines.lost[i].Store(false)
+			down = &c.engines.lost[i]
 		}
 	}
+	down.Store(true)
 	took, ok := c.until(eventLimit, func(n *controlNode) bool {
 		_, known := n.table.Get(lost.ID)
 		return !known
 	})
 	report("loss of an instance (probe interval included)", took, ok)
+	// The first announcements are repeated in messages for 3 s.
+	pause(c.ctx, lossSettle)
+	broken := c.sentRate()
+	down.Store(false)
+	pause(c.ctx, lossSettle)
+	name := fmt.Sprintf("%d nodes, peer bytes sent by all because one instance stays down", len(c.nodes))
+	emit(policyOf(len(c.nodes)), name, broken-c.sentRate(), "B/s")
+}
+
+// sentRate returns the peer bytes that all nodes send in a second.
+func (c *cluster) sentRate() float64 {
+	before, started := c.sum(peer.MetricBytesSent), time.Now()
+	pause(c.ctx, trafficWindow)
+	return (c.sum(peer.MetricBytesSent) - before) / time.Since(started).Seconds()
 }
 
 // join starts one more node.
