Pass evidence on in compact form and versions once

Cause: a response carried about 120 B for each instance and 25 B for each document version every second, although only ages and loads change. Change: evidence travels as record hash, age and load; whole evidence follows on request, as with heartbeats. Versions that the other side knows by their hash are left out of requests and responses; the requester still offers them before the heartbeat counts, from its notes. A process that started since is told everything again. Request senders lack the fields only answers need, and responses have no Date header. Ruled out: hashes of whole responses, which fail whenever one instance changes its observer and need placeholders. The observer of compact evidence is the node that passed it on.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -90,7 +90,7 @@
 	// ObservedAt is this process's clock at the moment the probe was sent, or
 	// an earlier moment when a peer observed the report.
 	ObservedAt time.Time
-	// Observer is the node that probed.
+	// Observer is the node that probed, or the one that passed the report on.
 	Observer string
 }
 
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -18,6 +18,13 @@
 // heartbeatsOverhead is the encoded size of the tags and lengths of Heartbeats.
 const heartbeatsOverhead = 4 * fieldOverhead
 
+// evidenceListOverhead is the encoded size of the tags and lengths of an
+// EvidenceDigest.
+const evidenceListOverhead = 6 * fieldOverhead
+
+// documentsHashOverhead is the encoded size of the hash of all versions.
+const documentsHashOverhead = 9
+
 // heartbeatShare is the part of a bounded digest's free bytes that heartbeats may
 // take, in percent. The rest is left for evidence and demand.
 const heartbeatShare = 70
@@ -45,8 +52,25 @@
 	put()
 }
 
-// documents adds versions, the first one before the others in random order.
-func (d *digest) documents(versions []DocumentVersion) {
+// documents adds versions, the first one before the others in random order, unless
+// the requester knows them by their hash.
+func (d *digest) documents(versions []DocumentVersion, known uint64) {
+	all := make([]*peerpb.DocumentVersion, len(versions))
+	for i, v := range versions {
+		all[i] = encodeVersion(v)
+	}
+	hash := versionsHash(all)
+	if hash != known {
+		d.someDocuments(versions)
+	}
+	if hash == known || len(d.response.Documents) == len(versions) {
+		d.response.DocumentsHash = hash
+		d.size += documentsHashOverhead
+	}
+}
+
+// someDocuments adds as many versions as fit.
+func (d *digest) someDocuments(versions []DocumentVersion) {
 	if d.limit > 0 && len(versions) > 1 {
 		versions = append([]DocumentVersion(nil), versions...)
 		rest := versions[1:]
@@ -99,8 +123,15 @@
 // evidence adds evidence in random order, so that a bounded digest carries a
 // fair sample.
 func (d *digest) evidence(evidence []blackboard.Observation, now time.Time) {
-	for _, i := range rand.Perm(len(evidence)) {
-		m := encodeEvidence(&evidence[i], now)
-		d.add(m, func() { d.response.Evidence = append(d.response.Evidence, m) })
+	room := len(evidence)
+	if d.limit > 0 {
+		room = min(room, max(0, d.limit-d.size-evidenceListOverhead)/evidenceOverhead)
+	}
+	list := &peerpb.EvidenceDigest{}
+	for _, i := range rand.Perm(len(evidence))[:room] {
+		appendEvidence(list, &evidence[i], now)
+	}
+	if room > 0 {
+		d.add(list, func() { d.response.EvidenceDigest = list })
 	}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -29,6 +29,8 @@
 	roster  *roster
 	demand  demandTable
 	losses  lossLog
+	reports reportBook
+	told    toldLog
 	traffic *traffic
 	dialer  *dialer
 	// urgent holds a token while an extra exchange is wanted.
--- a/peer/prepare.go
+++ b/peer/prepare.go
@@ -38,7 +38,7 @@
 // prepareAt makes one call.
 func (n *Node) prepareAt(ctx context.Context, address string, revision fleet.Revision) error {
 	_, err := n.dialer.client(address).Prepare(ctx, connect.NewRequest(&peerpb.PrepareRequest{
-		Sender:   n.roster.heartbeat(),
+		Sender:   shortSender(n.roster.heartbeat()),
 		Revision: uint64(revision),
 	}))
 	return err
--- a/peer/roster_test.go
+++ b/peer/roster_test.go
@@ -157,7 +157,7 @@
 		// Guards against traffic that grows with the number of members.
 		response := &peerpb.ExchangeResponse{Responder: &peerpb.Member{Node: "a", Boot: bootAt(0)}}
 		d := newDigest(response, DefaultDigestBytes)
-		d.documents(make([]DocumentVersion, 300))
+		d.documents(make([]DocumentVersion, 300), 0)
 		members := make([]fleet.MemberView, 380)
 		for i := range members {
 			members[i].Member = fleet.Member{Node: "node", Boot: bootAt(i), PeerAddress: "127.0.0.1:2"}
@@ -167,6 +167,7 @@
 		d.evidence(evidence, start)
 		Expect(proto.Size(response)).To(And(BeNumerically("<=", DefaultDigestBytes), BeNumerically(">", 300)))
 		Expect(response.GetHeartbeats().GetRecord()).NotTo(BeEmpty())
-		Expect(response.GetEvidence()).NotTo(BeEmpty())
+		Expect(response.GetEvidenceDigest().GetRecord()).NotTo(BeEmpty())
+		Expect(response.GetDocumentsHash()).To(BeZero())
 	})
 })
--- a/peer/round.go
+++ b/peer/round.go
@@ -100,6 +100,8 @@
 		unknown = []string{unknown[rand.IntN(len(unknown))]}
 	}
 	n.dialer.forget(inUse)
+	n.told.forget(inUse)
+	n.reports.forget(time.Now())
 	return append(targets, unknown...)
 }
 
@@ -137,8 +139,8 @@
 	return false
 }
 
-// exchange performs one exchange, and a second one if the first one named members
-// whose records are unknown.
+// exchange performs one exchange, and a second one if the first one named unknown
+// records.
 func (n *Node) exchange(ctx context.Context, address string) error {
 	unknown, err := n.ask(ctx, address, nil)
 	if err == nil && len(unknown) > 0 {
@@ -154,16 +156,18 @@
 	sentAt := time.Now()
 	request := n.request(sentAt)
 	request.WantedRecords = records
+	versions := n.told.shorten(address, request)
 	response, err := n.dialer.client(address).Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
 	}
+	n.told.complete(address, versions, request, response.Msg)
 	return n.absorb(response.Msg, address, sentAt), nil
 }
 
 // request builds what this node tells in a request.
 func (n *Node) request(now time.Time) *peerpb.ExchangeRequest {
-	request := &peerpb.ExchangeRequest{Sender: n.roster.heartbeat()}
+	request := &peerpb.ExchangeRequest{Sender: shortSender(n.roster.heartbeat())}
 	for _, v := range n.ports.Documents.Versions() {
 		request.Documents = append(request.Documents, encodeVersion(v))
 	}
@@ -201,11 +205,7 @@
 	for _, loss := range response.GetLosses() {
 		n.ports.Evidence.Lose(decodeLoss(loss, received))
 	}
-	for _, e := range response.GetEvidence() {
-		if o := decodeEvidence(e, sentAt); received.Sub(o.ObservedAt) <= n.config.EvidenceMaxAge {
-			n.ports.Evidence.Observe(o)
-		}
-	}
+	unknown = append(unknown, n.absorbEvidence(response, sentAt, received)...)
 	for _, d := range response.GetDemand() {
 		if d.GetNode() != n.config.Self.Node {
 			n.demand.merge(d.GetNode(), decodeDemand(d, sentAt))
@@ -224,6 +224,30 @@
 	return unknown
 }
 
+// absorbEvidence takes in the evidence of a response and returns the unknown
+// records in it.
+func (n *Node) absorbEvidence(response *peerpb.ExchangeResponse, sentAt, received time.Time) []uint64 {
+	responder := response.GetResponder().GetNode()
+	evidence, unknown := n.reports.expand(response.GetEvidenceDigest(), responder, sentAt, received)
+	for _, e := range response.GetEvidence() {
+		o := decodeEvidence(e, sentAt)
+		n.reports.learn(o.Report, received)
+		evidence = append(evidence, o)
+	}
+	for _, o := range evidence {
+		if received.Sub(o.ObservedAt) <= n.config.EvidenceMaxAge {
+			n.ports.Evidence.Observe(o)
+		}
+	}
+	return unknown
+}
+
+// shortSender leaves out of a request's sender what its receiver does not use.
+func shortSender(m *peerpb.Member) *peerpb.Member {
+	m.Region, m.FailureDomain, m.CallerAddress = "", "", ""
+	return m
+}
+
 // offerAll passes on the versions that a peer stated.
 func (n *Node) offerAll(node, address string, versions []*peerpb.DocumentVersion) {
 	for _, v := range versions {
--- a/peer/server.go
+++ b/peer/server.go
@@ -74,6 +74,8 @@
 			http.Error(w, "peer key missing or wrong", http.StatusUnauthorized)
 			return
 		}
+		// Nobody reads the date, which would add to every response.
+		w.Header()["Date"] = nil
 		next.ServeHTTP(w, r)
 	})
 }
@@ -102,7 +104,7 @@
 	if !n.ports.Confirmed.Ready() {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this process is joining"))
 	}
-	return connect.NewResponse(n.respond(request.Msg.GetWantedRecords())), nil
+	return connect.NewResponse(n.respond(request.Msg)), nil
 }
 
 // Prepare implements peerpbconnect.PeerServiceHandler.
@@ -123,7 +125,8 @@
 // respond builds a response. Ages are taken at one moment before encoding, so a
 // later delay is covered by the requester's own clock. The records asked for are
 // added.
-func (n *Node) respond(records []uint64) *peerpb.ExchangeResponse {
+func (n *Node) respond(request *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
+	records := request.GetWantedRecords()
 	now := time.Now()
 	response := &peerpb.ExchangeResponse{Responder: n.roster.heartbeat()}
 	if statement, ok := n.ports.Confirmed.Confirmation(); ok {
@@ -144,11 +147,12 @@
 	}
 	d := newDigest(response, limit)
 	d.losses(n.losses.recent(now), now)
-	d.documents(n.ports.Documents.Versions())
+	d.documents(n.ports.Documents.Versions(), request.GetKnownDocuments())
 	own := n.ports.Demand.LocalDemand()
 	own.HeardAt = now
 	d.demand(n.config.Self.Node, &own, now)
 	evidence := n.ports.Evidence.Observations(n.config.EvidenceMaxAge)
+	response.Evidence = wantedEvidence(evidence, records, now)
 	if !bounded {
 		evidence = observedBy(n.config.Self.Node, evidence)
 	}
