--- a/internal/measure/dissemination_events.go
+++ b/internal/measure/dissemination_events.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/peer"
 )
 
 // measureEventsAt emits the time until every node knows of each event.
@@ -28,11 +30,12 @@
 	if err := c.revision(report); err != nil {
 		return err
 	}
-	c.loss(report)
+	c.loss(report, emit)
 	if err := c.join(report); err != nil {
 		return err
 	}
 	c.freeze(emit)
+	c.freezeFirst(emit)
 	c.death(report)
 	return nil
 }
@@ -50,20 +53,36 @@
 	return nil
 }
 
-// loss breaks an engine that every node has evidence for, as far as possible.
-func (c *cluster) loss(report func(string, time.Duration, bool)) {
+// loss breaks an engine that every node has evidence for, as far as possible, and
+// emits the peer bytes that this costs while the engine stays down.
+func (c *cluster) loss(report func(string, time.Duration, bool), emit Emit) {
 	lost := c.list.list.Instances[0]
+	var down *atomic.Bool
 	for i, a := range c.engines.addresses {
 		if a == lost.Address {
-			c.engines.lost[i].Store(true)
-			defer c.engines.lost[i].Store(false)
+			down = &c.engines.lost[i]
 		}
 	}
+	down.Store(true)
 	took, ok := c.until(eventLimit, func(n *controlNode) bool {
 		_, known := n.table.Get(lost.ID)
 		return !known
 	})
 	report("loss of an instance (probe interval included)", took, ok)
+	// The first announcements are repeated in messages for 3 s.
+	pause(c.ctx, lossSettle)
+	broken := c.sentRate()
+	down.Store(false)
+	pause(c.ctx, lossSettle)
+	name := fmt.Sprintf("%d nodes, peer bytes sent by all because one instance stays down", len(c.nodes))
+	emit(policyOf(len(c.nodes)), name, broken-c.sentRate(), "B/s")
+}
+
+// sentRate returns the peer bytes that all nodes send in a second.
+func (c *cluster) sentRate() float64 {
+	before, started := c.sum(peer.MetricBytesSent), time.Now()
+	pause(c.ctx, trafficWindow)
+	return (c.sum(peer.MetricBytesSent) - before) / time.Since(started).Seconds()
 }
 
 // join starts one more node.
@@ -110,6 +129,24 @@
 	emit(policy, at+"failed probes of live instances", c.sum("health.probe_failures")-failures, "probes")
 }
 
+// freezeFirst stops the first node, the root of the relay tree, and emits the
+// lowest coverage of the others meanwhile and after it.
+func (c *cluster) freezeFirst(emit Emit) {
+	others := *c
+	others.nodes = c.nodes[1:]
+	c.nodes[0].frozen.Lock()
+	members, evidence := 1.0, 1.0
+	for started := time.Now(); time.Since(started) < rootFreezeTime && c.ctx.Err() == nil; pause(c.ctx, observeInterval) {
+		m, e := others.coverage()
+		members, evidence = min(members, m), min(evidence, e)
+	}
+	c.nodes[0].frozen.Unlock()
+	policy, at := policyOf(len(c.nodes)-1), fmt.Sprintf("%d nodes, the first one frozen for 6 s, lowest mean of ", len(c.nodes)-1)
+	emit(policy, at+"members seen as serving by the others", 100*members, "%")
+	emit(policy, at+"instances with fresh evidence at the others", 100*evidence, "%")
+	pause(c.ctx, freezeWatch)
+}
+
 // stateOf returns a member's state as n sees it.
 func stateOf(n *controlNode, name string) (fleet.NodeState, bool) {
 	for _, m := range n.board.Members.Load().All {
--- a/peer/round.go
+++ b/peer/round.go
@@ -25,6 +25,9 @@
 		for _, address := range n.roundTargets() {
 			n.start(ctx, address, false)
 		}
+		if len(n.others())+1 > FullMeshMembers && n.actsAsRoot(time.Now()) {
+			n.startRound(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -100,6 +103,9 @@
 		unknown = []string{unknown[rand.IntN(len(unknown))]}
 	}
 	n.dialer.forget(inUse)
+	n.told.forget(inUse)
+	n.echo.forget(inUse)
+	n.reports.forget(time.Now())
 	return append(targets, unknown...)
 }
 
@@ -117,7 +123,9 @@
 	go func() {
 		defer n.running.Done()
 		for again := true; again; again = n.finish(ctx, address) {
-			if err := n.exchange(ctx, address); err != nil {
+			// A node that no parent asks is new or cut off.
+			detached := n.relay.detached(2 * n.config.ExchangeInterval)
+			if err := n.exchange(ctx, address, purpose{whole: detached}); err != nil {
 				n.logFailure(address, err)
 			}
 		}
@@ -137,33 +145,53 @@
 	return false
 }
 
-// exchange performs one exchange, and a second one if the first one named members
-// whose records are unknown.
-func (n *Node) exchange(ctx context.Context, address string) error {
-	unknown, err := n.ask(ctx, address, nil)
+// purpose is what a request asks for beyond a bounded digest.
+type purpose struct {
+	whole      bool
+	gatherRoot string
+	records    []uint64
+}
+
+// exchange performs one exchange, and a second one if the first one named unknown
+// records.
+func (n *Node) exchange(ctx context.Context, address string, p purpose) error {
+	unknown, err := n.ask(ctx, address, p)
 	if err == nil && len(unknown) > 0 {
-		_, err = n.ask(ctx, address, unknown)
+		_, err = n.ask(ctx, address, purpose{whole: p.whole, records: unknown})
 	}
 	return err
 }
 
-// ask sends one request and returns the unknown records in its response.
-func (n *Node) ask(ctx context.Context, address string, records []uint64) (unknown []uint64, err error) {
+// ask sends one request and returns the unknown records in its response. Requests
+// to one address follow each other, because an overtaken one is refused.
+func (n *Node) ask(ctx context.Context, address string, p purpose) (unknown []uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
 	defer cancel()
+	release, err := n.dialer.acquire(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
 	sentAt := time.Now()
 	request := n.request(sentAt)
-	request.WantedRecords = records
+	request.WantedRecords, request.GatherRoot, request.Whole = p.records, p.gatherRoot, p.whole
+	versions := n.told.shorten(address, request)
 	response, err := n.dialer.client(address).Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
 	}
+	if err := n.told.complete(address, versions, request, response.Msg); err != nil {
+		return nil, err
+	}
+	if p.whole || p.gatherRoot != "" {
+		n.echo.note(address, response.Msg, sentAt)
+	}
 	return n.absorb(response.Msg, address, sentAt), nil
 }
 
 // request builds what this node tells in a request.
 func (n *Node) request(now time.Time) *peerpb.ExchangeRequest {
-	request := &peerpb.ExchangeRequest{Sender: n.roster.heartbeat()}
+	request := &peerpb.ExchangeRequest{Sender: shortSender(n.roster.heartbeat())}
 	for _, v := range n.ports.Documents.Versions() {
 		request.Documents = append(request.Documents, encodeVersion(v))
 	}
@@ -201,11 +229,7 @@
 	for _, loss := range response.GetLosses() {
 		n.ports.Evidence.Lose(decodeLoss(loss, received))
 	}
-	for _, e := range response.GetEvidence() {
-		if o := decodeEvidence(e, sentAt); received.Sub(o.ObservedAt) <= n.config.EvidenceMaxAge {
-			n.ports.Evidence.Observe(o)
-		}
-	}
+	unknown = append(unknown, n.absorbEvidence(response, sentAt, received)...)
 	for _, d := range response.GetDemand() {
 		if d.GetNode() != n.config.Self.Node {
 			n.demand.merge(d.GetNode(), decodeDemand(d, sentAt))
@@ -224,6 +248,30 @@
 	return unknown
 }
 
+// absorbEvidence takes in the evidence of a response and returns the unknown
+// records in it.
+func (n *Node) absorbEvidence(response *peerpb.ExchangeResponse, sentAt, received time.Time) []uint64 {
+	responder := response.GetResponder().GetNode()
+	evidence, unknown := n.reports.expand(response.GetEvidenceDigest(), responder, sentAt, received)
+	for _, e := range response.GetEvidence() {
+		o := decodeEvidence(e, sentAt)
+		n.reports.learn(o.Report, received)
+		evidence = append(evidence, o)
+	}
+	for _, o := range evidence {
+		if received.Sub(o.ObservedAt) <= n.config.EvidenceMaxAge {
+			n.ports.Evidence.Observe(o)
+		}
+	}
+	return unknown
+}
+
+// shortSender leaves out of a request's sender what its receiver does not use.
+func shortSender(m *peerpb.Member) *peerpb.Member {
+	m.Region, m.FailureDomain, m.CallerAddress = "", "", ""
+	return m
+}
+
 // offerAll passes on the versions that a peer stated.
 func (n *Node) offerAll(node, address string, versions []*peerpb.DocumentVersion) {
 	for _, v := range versions {
--- a/peer/server.go
+++ b/peer/server.go
@@ -29,6 +29,8 @@
 	// ones gain nothing.
 	compressAbove = 2048
 	maxStreams    = 64
+	// demandBytes bounds what a whole response carries of other nodes' demand.
+	demandBytes = 150
 )
 
 // service implements the peer protocol on a Node.
@@ -75,13 +77,15 @@
 			http.Error(w, "peer key missing or wrong", http.StatusUnauthorized)
 			return
 		}
+		// Nobody reads the date, which would add to every response.
+		w.Header()["Date"] = nil
 		next.ServeHTTP(w, r)
 	})
 }
 
 // Exchange implements peerpbconnect.PeerServiceHandler.
 func (s service) Exchange(
-	_ context.Context, request *connect.Request[peerpb.ExchangeRequest],
+	ctx context.Context, request *connect.Request[peerpb.ExchangeRequest],
 ) (*connect.Response[peerpb.ExchangeResponse], error) {
 	n, received := s.node, time.Now()
 	sender := request.Msg.GetSender()
@@ -103,7 +107,11 @@
 	if !n.ports.Confirmed.Ready() {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this process is joining"))
 	}
-	return connect.NewResponse(n.respond(request.Msg.GetWantedRecords())), nil
+	if root := request.Msg.GetGatherRoot(); root != "" {
+		n.relay.asked(received)
+		n.gather(ctx, root)
+	}
+	return connect.NewResponse(n.respond(request.Msg)), nil
 }
 
 // Prepare implements peerpbconnect.PeerServiceHandler.
@@ -124,7 +132,8 @@
 // respond builds a response. Ages are taken at one moment before encoding, so a
 // later delay is covered by the requester's own clock. The records asked for are
 // added.
-func (n *Node) respond(records []uint64) *peerpb.ExchangeResponse {
+func (n *Node) respond(request *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
+	records := request.GetWantedRecords()
 	now := time.Now()
 	response := &peerpb.ExchangeResponse{Responder: n.roster.heartbeat()}
 	if statement, ok := n.ports.Confirmed.Confirmation(); ok {
@@ -138,24 +147,34 @@
 		}
 	}
 	members := n.roster.members(now)
-	bounded := len(members) > FullMeshMembers
-	limit := 0
-	if bounded {
-		limit = n.config.DigestBytes
+	others := withoutNode(members, n.config.Self.Node)
+	evidence := n.ports.Evidence.Observations(n.config.EvidenceMaxAge)
+	response.Evidence = wantedEvidence(evidence, records, now)
+	mesh := len(members) <= FullMeshMembers
+	whole := request.GetWhole() || request.GetGatherRoot() != ""
+	limit, share := 0, 100
+	switch {
+	case mesh:
+		evidence = observedBy(n.config.Self.Node, evidence)
+	case whole:
+		others, evidence = n.echo.filter(request.GetSender().GetPeerAddress(), others, evidence)
+	default:
+		limit, share = n.config.DigestBytes, heartbeatShare
 	}
 	d := newDigest(response, limit)
+	// Versions come first: whoever counts this response as a heartbeat must know
+	// the configuration revision held here, however many losses there are.
+	d.documents(n.ports.Documents.Versions(), request.GetKnownDocuments())
 	d.losses(n.losses.recent(now), now)
-	d.documents(n.ports.Documents.Versions())
 	own := n.ports.Demand.LocalDemand()
 	own.HeardAt = now
 	d.demand(n.config.Self.Node, &own, now)
-	evidence := n.ports.Evidence.Observations(n.config.EvidenceMaxAge)
-	if !bounded {
-		evidence = observedBy(n.config.Self.Node, evidence)
-	}
-	d.heartbeats(withoutNode(members, n.config.Self.Node), heartbeatShare, now)
+	d.heartbeats(others, share, now)
 	d.evidence(evidence, now)
-	if bounded {
+	if !mesh {
+		if whole {
+			d.limit = d.size + demandBytes
+		}
 		n.demand.addTo(d, n.config.Self.Node, now)
 	}
 	for _, v := range wanted(members, records) {
