--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -23,7 +23,7 @@
 func capacity() Measurement {
 	return Measurement{Name: "capacity", Run: func(ctx context.Context, _ uint64, emit Emit) error {
 		for _, part := range []func(context.Context, Emit) error{
-			configurationSize, placementSize, planTime, routing, evidenceTable,
+			configurationSize, placementSize, planTime, routing, evidenceTable, addressTime,
 			limitUpdates, probeCost, claimWrites, leaseWrites, platformCalls,
 		} {
 			if err := part(ctx, emit); err != nil {
