--- a/cmd/rattanlanding/main.go
+++ b/cmd/rattanlanding/main.go
@@ -2,14 +2,20 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
 
+	"github.com/rattanlanding/rattanlanding/entry"
+	"github.com/rattanlanding/rattanlanding/internal/logsink"
 	"github.com/rattanlanding/rattanlanding/node"
+	"github.com/rattanlanding/rattanlanding/platform"
 	"github.com/rattanlanding/rattanlanding/settings"
 )
 
@@ -22,9 +28,15 @@
 // cli is the command line.
 type cli struct {
 	Run   runCommand   `cmd:"" default:"withargs" help:"Run the node (default)."`
+	Entry entryCommand `cmd:"" help:"Run a node on the users' platform."`
 	Check checkCommand `cmd:"" help:"Check a settings file and exit."`
 }
 
+// entryCommand runs a node on the users' platform.
+type entryCommand struct {
+	Config string `help:"Settings file in JSON; by default the one that the platform lays out." type:"path"`
+}
+
 // runCommand runs a node.
 type runCommand struct {
 	Config string `help:"Settings file in JSON." required:"" type:"path"`
@@ -33,6 +45,7 @@
 // checkCommand checks a settings file.
 type checkCommand struct {
 	Config string `help:"Settings file in JSON." required:"" type:"path"`
+	Entry  bool   `help:"The file is for the entry command."`
 }
 
 func main() {
@@ -44,8 +57,11 @@
 
 // run executes the chosen command and returns the exit code.
 func run(c *cli, command string) int {
-	if command == "check" {
-		return check(c.Check.Config)
+	switch command {
+	case "check":
+		return check(c.Check)
+	case "entry":
+		return serveEntry(c.Entry.Config)
 	}
 	s, err := settings.Load(c.Run.Config)
 	if err != nil {
@@ -56,8 +72,14 @@
 }
 
 // check prints whether a settings file is valid.
-func check(path string) int {
-	if _, err := settings.Load(path); err != nil {
+func check(c checkCommand) int {
+	var err error
+	if c.Entry {
+		_, err = entry.LoadSettings(c.Config)
+	} else {
+		_, err = settings.Load(c.Config)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
@@ -65,9 +87,25 @@
 	return 0
 }
 
+// serveEntry runs a node on the users' platform.
+func serveEntry(path string) int {
+	s, err := entry.LoadSettings(cmp.Or(path, platform.SettingsPath()))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	return runApp(entry.New(s, newLogger(sink, s.Node, s.LogLevel)))
+}
+
 // serve runs a node until a signal or a fault stops it.
 func serve(s settings.Settings) int {
-	app := node.New(s, newLogger(s))
+	return runApp(node.New(s, newLogger(log.NewSyncWriter(os.Stderr), s.Node, s.Log.Level)))
+}
+
+// runApp runs an application to its end and returns the exit code.
+func runApp(app *fx.App) int {
 	if err := app.Err(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -76,10 +114,9 @@
 	return 0
 }
 
-// newLogger returns a logfmt logger on standard error with the level of the
-// settings.
-func newLogger(s settings.Settings) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
-	logger = log.With(logger, "ts", log.DefaultTimestampUTC, "node", s.Node)
-	return level.NewFilter(logger, level.Allow(level.ParseDefault(s.Log.Level, level.InfoValue())))
+// newLogger returns a logfmt logger with a level.
+func newLogger(output io.Writer, node, lowest string) log.Logger {
+	logger := log.NewLogfmtLogger(output)
+	logger = log.With(logger, "ts", log.DefaultTimestampUTC, "node", node)
+	return level.NewFilter(logger, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
 }
--- /dev/null
+++ b/engine/errors.go
@@ -0,0 +1,6 @@
+package engine
+
+import "errors"
+
+// ErrRefused means that an engine answered that it will not carry out a command.
+var ErrRefused = errors.New("engine refused the command")
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/formation"
+	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
+	"github.com/rattanlanding/rattanlanding/lease"
+	"github.com/rattanlanding/rattanlanding/platform"
+)
+
+const (
+	// memberInterval is the time between two lists of members for the lease.
+	memberInterval = 200 * time.Millisecond
+	// stopReserve is the part of the stop time that is kept for the end of the
+	// process itself.
+	stopReserve = 400 * time.Millisecond
+	// addressKeeping is the number of times-to-live for which some callers keep
+	// an address.
+	addressKeeping = 3
+)
+
+// daemon runs the listeners and loops of one process.
+type daemon struct {
+	settings  Settings
+	status    *status
+	handler   *forward.Handler
+	documents *Documents
+	followers followers
+	world     *World
+	leases    *lease.Manager
+	formation *formation.Controller
+	board     *blackboard.Board
+	logger    log.Logger
+	shutdown  fx.Shutdowner
+
+	callers *callerServer
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+func newDaemon(s Settings, st *status, h *forward.Handler, d *Documents, f followers, w *World, l *lease.Manager,
+	c *formation.Controller, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
+) *daemon {
+	return &daemon{settings: s, status: st, handler: h, documents: d, followers: f, world: w, leases: l,
+		formation: c, board: board, logger: logger, shutdown: shutdown}
+}
+
+// start opens the listeners and starts the loops.
+func (d *daemon) start(context.Context) error {
+	callers, err := net.Listen("tcp4", d.settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("callerAddress: %w", err)
+	}
+	d.callers = newCallerServer(d.handler, callers)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, s := range []struct {
+		field, address string
+		handler        http.Handler
+	}{
+		{"directoryAddress", d.settings.DirectoryAddress, platform.NewDirectoryHandler(d.status)},
+		{"readinessAddress", d.settings.ReadinessAddress, platform.NewReadinessHandler(d.status)},
+		{"peerAddress", d.settings.PeerAddress, d.documents.Handler()},
+	} {
+		if err := d.serve(ctx, s.address, s.handler); err != nil {
+			return fmt.Errorf("%s: %w", s.field, err)
+		}
+	}
+	for name, run := range map[string]func(context.Context) error{
+		"configuration": d.followers.configurations.Run,
+		"instances":     d.followers.instances.Run,
+		"world":         d.world.Run,
+		"mesh":          d.status.mesh.Run,
+		"documents":     d.documents.Run,
+		"lease":         d.leases.Run,
+		"formation":     d.formation.Run,
+		"members":       d.publishMembers,
+		"limits":        d.followLimits,
+		"callers":       func(context.Context) error { return d.callers.run() },
+	} {
+		d.running.Go(func() { d.loop(ctx, name, run) })
+	}
+	_ = level.Info(d.logger).Log("msg", "node started", "callers", d.settings.CallerAddress,
+		"first_start", d.settings.FirstStart, "boot", d.status.mesh.Boot())
+	return nil
+}
+
+// serve answers HTTP requests on an address until ctx ends.
+func (d *daemon) serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	d.running.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.fail(address, err)
+		}
+	})
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return nil
+}
+
+// loop runs one loop. One that ends before the stop ends the process, so that a
+// whole one starts.
+func (d *daemon) loop(ctx context.Context, name string, run func(context.Context) error) {
+	err := run(ctx)
+	if ctx.Err() == nil && !d.status.leaving.Load() {
+		d.fail(name, err)
+	}
+}
+
+func (d *daemon) fail(part string, err error) {
+	_ = level.Error(d.logger).Log("msg", "part failed, stopping", "part", part, "err", err)
+	_ = d.shutdown.Shutdown(fx.ExitCode(1))
+}
+
+// publishMembers lists the nodes that may hold the lease.
+func (d *daemon) publishMembers(ctx context.Context) error {
+	for ctx.Err() == nil {
+		d.board.Members.Publish(d.status.members())
+		wait.For(ctx, memberInterval)
+	}
+	return nil
+}
+
+// followLimits applies the configured limits on callers.
+func (d *daemon) followLimits(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := d.world.Configuration.Changed()
+		if c := d.world.Configuration.Load(); c != nil {
+			d.callers.apply(c.Limits)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// stop is the graceful shutdown: no address answer names the node any more, it
+// serves those who still have its address, finishes what is in progress, and
+// ends.
+func (d *daemon) stop(ctx context.Context) error {
+	started := time.Now()
+	_ = level.Info(d.logger).Log("msg", "stopping", "in_flight", d.handler.InFlight())
+	d.status.leaving.Store(true)
+	d.handler.SetLeaving()
+	ctx, cancel := context.WithDeadline(ctx, started.Add(d.settings.StopTime-stopReserve))
+	defer cancel()
+	wait.For(ctx, min(addressKeeping*d.settings.AddressTTL, d.settings.StopTime*3/4))
+	d.callers.shutdown(ctx)
+	d.cancel()
+	d.running.Wait()
+	_ = level.Info(d.logger).Log("msg", "node stopped", "ms", time.Since(started).Milliseconds())
+	return nil
+}
--- /dev/null
+++ b/entry/documents.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/rattanlanding/rattanlanding/follow"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
+	"github.com/rattanlanding/rattanlanding/mesh"
+	"github.com/rattanlanding/rattanlanding/object"
+)
+
+const (
+	// catchUpInterval is the time between two looks at what other nodes hold.
+	catchUpInterval = 200 * time.Millisecond
+	// silenceLimit is how long the store may say nothing, while other nodes hold
+	// newer documents, before these are taken from a node.
+	silenceLimit = 600 * time.Millisecond
+	// fetchTimeout bounds one request to a node.
+	fetchTimeout = 700 * time.Millisecond
+	// maxDocument bounds a document in bytes.
+	maxDocument = 64 << 20
+)
+
+// Paths of the documents on the peer address.
+const (
+	pathConfiguration = "/documents/configuration"
+	pathInstances     = "/documents/instances"
+)
+
+// Documents gives other nodes this node's copies, and takes newer ones from them
+// while the store can't be reached.
+type Documents struct {
+	configurations *follow.Follower
+	instances      *follow.Follower
+	world          *World
+	mesh           *mesh.Mesh
+	client         *http.Client
+	logger         log.Logger
+}
+
+// Handler answers other nodes.
+func (d *Documents) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.GET(pathConfiguration, func(c *gin.Context) { writeSnapshot(c, d.configurations) })
+	router.GET(pathInstances, func(c *gin.Context) { writeSnapshot(c, d.instances) })
+	return router
+}
+
+func writeSnapshot(c *gin.Context, f *follow.Follower) {
+	s := f.Current.Load()
+	if s == nil {
+		c.Status(http.StatusNotFound)
+		return
+	}
+	data, err := msgpack.Marshal(s)
+	if err != nil {
+		c.Status(http.StatusInternalServerError)
+		return
+	}
+	c.Data(http.StatusOK, "application/msgpack", data)
+}
+
+// Run catches up with other nodes until ctx ends.
+func (d *Documents) Run(ctx context.Context) error {
+	for wait.For(ctx, catchUpInterval) {
+		d.catchUp(ctx)
+	}
+	return nil
+}
+
+// catchUp takes documents from the node with the newest ones.
+func (d *Documents) catchUp(ctx context.Context) {
+	view := d.mesh.View()
+	if d.configurations.SilentFor() > silenceLimit {
+		var version uint64
+		if c := d.world.Configuration.Load(); c != nil {
+			version = c.Version
+		}
+		best := newest(view, version, func(s *mesh.State) uint64 { return s.ConfigurationVersion })
+		d.fetch(ctx, best, pathConfiguration, d.configurations)
+	}
+	if d.instances.SilentFor() > silenceLimit {
+		best := newest(view, d.listCursor(), func(s *mesh.State) object.Version { return s.ListCursor })
+		d.fetch(ctx, best, pathInstances, d.instances)
+	}
+}
+
+// listCursor returns the revision of the newest change of the list known here.
+func (d *Documents) listCursor() object.Version {
+	if s := d.instances.Current.Load(); s != nil {
+		return s.Cursor
+	}
+	return 0
+}
+
+// newest returns the node with the greatest value above own, or nil.
+func newest[T cmp.Ordered](view *mesh.View, own T, value func(*mesh.State) T) *mesh.State {
+	var best *mesh.State
+	for _, s := range view.Live {
+		if value(s) > own && (best == nil || value(s) > value(best)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// fetch takes a document from a node.
+func (d *Documents) fetch(ctx context.Context, from *mesh.State, path string, f *follow.Follower) {
+	if from == nil {
+		return
+	}
+	s, err := d.get(ctx, "http://"+from.PeerAddress+path)
+	if err != nil {
+		_ = level.Warn(d.logger).Log("msg", "document not taken from a node", "peer", from.Node, "path", path, "err", err)
+		return
+	}
+	f.Adopt(*s)
+	_ = level.Info(d.logger).Log("msg", "document taken from a node", "peer", from.Node, "path", path, "cursor", s.Cursor)
+}
+
+func (d *Documents) get(ctx context.Context, url string) (*follow.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("node answered %d", response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxDocument))
+	if err != nil {
+		return nil, err
+	}
+	s := &follow.Snapshot{}
+	if err := msgpack.Unmarshal(data, s); err != nil {
+		return nil, errors.Join(errors.New("document not readable"), err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/strictjson"
+)
+
+// Settings are the settings of a node on the users' platform. Durations are
+// texts such as "2.5s".
+type Settings struct {
+	Node          string `json:"node"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	// The listeners, each as "IP:port". Callers are told CallerAddress;
+	// DirectoryAddress tells it to them.
+	CallerAddress    string `json:"callerAddress"`
+	DirectoryAddress string `json:"directoryAddress"`
+	ReadinessAddress string `json:"readinessAddress"`
+	// PeerAddress takes datagrams and document requests of other nodes. Its port
+	// is the same on all nodes.
+	PeerAddress string `json:"peerAddress"`
+	// Seeds are addresses of nodes to start with; only their IP numbers count.
+	Seeds []string `json:"seeds"`
+	// PlatformAddress is that of the platform's store.
+	PlatformAddress string `json:"platformAddress"`
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool `json:"firstStart"`
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64 `json:"memoryBytes"`
+	// StopTime is the time between the signal to stop and the end by force.
+	StopTime time.Duration `json:"stopTime"`
+	// StallTime is how long a group that lost a member accepts requests.
+	StallTime time.Duration `json:"stallTime"`
+	// AddressTTL is how long callers may keep addresses.
+	AddressTTL time.Duration `json:"addressTtl"`
+	// RetryRatio and RetryAllowance bound the repeats of all nodes together.
+	RetryRatio     float64 `json:"retryRatio"`
+	RetryAllowance float64 `json:"retryAllowance"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"logLevel"`
+}
+
+// Defaults of the settings.
+const (
+	defaultMemory     = 256 << 20
+	defaultStop       = 8 * time.Second
+	defaultStall      = 5 * time.Second
+	defaultAddressTTL = 2 * time.Second
+	defaultRetryRatio = 0.1
+	defaultAllowance  = 10
+)
+
+// DefaultSettings returns settings without names and addresses.
+func DefaultSettings() Settings {
+	return Settings{
+		MemoryBytes: defaultMemory, StopTime: defaultStop, StallTime: defaultStall,
+		AddressTTL: defaultAddressTTL, RetryRatio: defaultRetryRatio, RetryAllowance: defaultAllowance,
+		LogLevel: "info",
+	}
+}
+
+// LoadSettings reads and checks a settings file. Errors name the field.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseSettings(data)
+}
+
+// ParseSettings reads and checks settings. Fields that are left out have their
+// default.
+func ParseSettings(data []byte) (Settings, error) {
+	s := DefaultSettings()
+	var problems strictjson.Problems
+	strictjson.Decode(data, &s, &problems)
+	if problems.Empty() {
+		s.check(&problems)
+	}
+	return s, problems.Err()
+}
+
+func (s *Settings) check(p *strictjson.Problems) {
+	p.CheckName("node", s.Node)
+	p.CheckName("region", s.Region)
+	p.CheckName("failureDomain", s.FailureDomain)
+	listeners := map[string]string{}
+	for _, a := range []struct{ field, address string }{
+		{"callerAddress", s.CallerAddress}, {"directoryAddress", s.DirectoryAddress},
+		{"readinessAddress", s.ReadinessAddress}, {"peerAddress", s.PeerAddress},
+		{"platformAddress", s.PlatformAddress},
+	} {
+		if _, err := netip.ParseAddrPort(a.address); err != nil {
+			p.Add(a.field, `must be "IP:port" with a literal IP address`)
+		} else if other, taken := listeners[a.address]; taken {
+			p.Add(a.field, "must differ from %s", other)
+		}
+		listeners[a.address] = a.field
+	}
+	for i, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			p.Add(fmt.Sprintf("seeds[%d]", i), `must be "IP:port" with a literal IP address`)
+		}
+	}
+	p.CheckRange("memoryBytes", float64(s.MemoryBytes), 32<<20, 1<<40)
+	p.CheckRange("stopTime", s.StopTime.Seconds(), 1, 3600)
+	p.CheckRange("stallTime", s.StallTime.Seconds(), 0, 3600)
+	p.CheckRange("addressTtl", s.AddressTTL.Seconds(), 0.1, 300)
+	p.CheckRange("retryRatio", s.RetryRatio, 0, 10)
+	p.CheckRange("retryAllowance", s.RetryAllowance, 0, 1e6)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		p.Add("logLevel", "must be debug, info, warn or error")
+	}
+}
+
+// seedAddresses returns the peer addresses of the seeds.
+func (s *Settings) seedAddresses() []string {
+	peer := netip.MustParseAddrPort(s.PeerAddress)
+	var addresses []string
+	for _, seed := range s.Seeds {
+		ip := netip.MustParseAddrPort(seed).Addr()
+		addresses = append(addresses, netip.AddrPortFrom(ip, peer.Port()).String())
+	}
+	return addresses
+}
--- /dev/null
+++ b/entry/state.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/follow"
+	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/mesh"
+)
+
+// status is what this node tells other nodes and callers about itself.
+type status struct {
+	settings   Settings
+	world      *World
+	tables     *forward.Tables
+	dispatcher *forward.Dispatcher
+	instances  *follow.Follower
+	mesh       *mesh.Mesh
+	leaving    atomic.Bool
+}
+
+// Ready implements platform.Directory: the node has what it needs to serve.
+func (s *status) Ready() bool {
+	return !s.leaving.Load() && s.world.Configuration.Load() != nil && s.world.Roster.Load() != nil
+}
+
+// Addresses implements platform.Directory. Callers draw one at random, so all
+// serving nodes are named: those near a caller alone would be loaded unevenly.
+func (s *status) Addresses(_, _ string) ([]string, float64) {
+	var addresses []string
+	if s.Ready() {
+		addresses = append(addresses, s.settings.CallerAddress)
+	}
+	for _, other := range s.mesh.View().Live {
+		if other.Serving && !other.Leaving {
+			addresses = append(addresses, other.CallerAddress)
+		}
+	}
+	if len(addresses) > maxAddresses {
+		addresses = addresses[:maxAddresses]
+	}
+	return addresses, s.settings.AddressTTL.Seconds()
+}
+
+// maxAddresses is the number of addresses that a caller reads.
+const maxAddresses = 64
+
+// state returns what other nodes are told.
+func (s *status) state() mesh.State {
+	state := mesh.State{
+		Node: s.settings.Node, CallerAddress: s.settings.CallerAddress, PeerAddress: s.settings.PeerAddress,
+		FailureDomain: s.settings.FailureDomain, Serving: s.Ready(), Leaving: s.leaving.Load(),
+		Running: map[string]uint16{}, Demand: map[string]uint16{},
+	}
+	if c := s.world.Configuration.Load(); c != nil {
+		state.ConfigurationVersion = c.Version
+	}
+	if snapshot := s.instances.Current.Load(); snapshot != nil {
+		state.ListCursor = snapshot.Cursor
+	}
+	now := time.Now()
+	s.tables.Load().Each(func(t *forward.Target) {
+		if n := t.Load.Running(); n > 0 {
+			state.Running[t.Instance.ID] = uint16(n)
+			if t.Pool.Model != "" {
+				state.Demand[t.Pool.Model] += uint16(n)
+			}
+		}
+		if t.Load.Suspected(now) {
+			state.Suspects = append(state.Suspects, t.Instance.ID)
+		}
+	})
+	for pool, n := range s.dispatcher.Waiting() {
+		if pool.Model != "" {
+			state.Demand[pool.Model] += uint16(n)
+		}
+	}
+	return state
+}
+
+// demand sums the requests of all nodes by model.
+func (s *status) demand() map[string]float64 {
+	total := map[string]float64{}
+	own := s.state()
+	for _, state := range append(s.mesh.View().Live, &own) {
+		for model, n := range state.Demand {
+			total[model] += float64(n)
+		}
+	}
+	return total
+}
+
+// members lists the nodes for the lease, which goes to one that serves.
+func (s *status) members() *blackboard.Members {
+	own := fleet.NodeServing
+	if s.leaving.Load() {
+		own = fleet.NodeLeaving
+	}
+	now := time.Now()
+	m := &blackboard.Members{Self: s.settings.Node, All: []fleet.MemberView{{
+		Member: fleet.Member{Node: s.settings.Node, State: own}, HeardAt: now,
+	}}}
+	for _, other := range s.mesh.View().Live {
+		state := fleet.NodeServing
+		if other.Leaving {
+			state = fleet.NodeLeaving
+		}
+		m.All = append(m.All, fleet.MemberView{Member: fleet.Member{Node: other.Node, State: state}, HeardAt: now})
+	}
+	return m
+}
--- /dev/null
+++ b/follow/follower.go
@@ -0,0 +1,214 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
+	"github.com/rattanlanding/rattanlanding/object"
+)
+
+// ErrHistoryGone means that the store no longer has the changes since a cursor.
+var ErrHistoryGone = errors.New("history of the store is gone")
+
+// Event is one change.
+type Event struct {
+	Object  object.Object
+	Deleted bool
+}
+
+// Delta are the changes up to a cursor.
+type Delta struct {
+	Cursor object.Version
+	Events []Event
+}
+
+// Source is the store. Errors are object.ErrUnavailable or ErrHistoryGone.
+type Source interface {
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind string) (object.Listing, error)
+	// Changes waits until something changed after cursor, at most for wait.
+	Changes(ctx context.Context, kind string, cursor object.Version, wait time.Duration) (Delta, error)
+}
+
+// Times of a Follower.
+const (
+	// retryDelay is the pause after a failed call.
+	retryDelay = 250 * time.Millisecond
+	// settleDelay gathers changes that follow each other closely into one call.
+	settleDelay = 60 * time.Millisecond
+)
+
+// Snapshot is the copy at one moment.
+type Snapshot struct {
+	// Cursor is the store's revision that the copy stands for.
+	Cursor object.Version
+	// Objects are sorted by name.
+	Objects []object.Object
+}
+
+// Config configures a Follower.
+type Config struct {
+	Kind string
+	// Wait is the longest time that the store holds a watch back. A connection
+	// that went silent is noticed after Wait and the timeout of a call.
+	Wait time.Duration
+}
+
+// Follower keeps the copy of one kind.
+type Follower struct {
+	cfg    Config
+	source Source
+	logger log.Logger
+
+	mu      sync.Mutex
+	objects map[string]object.Object
+	cursor  object.Version
+
+	// confirmed is the time of the newest answer of the store.
+	confirmed time.Time
+	lost      bool
+
+	// Current is the newest snapshot; nil before the first one.
+	Current blackboard.Section[Snapshot]
+}
+
+// New returns a follower of a kind.
+func New(cfg Config, source Source, logger log.Logger) *Follower {
+	return &Follower{cfg: cfg, source: source, objects: map[string]object.Object{},
+		logger: log.With(logger, "component", "follow", "kind", cfg.Kind)}
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	listed := false
+	for ctx.Err() == nil {
+		var changed bool
+		var err error
+		if listed {
+			changed, err = f.watch(ctx)
+		} else {
+			err = f.list(ctx)
+		}
+		f.note(ctx, err)
+		pause := settleDelay
+		switch {
+		case err == nil:
+			listed = true
+			if !changed {
+				continue
+			}
+		case errors.Is(err, ErrHistoryGone):
+			listed = false
+			continue
+		default:
+			pause = retryDelay
+		}
+		wait.For(ctx, pause)
+	}
+	return nil
+}
+
+// note logs lost and regained contact.
+func (f *Follower) note(ctx context.Context, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		f.confirmed = time.Now()
+		if f.lost {
+			level.Info(f.logger).Log("msg", "store reachable again", "cursor", f.cursor)
+		}
+		f.lost = false
+		return
+	}
+	if !f.lost && ctx.Err() == nil {
+		level.Warn(f.logger).Log("msg", "store not reachable", "cursor", f.cursor, "err", err)
+		f.lost = true
+	}
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	listing, err := f.source.List(ctx, f.cfg.Kind)
+	if err != nil {
+		return err
+	}
+	f.Adopt(Snapshot{listing.Cursor, listing.Objects})
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) (changed bool, err error) {
+	f.mu.Lock()
+	cursor := f.cursor
+	f.mu.Unlock()
+	delta, err := f.source.Changes(ctx, f.cfg.Kind, cursor, f.cfg.Wait)
+	if err != nil {
+		return false, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cursor != cursor {
+		// A newer copy came from another node meanwhile.
+		return false, nil
+	}
+	for _, e := range delta.Events {
+		if e.Deleted {
+			delete(f.objects, e.Object.Key.Name)
+		} else {
+			f.objects[e.Object.Key.Name] = e.Object
+		}
+	}
+	f.cursor = max(f.cursor, delta.Cursor)
+	if len(delta.Events) > 0 {
+		f.publish()
+	}
+	return len(delta.Events) > 0, nil
+}
+
+// Adopt replaces the copy by a snapshot that is not older.
+func (f *Follower) Adopt(s Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Cursor < f.cursor {
+		return
+	}
+	f.cursor = s.Cursor
+	f.objects = make(map[string]object.Object, len(s.Objects))
+	for _, o := range s.Objects {
+		f.objects[o.Key.Name] = o
+	}
+	f.publish()
+}
+
+// publish shares the copy; the caller holds the lock.
+func (f *Follower) publish() {
+	objects := slices.SortedFunc(maps.Values(f.objects), func(a, b object.Object) int {
+		return strings.Compare(a.Key.Name, b.Key.Name)
+	})
+	f.Current.Publish(&Snapshot{Cursor: f.cursor, Objects: objects})
+}
+
+// Cursor returns the store's revision that the copy stands for.
+func (f *Follower) Cursor() object.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cursor
+}
+
+// SilentFor returns the time since the store's newest answer.
+func (f *Follower) SilentFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmed.IsZero() {
+		return time.Hour
+	}
+	return time.Since(f.confirmed)
+}
--- /dev/null
+++ b/formation/controller.go
@@ -0,0 +1,367 @@
+package formation
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
+)
+
+// Times of the controller.
+const (
+	// interval is the time between two looks at an unchanged list.
+	interval = 250 * time.Millisecond
+	// takeoverDelay lets the effects of the previous holder's last orders reach
+	// the list.
+	takeoverDelay = time.Second
+	// orderLifetime is how long an order without a listed effect is waited for.
+	orderLifetime = 2500 * time.Millisecond
+	// demandWeight is that of a new value in the average of the demand.
+	demandWeight = 0.06
+	// epochsPerTerm is the number of epochs that one holder can use.
+	epochsPerTerm = 1 << 20
+)
+
+// Term is a held lease.
+type Term struct {
+	// Number grows with each holder.
+	Number uint64
+	// Until is the end of the lease on this process's clock.
+	Until time.Time
+}
+
+// Ports are what the controller works with.
+type Ports struct {
+	// Term returns the lease if this node holds it.
+	Term          func() (Term, bool)
+	Configuration *blackboard.Section[catalog.Configuration]
+	Roster        *blackboard.Section[engine.Roster]
+	// Demand returns the requests of all nodes by model.
+	Demand    func() map[string]float64
+	Commander engine.Commander
+	Logger    log.Logger
+	Registry  metrics.Registry
+}
+
+// Config configures a Controller.
+type Config struct {
+	// StallTime is how long a head that lost a member accepts requests.
+	StallTime time.Duration
+	// FirstStart tells that the whole system starts for the first time, so that
+	// the first holder of the lease forms groups before there is any traffic.
+	FirstStart bool
+}
+
+// Controller carries out plans while this node holds the lease.
+type Controller struct {
+	cfg Config
+	Ports
+	orders metrics.Counter
+
+	mu        sync.Mutex
+	term      uint64
+	since     time.Time
+	nextEpoch uint64
+	ordered   map[string]order
+	formed    map[engine.GroupID]Formation
+	headLost  map[engine.GroupID]HeadLoss
+	lastHead  map[engine.GroupID]*engine.Instance
+	seen      map[engine.GroupID]time.Time
+	demand    map[string]float64
+	// unsafeUntil keeps instances out of new groups whose old head may still run.
+	unsafeUntil map[string]time.Time
+	loads       loadLimit
+}
+
+// order is a command whose effect isn't listed yet.
+type order struct {
+	engine.Command
+	until time.Time
+}
+
+// NewController returns a controller.
+func NewController(cfg Config, ports Ports) *Controller {
+	c := &Controller{cfg: cfg, Ports: ports, orders: metrics.GetOrRegisterCounter("formation.orders", ports.Registry)}
+	c.Logger = log.With(ports.Logger, "component", "formation")
+	return c
+}
+
+// Run forms groups until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := c.Roster.Changed()
+		c.step(ctx)
+		limited, cancel := context.WithTimeout(ctx, interval)
+		select {
+		case <-changed:
+		case <-limited.Done():
+		}
+		cancel()
+		// Changes that come together are handled together.
+		wait.For(ctx, 20*time.Millisecond)
+	}
+	return nil
+}
+
+// step makes a plan and carries it out.
+func (c *Controller) step(ctx context.Context) {
+	term, held := c.Term()
+	configuration, roster := c.Configuration.Load(), c.Roster.Load()
+	if !held || configuration == nil || roster == nil {
+		return
+	}
+	service := configuration.ModelService()
+	if service == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.term != term.Number {
+		c.takeOver(term, roster.ByService[service.Name], now)
+	}
+	for _, g := range roster.Groups[service.Name] {
+		c.nextEpoch = max(c.nextEpoch, g.ID.Epoch+1)
+	}
+	s := c.situation(service, roster, now)
+	if now.Sub(c.since) < takeoverDelay && len(s.Groups) > 0 {
+		return
+	}
+	c.carryOut(ctx, Make(s))
+	c.freeOrphans(ctx, s)
+}
+
+// takeOver starts a term with nothing but the list. An instance that was in a
+// group and left it may have been ordered to by the previous holder because its
+// head is missing, and that head may still serve.
+func (c *Controller) takeOver(term Term, instances []*engine.Instance, now time.Time) {
+	c.term, c.since = term.Number, now
+	c.nextEpoch = term.Number * epochsPerTerm
+	c.ordered, c.formed = map[string]order{}, map[engine.GroupID]Formation{}
+	c.headLost, c.lastHead = map[engine.GroupID]HeadLoss{}, map[engine.GroupID]*engine.Instance{}
+	c.seen, c.demand = map[engine.GroupID]time.Time{}, map[string]float64{}
+	c.unsafeUntil = map[string]time.Time{}
+	for _, in := range instances {
+		if in.Model != "" && in.Membership.Group == "" {
+			c.unsafeUntil[in.ID] = now.Add(c.cfg.StallTime + stallMargin)
+		}
+	}
+	_ = level.Info(c.Logger).Log("msg", "forming groups from now on", "term", term.Number, "instances", len(instances))
+}
+
+func (c *Controller) situation(service *catalog.Service, roster *engine.Roster, now time.Time) *Situation {
+	s := &Situation{
+		Profile: service.Engine, Instances: roster.ByService[service.Name], Groups: roster.Groups[service.Name],
+		UnsafeUntil: c.unsafeUntil,
+		Demand:      c.average(), Ordered: map[string]bool{}, Formed: c.formed, HeadLost: c.headLost, SeenSince: c.seen,
+		StallTime: c.cfg.StallTime, Now: now,
+	}
+	c.settle(s)
+	c.trackGroups(s)
+	began := !c.cfg.FirstStart || c.term > 1 || len(s.Demand) > 0
+	s.Loads = c.loads.available(service.Engine, c.loading(s), began, now)
+	return s
+}
+
+// average follows the demand over some seconds; it is empty before the first
+// request.
+func (c *Controller) average() map[string]float64 {
+	for model, n := range c.Demand() {
+		old, known := c.demand[model]
+		if !known {
+			old = n
+		}
+		c.demand[model] = old + demandWeight*(n-old)
+	}
+	return c.demand
+}
+
+// settle drops orders whose effect is listed, and those that are too old.
+func (c *Controller) settle(s *Situation) {
+	for id, o := range c.ordered {
+		in := s.instance(id)
+		if s.Now.After(o.until) || (in != nil && o.effective(in)) {
+			delete(c.ordered, id)
+			continue
+		}
+		s.Ordered[id] = true
+	}
+}
+
+// effective reports whether the list shows the effect of the order.
+func (o *order) effective(in *engine.Instance) bool {
+	m := in.Membership
+	same := m.Group == o.Group.Name && m.Epoch == o.Group.Epoch
+	switch o.Operation {
+	case engine.Join:
+		return same
+	case engine.OpenHead:
+		return !same || m.Phase == engine.Open
+	case engine.CloseHead:
+		return !same || m.Phase != engine.Open
+	case engine.Leave:
+		return !same
+	}
+	return true
+}
+
+// trackGroups remembers heads and notes when they disappear.
+func (c *Controller) trackGroups(s *Situation) {
+	listed := map[engine.GroupID]bool{}
+	for _, g := range s.Groups {
+		listed[g.ID] = true
+		if _, known := c.seen[g.ID]; !known {
+			c.seen[g.ID] = s.Now
+		}
+		if head := g.Head(); head != nil {
+			c.lastHead[g.ID] = head
+			delete(c.headLost, g.ID)
+		} else if _, known := c.headLost[g.ID]; !known {
+			c.headLost[g.ID] = HeadLoss{Since: s.Now, Head: c.lastHead[g.ID]}
+			_ = level.Warn(c.Logger).Log("msg", "head of a group is missing", "group", g.ID.Name, "epoch", g.ID.Epoch)
+		}
+	}
+	for id := range c.seen {
+		if !listed[id] {
+			delete(c.seen, id)
+			delete(c.headLost, id)
+			delete(c.lastHead, id)
+		}
+	}
+	for id, f := range c.formed {
+		if !listed[id] && s.Now.Sub(f.At) > orderLifetime+joinSlack {
+			delete(c.formed, id)
+		}
+	}
+}
+
+// loading counts the loads that are under way.
+func (c *Controller) loading(s *Situation) int {
+	n := 0
+	for _, in := range s.Instances {
+		joining := in.Membership.Phase == engine.Joining && !slices.Contains(in.Staged, in.Model)
+		if joining || s.Ordered[in.ID] {
+			n++
+		}
+	}
+	return n
+}
+
+// carryOut sends the commands of a plan.
+func (c *Controller) carryOut(ctx context.Context, p Plan) {
+	for _, command := range p.Commands {
+		_ = level.Info(c.Logger).Log("msg", "order", "operation", command.Operation, "group", command.Group.Name,
+			"instance", command.Instance, "cut", command.CutRunning)
+		c.send(ctx, command)
+	}
+	for _, d := range p.Groups {
+		c.form(ctx, d)
+	}
+}
+
+// form orders the members of a new group to join.
+func (c *Controller) form(ctx context.Context, d Draft) {
+	id := engine.GroupID{Name: groupName(c.nextEpoch), Epoch: c.nextEpoch}
+	c.nextEpoch++
+	f := Formation{Model: d.Model, At: time.Now()}
+	for _, in := range d.Members {
+		f.Members = append(f.Members, in.ID)
+	}
+	c.formed[id] = f
+	c.loads.take(d.Loads)
+	_ = level.Info(c.Logger).Log("msg", "forming group", "group", id.Name, "epoch", id.Epoch, "model", d.Model,
+		"domain", d.Members[0].FabricDomain, "head", f.Members[0], "loads", d.Loads)
+	for _, in := range d.Members {
+		c.send(ctx, engine.Command{Operation: engine.Join, Instance: in.ID, Address: in.Address,
+			Group: id, Model: d.Model, Members: f.Members})
+	}
+}
+
+// send sends a command while the lease holds. The caller holds the lock.
+func (c *Controller) send(ctx context.Context, command engine.Command) {
+	c.ordered[command.Instance] = order{command, time.Now().Add(orderLifetime)}
+	c.orders.Inc(1)
+	term := c.term
+	go func() {
+		if held, ok := c.Term(); !ok || held.Number != term {
+			return
+		}
+		err := c.Commander.Send(ctx, command)
+		c.outcome(term, command, err)
+	}()
+}
+
+// outcome records the answer to a command.
+func (c *Controller) outcome(term uint64, command engine.Command, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term != term {
+		return
+	}
+	if err != nil {
+		_ = level.Warn(c.Logger).Log("msg", "order failed", "operation", command.Operation,
+			"group", command.Group.Name, "instance", command.Instance, "err", err)
+	}
+	loss, lost := c.headLost[command.Group]
+	switch {
+	case lost && command.Operation == engine.CloseHead && errors.Is(err, syscall.ECONNREFUSED):
+		loss.Refused = true
+		c.headLost[command.Group] = loss
+	case errors.Is(err, engine.ErrRefused) && command.Operation != engine.Join:
+		// The state has changed since; the next look at the list tells.
+		if o, ok := c.ordered[command.Instance]; ok && cmp.Compare(o.Operation, command.Operation) == 0 {
+			o.until = time.Now().Add(refusedPause)
+			c.ordered[command.Instance] = o
+		}
+	}
+}
+
+// refusedPause is the time before a refused order is considered again.
+const refusedPause = 400 * time.Millisecond
+
+// freeOrphans breaks groups whose head is missing from the list: the head may
+// still serve, and its members may not be used before it certainly doesn't.
+func (c *Controller) freeOrphans(ctx context.Context, s *Situation) {
+	for id, loss := range c.headLost {
+		g := s.group(id)
+		if g == nil || loss.Refused || !loss.MembersLeftAt.IsZero() {
+			continue
+		}
+		if loss.Head != nil && s.Now.Sub(loss.Since) < headAnswerTime {
+			if _, sent := c.ordered[loss.Head.ID]; !sent {
+				c.send(ctx, engine.Command{Operation: engine.CloseHead, Instance: loss.Head.ID,
+					Address: loss.Head.Address, Group: id, CutRunning: true})
+			}
+			continue
+		}
+		c.releaseMembers(ctx, s, g)
+	}
+}
+
+// headAnswerTime is how long a missing head is asked to close.
+const headAnswerTime = 700 * time.Millisecond
+
+// releaseMembers orders the members of a group without head to leave.
+func (c *Controller) releaseMembers(ctx context.Context, s *Situation, g *engine.Group) {
+	loss := c.headLost[g.ID]
+	loss.MembersLeftAt = s.Now
+	c.headLost[g.ID] = loss
+	for _, in := range g.Members {
+		c.unsafeUntil[in.ID] = s.Now.Add(c.cfg.StallTime + stallMargin)
+		if !s.Ordered[in.ID] {
+			c.send(ctx, engine.Command{Operation: engine.Leave, Instance: in.ID, Address: in.Address, Group: g.ID})
+		}
+	}
+}
--- /dev/null
+++ b/formation/need.go
@@ -0,0 +1,106 @@
+package formation
+
+import (
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/engine"
+)
+
+const (
+	// baseDemand is added to each model's demand, in requests, so that a model
+	// without traffic keeps groups.
+	baseDemand = 4
+	// warmValue is the worth of members that need no load, as a part of the
+	// groups that a model needs.
+	warmValue = 0.25
+)
+
+// needs compares the groups of each model with those that its demand asks for.
+type needs struct {
+	// target is the number of groups by model, have those that exist or form.
+	target map[string]float64
+	have   map[string]float64
+	models []catalog.Model
+}
+
+// needs divides all instances between the models by their demand.
+func (s *Situation) needs() *needs {
+	n := &needs{target: map[string]float64{}, have: map[string]float64{}, models: s.Profile.Models}
+	weights := s.weights()
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	usable := 0.0
+	for _, in := range s.Instances {
+		if !in.Leaving {
+			usable++
+		}
+	}
+	for _, m := range s.Profile.Models {
+		if total > 0 {
+			n.target[m.Name] = usable * weights[m.Name] / total / float64(m.Size)
+		}
+	}
+	for _, g := range s.Groups {
+		if s.keeps(g) {
+			n.have[g.Model]++
+		}
+	}
+	return n
+}
+
+// weights returns the instances that each model's demand occupies, in any unit.
+func (s *Situation) weights() map[string]float64 {
+	weights := map[string]float64{}
+	for _, m := range s.Profile.Models {
+		if len(s.Demand) == 0 {
+			weights[m.Name] = max(m.Share, 0.01)
+			continue
+		}
+		weights[m.Name] = (s.Demand[m.Name] + baseDemand) * float64(m.Size)
+	}
+	return weights
+}
+
+// keeps reports whether a group serves or will.
+func (s *Situation) keeps(g *engine.Group) bool {
+	size := s.size(g)
+	if size == 0 {
+		return false
+	}
+	head := g.Head()
+	if g.Whole(size) {
+		return head != nil && head.Membership.Phase != engine.Closing
+	}
+	return head != nil && head.Membership.Phase == engine.Joining && !s.abandoned(g)
+}
+
+func (n *needs) add(model string) { n.have[model]++ }
+
+// shortage is the missing part of the groups that a model needs; it is negative
+// for a model with more.
+func (n *needs) shortage(model string) float64 {
+	target := max(n.target[model], 0.5)
+	return (target - n.have[model]) / target
+}
+
+// wants reports whether free instances may be given to the model. A model that
+// has enough doesn't take the instances that a larger one waits for.
+func (n *needs) wants(model *catalog.Model, free []*engine.Instance) bool {
+	if n.shortage(model.Name) > 0 {
+		return true
+	}
+	for _, other := range n.models {
+		if other.Name != model.Name && n.shortage(other.Name) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// value ranks drafts: the model that misses most first, and members that have
+// its weights.
+func (n *needs) value(model *catalog.Model, d *Draft) float64 {
+	warm := float64(len(d.Members)-d.Loads) / float64(len(d.Members))
+	return n.shortage(model.Name) + warmValue*warm
+}
--- /dev/null
+++ b/formation/situation.go
@@ -0,0 +1,83 @@
+package formation
+
+import (
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/engine"
+)
+
+// Situation is what a plan is made from.
+type Situation struct {
+	Profile   *catalog.EngineProfile
+	Instances []*engine.Instance
+	Groups    []*engine.Group
+	// Demand is the number of requests that run or wait, by model, averaged over
+	// some seconds; empty before the first traffic.
+	Demand map[string]float64
+	// Ordered names instances with an order whose effect isn't listed yet.
+	Ordered map[string]bool
+	// Formed are the member lists of the groups that this holder ordered.
+	Formed map[engine.GroupID]Formation
+	// HeadLost tells since when a group's head is missing from the list.
+	HeadLost map[engine.GroupID]HeadLoss
+	// UnsafeUntil keeps instances that left a group out of new ones, until the
+	// group's head certainly runs nothing.
+	UnsafeUntil map[string]time.Time
+	// SeenSince tells since when this holder has known a group.
+	SeenSince map[engine.GroupID]time.Time
+	// Loads is the number of loads from the weight store that may start now.
+	Loads int
+	// StallTime is how long a head that lost a member accepts requests.
+	StallTime time.Duration
+	Now       time.Time
+}
+
+// Formation is a group that was ordered.
+type Formation struct {
+	Model   string
+	Members []string
+	At      time.Time
+}
+
+// HeadLoss is what is known of a head that is no longer listed.
+type HeadLoss struct {
+	// Since is when the head was found missing.
+	Since time.Time
+	// Head is its last entry; nil if this holder never saw it.
+	Head *engine.Instance
+	// Refused tells that nothing listens at the head's address any more.
+	Refused bool
+	// MembersLeftAt is when the remaining members had left the group, so that a
+	// head that still runs breaks; zero before.
+	MembersLeftAt time.Time
+}
+
+// group returns the listed group with the given ID, or nil.
+func (s *Situation) group(id engine.GroupID) *engine.Group {
+	for _, g := range s.Groups {
+		if g.ID == id {
+			return g
+		}
+	}
+	return nil
+}
+
+// instance returns the listed instance with the given ID, or nil.
+func (s *Situation) instance(id string) *engine.Instance {
+	for _, in := range s.Instances {
+		if in.ID == id {
+			return in
+		}
+	}
+	return nil
+}
+
+// size returns the number of members that the group needs, or 0 if its model
+// isn't configured any more.
+func (s *Situation) size(g *engine.Group) int {
+	if m := s.Profile.Model(g.Model); m != nil {
+		return m.Size
+	}
+	return 0
+}
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/upstream"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// Times that callers are told to wait.
+const (
+	// fullRetry is the mean time after which a place is likely free: about the
+	// length of a stream.
+	fullRetry = 900 * time.Millisecond
+	// noTargetRetry is the mean time in which a group is formed from engines
+	// that have its weights.
+	noTargetRetry = 1300 * time.Millisecond
+)
+
+// noPlace turns a failure to get a place into an answer.
+func (h *Handler) noPlace(c *call, err error) *verdict.Error {
+	v := verdict.NotRun
+	if c.mayHaveRun {
+		v = verdict.MayHaveRun
+	}
+	if errors.Is(err, ErrNoTarget) {
+		return verdict.New(v, verdict.ReasonNoServer, "no backend server can run the request").
+			WithRetryAfter(spread(noTargetRetry))
+	}
+	return verdict.New(v, verdict.ReasonOverloaded, "all places are taken").WithRetryAfter(spread(fullRetry))
+}
+
+// spread draws a time between half and one and a half of d, so that callers who
+// were refused together don't return together.
+func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// final returns the answer for the last error of a request: what an earlier
+// attempt may have done counts for the verdict.
+func (c *call) final(err *verdict.Error) *verdict.Error {
+	changed := *err
+	if c.mayHaveRun {
+		changed.Verdict = verdict.MayHaveRun
+	}
+	if !time.Now().Before(c.deadline) {
+		changed.Reason = verdict.ReasonDeadline
+	}
+	return &changed
+}
+
+// refuse answers with an error of the system's own.
+func (h *Handler) refuse(c *call, err *verdict.Error) {
+	status := statusOf(err)
+	h.metrics.refused(status)
+	_ = level.Info(h.Logger).Log("msg", "refused", "request", c.ID, "status", status, "verdict", err.Verdict,
+		"reason", err.Reason, "field", err.Field, "sends", c.sends, "waited_ms", time.Since(c.started).Milliseconds(),
+		"retry_after_ms", err.RetryAfter.Milliseconds(), "err", err)
+	header := c.writer.Header()
+	h.Codec.EncodeOwnAnswer(header, c.ID)
+	if err.RetryAfter > 0 && err.Verdict == verdict.NotRun {
+		header.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	setLength(header, 0)
+	c.writer.WriteHeader(status)
+}
+
+// statusOf returns the status of an error. Only a request that certainly has not
+// run gets a status that tells callers so.
+func statusOf(err *verdict.Error) int {
+	notRun := err.Verdict == verdict.NotRun
+	switch {
+	case notRun && (err.Reason == verdict.ReasonBackendFailed || err.Reason == verdict.ReasonDeadline):
+		return http.StatusServiceUnavailable
+	case notRun:
+		return err.Status()
+	case err.Reason == verdict.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// abandon ends a request whose caller is gone.
+func (h *Handler) abandon(c *call) {
+	h.metrics.abandoned.Inc(1)
+	_ = level.Debug(h.Logger).Log("msg", "caller left", "request", c.ID, "sends", c.sends)
+	panic(http.ErrAbortHandler)
+}
+
+// copyHeader sets the end-to-end headers of an answer.
+func copyHeader(to, from http.Header) {
+	for name, values := range upstream.EndToEnd(from) {
+		to[name] = values
+	}
+}
+
+func setLength(header http.Header, n int) { header.Set("Content-Length", strconv.Itoa(n)) }
+
+// handlerMetrics are the metrics of the request path.
+type handlerMetrics struct {
+	registry   metrics.Registry
+	repeats    metrics.Counter
+	broken     metrics.Counter
+	abandoned  metrics.Counter
+	firstEvent metrics.Timer
+	duration   metrics.Timer
+}
+
+func newHandlerMetrics(r metrics.Registry) handlerMetrics {
+	return handlerMetrics{
+		registry:   r,
+		repeats:    metrics.GetOrRegisterCounter("forward.repeats", r),
+		broken:     metrics.GetOrRegisterCounter("forward.streams_broken_off", r),
+		abandoned:  metrics.GetOrRegisterCounter("forward.callers_left", r),
+		firstEvent: metrics.GetOrRegisterTimer("forward.first_event", r),
+		duration:   metrics.GetOrRegisterTimer("forward.duration", r),
+	}
+}
+
+func (m *handlerMetrics) answered(c *call, status int) {
+	m.duration.UpdateSince(c.started)
+	metrics.GetOrRegisterCounter("forward.answers."+strconv.Itoa(status), m.registry).Inc(1)
+}
+
+func (m *handlerMetrics) refused(status int) {
+	metrics.GetOrRegisterCounter("forward.refusals."+strconv.Itoa(status), m.registry).Inc(1)
+}
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/upstream"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// connectionShare is the number of nodes over which the connections of a backend
+// server are divided with room to spare.
+const connectionShare = 1.2
+
+// noEnginePriority leaves the rank at the engine to its default.
+const noEnginePriority = -1
+
+// send sends the request once and reads the head of the answer. The error's
+// verdict tells whether the backend server may have run it.
+func (h *Handler) send(ctx context.Context, c *call, place *Place, lastEventID string, watch upstream.Watch) (*upstream.Answer, *verdict.Error) {
+	c.tried[place.Instance.ID] = true
+	c.sends++
+	fresh := c.route.Kind == catalog.Unsafe
+	conn, err := h.Pool.Get(ctx, place.Instance.Address, fresh, h.connectionLimit(c.service))
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "no connection").WithCause(err)
+	}
+	header := upstream.EndToEnd(c.request.Header)
+	h.Codec.EncodeRequest(header, Attempt{
+		Organisation: c.organisationName(),
+		Instance:     place.Instance.ID,
+		Left:         time.Until(c.deadline),
+		LastEventID:  lastEventID,
+		Priority:     noEnginePriority,
+	})
+	answer, err := conn.Do(ctx, &upstream.Request{
+		Method: c.request.Method, Target: c.target, Host: c.request.Host, Header: header, Body: c.body,
+		Watch: watch,
+		Mine: func(status int, header http.Header) bool {
+			return h.Codec.DecodeAnswer(status, header).RequestID == c.ID
+		},
+	})
+	if err != nil {
+		c.runs++
+		c.mayHaveRun = true
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "no answer").WithCause(err)
+	}
+	if h.Codec.DecodeAnswer(answer.Status, answer.Header).NotRun {
+		answer.Abort()
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "backend server answered %d", answer.Status)
+	}
+	c.runs++
+	c.mayHaveRun = true
+	return answer, nil
+}
+
+// connectionLimit returns this node's part of the connections that a backend
+// server accepts.
+func (h *Handler) connectionLimit(s *catalog.Service) int {
+	if s.MaxConnections <= 0 {
+		return 0
+	}
+	return max(int(float64(s.MaxConnections)/(connectionShare*float64(max(h.Peers.Nodes(), 1)))), 1)
+}
+
+func (c *call) organisationName() string {
+	if c.organisation == nil {
+		return ""
+	}
+	return c.organisation.Name
+}
+
+// pool returns the targets that can run the request.
+func (c *call) pool() Pool {
+	if c.service.Engine == nil {
+		return Pool{Service: c.service.Name}
+	}
+	return Pool{Service: c.service.Name, Model: c.Model}
+}
--- /dev/null
+++ b/forward/choose.go
@@ -0,0 +1,61 @@
+package forward
+
+// Candidate is what the choice of a target reads.
+type Candidate struct {
+	// Requests is the estimated number of requests there, from all nodes.
+	Requests float64
+	// PromptTokens is the prompt that this node has sent there and that is not
+	// read yet.
+	PromptTokens float64
+	Slots        int
+	// Near tells that the target is in this node's failure domain.
+	Near bool
+	// Avoid tells that the target was tried before or is suspected.
+	Avoid bool
+}
+
+const (
+	// promptWeight is the load of a prompt token against that of a running
+	// request. A batch of 17 requests makes a token step a fifth longer, and
+	// reading 2,000 tokens delays it by about the time of one event.
+	promptWeight = 1.0 / 2000
+	// distanceWeight is the load, in requests, that a target in this failure
+	// domain may have more than one elsewhere, since bytes between domains cost.
+	distanceWeight = 0.6
+	// overcommit is the part of the slots that may wait at a target beside those
+	// that run. Short waits there fill a freed place at once.
+	overcommit = 0.12
+)
+
+// score is the load of a candidate in requests.
+func (c *Candidate) score() float64 {
+	s := c.Requests + c.PromptTokens*promptWeight
+	if !c.Near {
+		s += distanceWeight
+	}
+	return s
+}
+
+// hasPlace reports whether another request can soon start at the candidate.
+func (c *Candidate) hasPlace() bool {
+	return c.Requests < float64(c.Slots)*(1+overcommit)
+}
+
+// Choose returns the index of the least loaded candidate that has a place, or
+// -1. It answers to the load of all nodes as known here: requests in progress,
+// and prompts that this node has sent. Ties go to the candidate that start names,
+// so that nodes with the same news don't choose alike.
+func Choose(candidates []Candidate, start int) int {
+	best := -1
+	for i := range candidates {
+		at := (i + start) % len(candidates)
+		c := &candidates[at]
+		if c.Avoid || !c.hasPlace() {
+			continue
+		}
+		if best < 0 || c.score() < candidates[best].score() {
+			best = at
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/forward/dispatch.go
@@ -0,0 +1,241 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+)
+
+// Peers tells what other nodes have sent. Implementations are safe for
+// concurrent use.
+type Peers interface {
+	// Running returns the requests of other nodes at an instance.
+	Running(instance string) int
+	// Nodes returns the number of nodes that serve, this one among them.
+	Nodes() int
+}
+
+// Errors of Acquire.
+var (
+	// ErrNoTarget means that no backend server can run the request now.
+	ErrNoTarget = errors.New("no backend server for the request")
+	// ErrFull means that every place is taken and the queue is too long.
+	ErrFull = errors.New("all places are taken")
+)
+
+// maxQueueWait is the longest wait for a place. Callers leave streams after two
+// seconds without an event.
+const maxQueueWait = 1200 * time.Millisecond
+
+// recheckInterval is how often waiting requests look for a place that another
+// node gave back.
+const recheckInterval = 25 * time.Millisecond
+
+// Dispatcher hands out the places at backend servers.
+type Dispatcher struct {
+	tables        *Tables
+	peers         Peers
+	failureDomain string
+
+	mu      sync.Mutex
+	waiting map[Pool][]*waiter
+}
+
+// waiter is a request that waits for a place.
+type waiter struct {
+	rank  int
+	found chan *Target
+	avoid map[string]bool
+	// prompt is the length of the request's prompt in tokens.
+	prompt int
+}
+
+// NewDispatcher returns a dispatcher over the newest table.
+func NewDispatcher(tables *Tables, peers Peers, failureDomain string) *Dispatcher {
+	return &Dispatcher{tables: tables, peers: peers, failureDomain: failureDomain, waiting: map[Pool][]*waiter{}}
+}
+
+// Want is a request for a place.
+type Want struct {
+	Pool Pool
+	// Rank orders waiting requests; lower ones go first.
+	Rank int
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// Avoid names instances that were tried before.
+	Avoid map[string]bool
+	// Wait bounds the time in the queue.
+	Wait time.Duration
+}
+
+// Place is a taken place. It is released once.
+type Place struct {
+	*Target
+	dispatcher *Dispatcher
+	prompt     atomicOnce
+}
+
+// atomicOnce is the prompt that is still counted.
+type atomicOnce struct {
+	mu     sync.Mutex
+	tokens int
+}
+
+func (a *atomicOnce) take() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := a.tokens
+	a.tokens = 0
+	return n
+}
+
+// PromptRead tells that the engine has read the prompt.
+func (p *Place) PromptRead() { p.Load.prompts.Add(-int64(p.prompt.take())) }
+
+// Release gives the place back.
+func (p *Place) Release() {
+	p.PromptRead()
+	p.Load.running.Add(-1)
+	p.dispatcher.serve(p.Pool)
+}
+
+// Acquire returns a place for the request, after a wait if all are taken.
+func (d *Dispatcher) Acquire(ctx context.Context, w Want) (*Place, error) {
+	me := &waiter{rank: w.Rank, found: make(chan *Target, 1), avoid: w.Avoid, prompt: w.PromptTokens}
+	d.mu.Lock()
+	if len(d.tables.Load().Targets(w.Pool)) == 0 {
+		d.mu.Unlock()
+		return nil, ErrNoTarget
+	}
+	if target := d.pick(w.Pool, me); target != nil {
+		d.mu.Unlock()
+		return d.place(target, w.PromptTokens), nil
+	}
+	if w.Wait <= 0 {
+		d.mu.Unlock()
+		return nil, ErrFull
+	}
+	d.enqueue(w.Pool, me)
+	d.mu.Unlock()
+	return d.wait(ctx, w, me)
+}
+
+func (d *Dispatcher) wait(ctx context.Context, w Want, me *waiter) (*Place, error) {
+	limit := time.NewTimer(min(w.Wait, maxQueueWait))
+	defer limit.Stop()
+	recheck := time.NewTicker(recheckInterval)
+	defer recheck.Stop()
+	for {
+		select {
+		case target := <-me.found:
+			return d.place(target, w.PromptTokens), nil
+		case <-recheck.C:
+			d.serve(w.Pool)
+			continue
+		case <-limit.C:
+		case <-ctx.Done():
+		}
+		if target := d.withdraw(w.Pool, me); target != nil {
+			return d.place(target, w.PromptTokens), nil
+		}
+		return nil, ErrFull
+	}
+}
+
+func (d *Dispatcher) place(t *Target, prompt int) *Place {
+	return &Place{Target: t, dispatcher: d, prompt: atomicOnce{tokens: prompt}}
+}
+
+// enqueue adds a waiter behind those of its rank; the caller holds the lock.
+func (d *Dispatcher) enqueue(p Pool, w *waiter) {
+	queue := d.waiting[p]
+	at := len(queue)
+	for at > 0 && queue[at-1].rank > w.rank {
+		at--
+	}
+	d.waiting[p] = slices.Insert(queue, at, w)
+}
+
+// withdraw removes a waiter and returns the target it was given meanwhile.
+func (d *Dispatcher) withdraw(p Pool, w *waiter) *Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at := slices.Index(d.waiting[p], w); at >= 0 {
+		d.waiting[p] = slices.Delete(d.waiting[p], at, at+1)
+		return nil
+	}
+	return <-w.found
+}
+
+// serve gives free places to waiting requests.
+func (d *Dispatcher) serve(p Pool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	queue := d.waiting[p]
+	left := queue[:0]
+	for _, w := range queue {
+		if target := d.pick(p, w); target != nil {
+			w.found <- target
+		} else {
+			left = append(left, w)
+		}
+	}
+	clear(queue[len(left):])
+	if len(left) == 0 {
+		delete(d.waiting, p)
+		return
+	}
+	d.waiting[p] = left
+}
+
+// pick chooses a target and counts the request there; the caller holds the lock.
+func (d *Dispatcher) pick(p Pool, w *waiter) *Target {
+	targets := d.tables.Load().Targets(p)
+	if len(targets) == 0 {
+		return nil
+	}
+	now := time.Now()
+	candidates := make([]Candidate, len(targets))
+	for i, t := range targets {
+		candidates[i] = Candidate{
+			Requests:     float64(t.Load.Running() + d.peers.Running(t.Instance.ID)),
+			PromptTokens: float64(t.Load.prompts.Load()),
+			Slots:        t.Slots,
+			Near:         t.Instance.FailureDomain == d.failureDomain,
+			Avoid:        w.avoid[t.Instance.ID] || t.Load.Suspected(now),
+		}
+	}
+	best := Choose(candidates, rand.IntN(len(candidates)))
+	if best < 0 {
+		return nil
+	}
+	load := targets[best].Load
+	load.running.Add(1)
+	load.prompts.Add(int64(w.prompt))
+	return targets[best]
+}
+
+// Waiting returns the number of waiting requests by pool.
+func (d *Dispatcher) Waiting() map[Pool]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := make(map[Pool]int, len(d.waiting))
+	for p, queue := range d.waiting {
+		counts[p] = len(queue)
+	}
+	return counts
+}
+
+// rank orders requests: by the organisation's priority where it has one, else by
+// the route's.
+func rank(r *catalog.Route, o *catalog.Organisation) int {
+	if o != nil && o.HasPriority {
+		return o.Priority*10 + r.Priority
+	}
+	return r.Priority * 10
+}
--- /dev/null
+++ b/forward/plain.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/upstream"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// maxBuffered is the length in bytes up to which an answer is held until it is
+// whole, so that a broken one can be repeated or reported.
+const maxBuffered = 8 << 20
+
+// plain answers a request with one whole answer.
+func (h *Handler) plain(ctx context.Context, c *call) {
+	for {
+		err := h.plainAttempt(ctx, c)
+		if err == nil {
+			return
+		}
+		if c.request.Context().Err() != nil {
+			h.abandon(c)
+			return
+		}
+		if !h.mayRepeat(ctx, c) {
+			h.refuse(c, c.final(err))
+			return
+		}
+		_ = level.Info(h.Logger).Log("msg", "request sent again", "request", c.ID, "sends", c.sends, "err", err)
+	}
+}
+
+// plainAttempt sends the request once and delivers a whole answer.
+func (h *Handler) plainAttempt(ctx context.Context, c *call) *verdict.Error {
+	place, err := h.Dispatcher.Acquire(ctx, Want{Pool: c.pool(), Rank: rank(c.route, c.organisation),
+		Avoid: c.tried, Wait: time.Until(c.deadline) / 2})
+	if err != nil {
+		return h.noPlace(c, err)
+	}
+	defer place.Release()
+	answer, failed := h.send(ctx, c, place, "", nil)
+	if failed != nil {
+		h.observe(place, failed)
+		return failed
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
+	if err != nil || len(body) > maxBuffered {
+		answer.Abort()
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the answer broke off").WithCause(err)
+	}
+	if answer.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe && h.mayRepeat(ctx, c) {
+		// Another backend server may do better; its failure would be the answer.
+		if h.plainAttempt(ctx, c) == nil {
+			return nil
+		}
+	}
+	h.deliver(c, answer, body)
+	return nil
+}
+
+// observe keeps requests away from a backend server that failed.
+func (h *Handler) observe(place *Place, err *verdict.Error) {
+	if err.Reason == verdict.ReasonBackendFailed {
+		place.Load.Suspect(time.Now().Add(suspectTime))
+	}
+}
+
+// deliver passes a whole answer on.
+func (h *Handler) deliver(c *call, answer *upstream.Answer, body []byte) {
+	copyHeader(c.writer.Header(), answer.Header)
+	if c.request.Method != http.MethodHead {
+		setLength(c.writer.Header(), len(body))
+	}
+	c.writer.WriteHeader(answer.Status)
+	if _, err := c.writer.Write(body); err != nil {
+		h.abandon(c)
+		return
+	}
+	h.metrics.answered(c, answer.Status)
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,235 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/upstream"
+	"github.com/rattanlanding/rattanlanding/verdict"
+)
+
+// stream is the state of a streamed answer over all its attempts.
+type stream struct {
+	*call
+	// begun tells that the head of the answer was sent to the caller.
+	begun bool
+	// lastEventID is the last event that the caller has.
+	lastEventID string
+	flusher     *http.ResponseController
+	// moved counts the attempts that ended before the stream did.
+	moved int
+}
+
+// stream answers a request with events, from as many engines as it takes.
+func (h *Handler) stream(ctx context.Context, c *call) {
+	s := &stream{call: c, lastEventID: c.LastEventID, flusher: http.NewResponseController(c.writer)}
+	for {
+		err := h.streamAttempt(ctx, s)
+		if err == nil {
+			h.metrics.answered(c, http.StatusOK)
+			return
+		}
+		if c.request.Context().Err() != nil {
+			h.abandon(c)
+			return
+		}
+		if !h.mayRepeat(ctx, c) {
+			h.endStream(s, err)
+			return
+		}
+		s.moved++
+		_ = level.Info(h.Logger).Log("msg", "stream goes on elsewhere", "request", c.ID, "sends", c.sends,
+			"last_event", s.lastEventID, "begun", s.begun, "err", err)
+	}
+}
+
+// endStream gives the final answer of a stream that can't go on.
+func (h *Handler) endStream(s *stream, err *verdict.Error) {
+	if !s.begun {
+		h.refuse(s.call, s.final(err))
+		return
+	}
+	h.metrics.broken.Inc(1)
+	_ = level.Warn(h.Logger).Log("msg", "stream broken off", "request", s.ID, "last_event", s.lastEventID,
+		"sends", s.sends, "err", err)
+	// An aborted connection is the only sign that the answer isn't whole.
+	panic(http.ErrAbortHandler)
+}
+
+// streamAttempt sends the request once and passes its events on.
+func (h *Handler) streamAttempt(ctx context.Context, s *stream) *verdict.Error {
+	place, err := h.Dispatcher.Acquire(ctx, Want{Pool: s.pool(), Rank: rank(s.route, s.organisation),
+		PromptTokens: s.PromptTokens, Avoid: s.tried, Wait: time.Until(s.deadline)})
+	if err != nil {
+		return h.noPlace(s.call, err)
+	}
+	defer place.Release()
+	monitor := newMonitor(s, place)
+	answer, failed := h.send(ctx, s.call, place, s.lastEventID, monitor.watch)
+	if failed == nil {
+		failed = h.relay(s, place, answer, monitor)
+	}
+	if failed != nil && s.request.Context().Err() == nil {
+		h.observe(place, failed)
+	}
+	return failed
+}
+
+// relay passes the events of one attempt on to the caller.
+func (h *Handler) relay(s *stream, place *Place, answer *upstream.Answer, monitor *monitor) *verdict.Error {
+	defer answer.Abort()
+	if answer.Status != http.StatusOK && !s.begun {
+		return h.relayFailure(s, answer)
+	}
+	if answer.Status != http.StatusOK {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d to the rest of a stream", answer.Status)
+	}
+	events := newEventReader(answer.Body)
+	defer events.free()
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the stream broke off").WithCause(err)
+		}
+		now := time.Now()
+		place.Load.progress(now)
+		if monitor.event(now) {
+			place.PromptRead()
+		}
+		if err := h.pass(s, answer, event); err != nil {
+			return err
+		}
+	}
+	h.begin(s, answer)
+	return nil
+}
+
+// begin sends the head of the answer once.
+func (h *Handler) begin(s *stream, answer *upstream.Answer) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	copyHeader(s.writer.Header(), answer.Header)
+	s.writer.WriteHeader(answer.Status)
+	h.metrics.firstEvent.UpdateSince(s.started)
+}
+
+// pass sends one event to the caller.
+func (h *Handler) pass(s *stream, answer *upstream.Answer, e event) *verdict.Error {
+	h.begin(s, answer)
+	_, err := s.writer.Write(e.raw)
+	if err == nil {
+		err = s.flusher.Flush()
+	}
+	if err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the caller is gone").WithCause(err)
+	}
+	if e.id != "" {
+		s.lastEventID = e.id
+	}
+	return nil
+}
+
+// relayFailure passes an engine's own failure on, or returns an error if another
+// engine may be asked.
+func (h *Handler) relayFailure(s *stream, answer *upstream.Answer) *verdict.Error {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered))
+	if err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the answer broke off").WithCause(err)
+	}
+	if answer.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.runs < s.route.MaxAttempts {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d", answer.Status)
+	}
+	h.deliver(s.call, answer, body)
+	return nil
+}
+
+// suspectTime is how long a target that failed receives nothing new. The
+// platform's list tells within three heartbeats what became of it.
+const suspectTime = 3 * time.Second
+
+// errSilent means that an engine sent nothing for too long.
+var errSilent = errors.New("engine is silent")
+
+// Limits of silence.
+const (
+	// firstEventSlack is added to the time in which a first event is expected.
+	firstEventSlack = 500 * time.Millisecond
+	// minGap is the shortest silence between events that counts as a stall. It
+	// has room for the passes in which long prompts are read.
+	minGap = 400 * time.Millisecond
+	// gapEvents is the number of usual gaps, at a full batch, that count as a
+	// stall.
+	gapEvents = 6
+)
+
+// silenceLimit returns the silence after which a stream is moved to another
+// engine. It answers to engines that accept requests and do nothing, and must not
+// answer to long prompts and full batches.
+func silenceLimit(r *catalog.Route, p *catalog.EngineProfile, m *catalog.Model, promptTokens int, begun bool) time.Duration {
+	if p == nil || m == nil {
+		return defaultPatience
+	}
+	step := p.StepTime + time.Duration(p.Slots)*p.StepTimePerRequest
+	gap := time.Duration(float64(step)*m.Pace) * time.Duration(p.StepsPerEvent)
+	if begun {
+		return max(minGap, gapEvents*gap)
+	}
+	read := time.Duration(0)
+	if p.ReadRate > 0 {
+		read = time.Duration(float64(promptTokens) / p.ReadRate * float64(time.Second))
+	}
+	return max(r.LatencyGoal, gapEvents*gap) + 2*read + firstEventSlack
+}
+
+// monitor watches one attempt for silence.
+type monitor struct {
+	first, next time.Duration
+	begun       bool
+	// last tells that the request can't be moved any more.
+	last bool
+}
+
+func newMonitor(s *stream, place *Place) *monitor {
+	m := &monitor{last: s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable()}
+	profile := s.service.Engine
+	var model *catalog.Model
+	if profile != nil {
+		model = profile.Model(place.Pool.Model)
+	}
+	m.first = silenceLimit(s.route, profile, model, s.PromptTokens, false)
+	m.next = silenceLimit(s.route, profile, model, s.PromptTokens, true)
+	return m
+}
+
+// event records an event and reports whether it was the first one.
+func (m *monitor) event(time.Time) bool {
+	first := !m.begun
+	m.begun = true
+	return first
+}
+
+// watch implements upstream.Watch.
+func (m *monitor) watch(silent time.Duration) (time.Duration, error) {
+	if m.last {
+		return defaultPatience, nil
+	}
+	limit := m.first
+	if m.begun {
+		limit = m.next
+	}
+	if silent >= limit {
+		return 0, errSilent
+	}
+	return limit - silent, nil
+}
--- a/platform/client.go
+++ b/instancelist/client.go
@@ -1,4 +1,4 @@
-package platform
+package instancelist
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/instancelist/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package instancelist_test
 
 import (
 	"context"
@@ -10,14 +10,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/instancelist"
 	"github.com/rattanlanding/rattanlanding/internal/standin"
 	"github.com/rattanlanding/rattanlanding/object"
-	"github.com/rattanlanding/rattanlanding/platform"
 )
 
 func TestPlatform(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "platform")
+	RunSpecs(t, "instancelist")
 }
 
 const patient = 20 * time.Second
@@ -34,7 +34,7 @@
 		}, log.NewNopLogger())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(set.Close)
-		c := platform.NewClient(object.ClientConfig{Addresses: []string{at}, Timeout: patient})
+		c := instancelist.NewClient(object.ClientConfig{Addresses: []string{at}, Timeout: patient})
 		DeferCleanup(c.Close)
 
 		list, ok, err := c.Instances(context.Background(), 0, patient)
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -56,11 +56,17 @@
 	return c
 }
 
+// Store holds the records of leases. Errors are those of object.Store.
+type Store interface {
+	Get(ctx context.Context, key object.Key) (object.Object, error)
+	Update(ctx context.Context, key object.Key, expected object.Version, value []byte) (object.Version, error)
+}
+
 // Manager claims, renews and releases the shards of this node and publishes
 // those it holds.
 type Manager struct {
 	cfg    Config
-	store  object.Store
+	store  Store
 	board  *blackboard.Board
 	shards func() []string
 	logger log.Logger
@@ -71,7 +77,7 @@
 }
 
 // New returns a manager for the shards that the function names.
-func New(cfg Config, store object.Store, board *blackboard.Board, shards func() []string,
+func New(cfg Config, store Store, board *blackboard.Board, shards func() []string,
 	logger log.Logger, registry metrics.Registry) *Manager {
 	cfg = cfg.withDefaults()
 	return &Manager{
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,271 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Times of the exchange.
+const (
+	// sendInterval is the time between two states of a node. The load that other
+	// nodes place is at most this much older than a datagram's way.
+	sendInterval = 200 * time.Millisecond
+	// silentAfter is how long a node counts without news: five lost datagrams.
+	silentAfter = 1200 * time.Millisecond
+	// forgetAfter is the silence after which a node is told nothing any more.
+	forgetAfter = 30 * time.Second
+	// sharedAddresses is the number of addresses of others in a state.
+	sharedAddresses = 6
+)
+
+// Config configures a Mesh.
+type Config struct {
+	// Address is this node's "IP:port" for datagrams.
+	Address string
+	// Seeds are addresses of nodes to start with.
+	Seeds []string
+}
+
+// member is a node as heard of last.
+type member struct {
+	state   *State
+	heardAt time.Time
+}
+
+// View is what is known of the other nodes. It is immutable.
+type View struct {
+	// Live are the newest states of nodes heard lately, sorted by name.
+	Live []*State
+	// running sums the requests of other nodes by instance.
+	running map[string]int
+	// suspects counts the nodes that found an instance silent.
+	suspects map[string]int
+}
+
+// Mesh exchanges states.
+type Mesh struct {
+	cfg    Config
+	own    func() State
+	logger log.Logger
+	sent   metrics.Counter
+
+	mu      sync.Mutex
+	members map[string]*member
+	targets map[netip.AddrPort]time.Time
+
+	view  atomic.Pointer[View]
+	count uint64
+	boot  int64
+}
+
+// New returns a mesh that tells others what own returns.
+func New(cfg Config, own func() State, logger log.Logger, registry metrics.Registry) *Mesh {
+	m := &Mesh{cfg: cfg, own: own, logger: log.With(logger, "component", "mesh"),
+		sent:    metrics.GetOrRegisterCounter("mesh.sent_bytes", registry),
+		members: map[string]*member{}, targets: map[netip.AddrPort]time.Time{}, boot: time.Now().UnixMilli()}
+	m.view.Store(&View{})
+	for _, seed := range cfg.Seeds {
+		m.Introduce(seed)
+	}
+	return m
+}
+
+// Boot identifies this process.
+func (m *Mesh) Boot() int64 { return m.boot }
+
+// Introduce adds the address of another node.
+func (m *Mesh) Introduce(address string) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || address == m.cfg.Address {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.targets[parsed]; !known {
+		m.targets[parsed] = time.Now()
+	}
+}
+
+// Run exchanges states until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	address, err := net.ResolveUDPAddr("udp4", m.cfg.Address)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	go m.receive(conn)
+	ticker := time.NewTicker(sendInterval)
+	defer ticker.Stop()
+	for {
+		m.send(conn)
+		m.refresh()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// send tells every known node the state.
+func (m *Mesh) send(conn *net.UDPConn) {
+	m.count++
+	state := m.own()
+	state.Boot, state.Count = m.boot, m.count
+	targets := m.addresses()
+	state.Known = sample(targets)
+	data, err := encode(&state)
+	if err != nil || len(data) > maxDatagram {
+		_ = level.Error(m.logger).Log("msg", "state not sent", "bytes", len(data), "err", err)
+		return
+	}
+	for _, target := range targets {
+		// A lost datagram is made up for by the next one.
+		if n, err := conn.WriteToUDPAddrPort(data, target); err == nil {
+			m.sent.Inc(int64(n))
+		}
+	}
+}
+
+func (m *Mesh) addresses() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	targets := make([]netip.AddrPort, 0, len(m.targets))
+	for target := range m.targets {
+		targets = append(targets, target)
+	}
+	return targets
+}
+
+// sample draws addresses to pass on.
+func sample(targets []netip.AddrPort) []string {
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	var names []string
+	for _, target := range targets[:min(len(targets), sharedAddresses)] {
+		names = append(names, target.String())
+	}
+	return names
+}
+
+func (m *Mesh) receive(conn *net.UDPConn) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		state, err := decode(buffer[:n])
+		if err != nil {
+			_ = level.Debug(m.logger).Log("msg", "unreadable datagram", "err", err)
+			continue
+		}
+		m.accept(state, time.Now())
+	}
+}
+
+// accept records a state unless a newer one is known.
+func (m *Mesh) accept(s *State, now time.Time) {
+	address, err := netip.ParseAddrPort(s.PeerAddress)
+	if err != nil || s.PeerAddress == m.cfg.Address {
+		return
+	}
+	for _, other := range s.Known {
+		m.Introduce(other)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.targets[address] = now
+	old := m.members[s.PeerAddress]
+	if old != nil && !newer(s, old, now) {
+		return
+	}
+	if old == nil || old.state.Boot != s.Boot {
+		_ = level.Info(m.logger).Log("msg", "node heard", "peer", s.Node, "boot", s.Boot)
+	}
+	m.members[s.PeerAddress] = &member{state: s, heardAt: now}
+}
+
+// newer reports whether s follows the last state of the same address. The clock
+// may have been set back before a restart, so another boot also counts as newer
+// once the old one has been silent.
+func newer(s *State, old *member, now time.Time) bool {
+	if s.Boot == old.state.Boot {
+		return s.Count > old.state.Count
+	}
+	return s.Boot > old.state.Boot || now.Sub(old.heardAt) > silentAfter
+}
+
+// refresh publishes a view and forgets nodes that are gone.
+func (m *Mesh) refresh() {
+	now := time.Now()
+	m.mu.Lock()
+	for address, at := range m.targets {
+		if now.Sub(at) > forgetAfter && !slices.Contains(m.cfg.Seeds, address.String()) {
+			delete(m.targets, address)
+		}
+	}
+	v := &View{running: map[string]int{}, suspects: map[string]int{}}
+	for address, other := range m.members {
+		switch silent := now.Sub(other.heardAt); {
+		case silent > forgetAfter:
+			delete(m.members, address)
+		case silent <= silentAfter:
+			v.add(other.state)
+		}
+	}
+	m.mu.Unlock()
+	slices.SortFunc(v.Live, func(a, b *State) int { return compareNodes(a, b) })
+	m.view.Store(v)
+}
+
+func compareNodes(a, b *State) int {
+	if a.Node < b.Node {
+		return -1
+	}
+	return 1
+}
+
+func (v *View) add(s *State) {
+	v.Live = append(v.Live, s)
+	for instance, n := range s.Running {
+		v.running[instance] += int(n)
+	}
+	for _, instance := range s.Suspects {
+		v.suspects[instance]++
+	}
+}
+
+// View returns what is known of the other nodes.
+func (m *Mesh) View() *View { return m.view.Load() }
+
+// Running implements forward.Peers.
+func (m *Mesh) Running(instance string) int { return m.View().running[instance] }
+
+// Suspected reports whether another node found the instance silent.
+func (m *Mesh) Suspected(instance string) bool { return m.View().suspects[instance] > 0 }
+
+// Nodes implements forward.Peers.
+func (m *Mesh) Nodes() int {
+	n := 1
+	for _, s := range m.View().Live {
+		if !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
--- a/node/controllers.go
+++ b/node/controllers.go
@@ -10,12 +10,12 @@
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/instancelist"
 	"github.com/rattanlanding/rattanlanding/lease"
 	"github.com/rattanlanding/rattanlanding/limit"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/peer"
 	"github.com/rattanlanding/rattanlanding/placement"
-	"github.com/rattanlanding/rattanlanding/platform"
 	"github.com/rattanlanding/rattanlanding/replica"
 	"github.com/rattanlanding/rattanlanding/settings"
 )
@@ -66,7 +66,7 @@
 	return node, nil
 }
 
-func newSources(s settings.Settings, store object.Store, instances *platform.Client, documents *replica.Documents,
+func newSources(s settings.Settings, store object.Store, instances *instancelist.Client, documents *replica.Documents,
 	confirmer *replica.Confirmer, board *blackboard.Board, logger log.Logger,
 ) *replica.Sources {
 	return replica.NewSources(replica.SourcesConfig{
--- a/node/module.go
+++ b/node/module.go
@@ -11,9 +11,9 @@
 	"github.com/rattanlanding/rattanlanding/backend"
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/instancelist"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/peer"
-	"github.com/rattanlanding/rattanlanding/platform"
 	"github.com/rattanlanding/rattanlanding/settings"
 )
 
@@ -87,6 +87,6 @@
 	return object.NewClient(object.ClientConfig{Addresses: s.PlatformAddresses, Registry: registry})
 }
 
-func newInstanceSource(s settings.Settings, registry metrics.Registry) *platform.Client {
-	return platform.NewClient(object.ClientConfig{Addresses: s.PlatformAddresses, Registry: registry})
+func newInstanceSource(s settings.Settings, registry metrics.Registry) *instancelist.Client {
+	return instancelist.NewClient(object.ClientConfig{Addresses: s.PlatformAddresses, Registry: registry})
 }
