Form the first groups when the list has settled; keep the lease where it is

Cause: instances appear in the list over 1.5 s, and pairs were taken as they came, which left one group of four for care-plan. The lease moved to its first choice after 5 s, each move a second without orders.

--- a/entry/module.go
+++ b/entry/module.go
@@ -33,6 +33,9 @@
 	// leaseDuration and leaseRenewal are those of the lease for forming groups.
 	leaseDuration = 3 * time.Second
 	leaseRenewal  = 900 * time.Millisecond
+	// leaseStable keeps the lease where it is: nothing is gained by moving it, and
+	// a new holder starts with the list alone.
+	leaseStable = 24 * time.Hour
 	// formationShard is the lease's name. One holder decides for all domains.
 	formationShard = "formation"
 	// collectorPercent trades processor time for memory: the live heap is small.
@@ -124,7 +127,7 @@
 func newLeases(s Settings, store *platform.Store, board *blackboard.Board, st *status, logger log.Logger, registry metrics.Registry) *lease.Manager {
 	return lease.New(lease.Config{
 		Node: s.Node, Boot: strconv.FormatInt(st.mesh.Boot(), 10),
-		Duration: leaseDuration, Renew: leaseRenewal, CallTimeout: storeTimeout,
+		Duration: leaseDuration, Renew: leaseRenewal, CallTimeout: storeTimeout, Stable: leaseStable,
 	}, store, board, func() []string { return []string{formationShard} }, logger, registry)
 }
 
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -26,6 +26,10 @@
 	// takeoverDelay lets the effects of the previous holder's last orders reach
 	// the list.
 	takeoverDelay = time.Second
+	// gatherTime is how long the number of instances has to stay the same before
+	// the first groups are formed, gatherLimit the longest wait for that.
+	gatherTime  = 700 * time.Millisecond
+	gatherLimit = 4 * time.Second
 	// orderLifetime is how long an order without a listed effect is waited for.
 	orderLifetime = 2500 * time.Millisecond
 	// demandWeight is that of a new value in the average of the demand.
@@ -79,7 +83,10 @@
 	headLost  map[engine.GroupID]HeadLoss
 	lastHead  map[engine.GroupID]*engine.Instance
 	seen      map[engine.GroupID]time.Time
-	demand    map[string]float64
+	// known and knownSince tell how long the number of instances is unchanged.
+	known      int
+	knownSince time.Time
+	demand     map[string]float64
 	// unsafeUntil keeps instances out of new groups whose old head may still run.
 	unsafeUntil map[string]time.Time
 	loads       loadLimit
@@ -136,7 +143,7 @@
 		c.nextEpoch = max(c.nextEpoch, g.ID.Epoch+1)
 	}
 	s := c.situation(service, roster, now)
-	if now.Sub(c.since) < takeoverDelay && len(s.Groups) > 0 {
+	if (now.Sub(c.since) < takeoverDelay && len(s.Groups) > 0) || c.gathering(s) {
 		return
 	}
 	c.carryOut(ctx, Make(s))
@@ -161,6 +168,18 @@
 	_ = level.Info(c.Logger).Log("msg", "forming groups from now on", "term", term.Number, "instances", len(instances))
 }
 
+// gathering reports whether instances are still being listed for the first time.
+// Groups formed from the first few would leave none for larger ones.
+func (c *Controller) gathering(s *Situation) bool {
+	if len(s.Instances) != c.known {
+		c.known, c.knownSince = len(s.Instances), s.Now
+	}
+	if len(s.Groups) > 0 || len(c.formed) > 0 || s.Now.Sub(c.since) > gatherLimit {
+		return false
+	}
+	return s.Now.Sub(c.knownSince) < gatherTime
+}
+
 func (c *Controller) situation(service *catalog.Service, roster *engine.Roster, now time.Time) *Situation {
 	s := &Situation{
 		Profile: service.Engine, Instances: roster.ByService[service.Name], Groups: roster.Groups[service.Name],
