--- a/cmd/rattanlanding/main.go
+++ b/cmd/rattanlanding/main.go
@@ -89,14 +89,15 @@
 
 // serveEntry runs a node on the users' platform.
 func serveEntry(path string) int {
-	s, err := entry.LoadSettings(cmp.Or(path, platform.SettingsPath()))
+	path = cmp.Or(path, platform.SettingsPath())
+	s, err := entry.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
-	return runApp(entry.New(s, newLogger(sink, s.Node, s.LogLevel)))
+	return runApp(entry.New(s, entry.SettingsFile(path), newLogger(sink, s.Node, s.LogLevel)))
 }
 
 // serve runs a node until a signal or a fault stops it.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -42,6 +42,7 @@
 	world     *World
 	leases    *lease.Manager
 	formation *formation.Controller
+	reloader  *reloader
 	board     *blackboard.Board
 	logger    log.Logger
 	shutdown  fx.Shutdowner
@@ -52,10 +53,10 @@
 }
 
 func newDaemon(s Settings, st *status, h *forward.Handler, d *Documents, f followers, w *World, l *lease.Manager,
-	c *formation.Controller, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
+	c *formation.Controller, r *reloader, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
 ) *daemon {
 	return &daemon{settings: s, status: st, handler: h, documents: d, followers: f, world: w, leases: l,
-		formation: c, board: board, logger: logger, shutdown: shutdown}
+		formation: c, reloader: r, board: board, logger: logger, shutdown: shutdown}
 }
 
 // start opens the listeners and starts the loops.
@@ -87,6 +88,7 @@
 		"documents":     d.documents.Run,
 		"lease":         d.leases.Run,
 		"formation":     d.formation.Run,
+		"reload":        d.reloader.run,
 		"members":       d.publishMembers,
 		"limits":        d.followLimits,
 		"callers":       func(context.Context) error { return d.callers.run() },
--- a/entry/module.go
+++ b/entry/module.go
@@ -45,11 +45,11 @@
 )
 
 // New returns the application of one node.
-func New(s Settings, logger log.Logger) *fx.App {
+func New(s Settings, file SettingsFile, logger log.Logger) *fx.App {
 	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	return fx.New(
-		fx.Supply(s),
+		fx.Supply(s, file),
 		fx.Provide(func() log.Logger { return logger }),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.StopTime),
@@ -72,6 +72,7 @@
 		newDocuments,
 		newLeases,
 		newFormation,
+		newReloader,
 		newDaemon,
 	),
 	fx.Invoke(func(l fx.Lifecycle, d *daemon) { l.Append(fx.Hook{OnStart: d.start, OnStop: d.stop}) }),
@@ -146,3 +147,7 @@
 		Commander: commander, Logger: logger, Registry: registry,
 	})
 }
+
+func newReloader(s Settings, file SettingsFile, st *status, h *forward.Handler, logger log.Logger) *reloader {
+	return &reloader{path: file, current: s, mesh: st.mesh, handler: h, logger: logger}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -67,6 +67,16 @@
 		budgets: map[string]*retry.Budget{}}
 }
 
+// SetRetryLimits replaces the limits of the configuration.
+func (h *Handler) SetRetryLimits(ratio, allowance float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cfg.RetryRatio != ratio || h.cfg.RetryAllowance != allowance {
+		h.cfg.RetryRatio, h.cfg.RetryAllowance = ratio, allowance
+		clear(h.budgets)
+	}
+}
+
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
