Load cold instances alone, form groups of warm ones, over domains while short

Cause: a group with one member that loads (12 to 16 s) held up the others; of 63 instances a dozen waited so.

--- a/formation/controller.go
+++ b/formation/controller.go
@@ -79,10 +79,13 @@
 	since     time.Time
 	nextEpoch uint64
 	ordered   map[string]order
+	staging   map[string]staging
 	formed    map[engine.GroupID]Formation
 	headLost  map[engine.GroupID]HeadLoss
 	lastHead  map[engine.GroupID]*engine.Instance
 	seen      map[engine.GroupID]time.Time
+	// reported is the time of the last line on the state of all groups.
+	reported time.Time
 	// known and knownSince tell how long the number of instances is unchanged.
 	known      int
 	knownSince time.Time
@@ -147,6 +150,7 @@
 		return
 	}
 	c.carryOut(ctx, Make(s))
+	c.report(s)
 	c.freeOrphans(ctx, s)
 }
 
@@ -159,7 +163,7 @@
 	c.ordered, c.formed = map[string]order{}, map[engine.GroupID]Formation{}
 	c.headLost, c.lastHead = map[engine.GroupID]HeadLoss{}, map[engine.GroupID]*engine.Instance{}
 	c.seen, c.demand = map[engine.GroupID]time.Time{}, map[string]float64{}
-	c.unsafeUntil = map[string]time.Time{}
+	c.unsafeUntil, c.staging = map[string]time.Time{}, map[string]staging{}
 	for _, in := range instances {
 		if in.Model != "" && in.Membership.Group == "" {
 			c.unsafeUntil[in.ID] = now.Add(c.cfg.StallTime + stallMargin)
@@ -188,8 +192,10 @@
 		StallTime: c.cfg.StallTime, Now: now,
 	}
 	c.settle(s)
+	c.settleStaging(s)
 	c.trackGroups(s)
 	began := !c.cfg.FirstStart || c.term > 1 || len(s.Demand) > 0
+	s.LoadsAreShort = !began
 	s.Loads = c.loads.available(service.Engine, c.loading(s), began, now)
 	return s
 }
@@ -247,7 +253,7 @@
 		if head := g.Head(); head != nil {
 			c.lastHead[g.ID] = head
 			delete(c.headLost, g.ID)
-		} else if _, known := c.headLost[g.ID]; !known {
+		} else if _, known := c.headLost[g.ID]; !known && c.isHeadMissing(s, g) {
 			c.headLost[g.ID] = HeadLoss{Since: s.Now, Head: c.lastHead[g.ID]}
 			_ = level.Warn(c.Logger).Log("msg", "head of a group is missing", "group", g.ID.Name, "epoch", g.ID.Epoch)
 		}
@@ -266,12 +272,44 @@
 	}
 }
 
+// isHeadMissing reports whether the head of a group without one is no longer
+// listed. Members of a new group may be listed in it before the head is.
+func (c *Controller) isHeadMissing(s *Situation, g *engine.Group) bool {
+	if f, mine := c.formed[g.ID]; mine {
+		return s.instance(f.Members[0]) == nil
+	}
+	if head := c.lastHead[g.ID]; head != nil {
+		return s.instance(head.ID) == nil
+	}
+	return s.Now.Sub(c.seen[g.ID]) >= takeoverDelay
+}
+
+// staging is a load onto a host that was ordered.
+type staging struct {
+	model string
+	until time.Time
+}
+
+// settleStaging drops loads that the list shows as done, and those that take so
+// long that the order was lost.
+func (c *Controller) settleStaging(s *Situation) {
+	s.Staging = map[string]string{}
+	for id, load := range c.staging {
+		in := s.instance(id)
+		if in == nil || slices.Contains(in.Staged, load.model) || s.Now.After(load.until) {
+			delete(c.staging, id)
+			continue
+		}
+		s.Staging[id] = load.model
+	}
+}
+
 // loading counts the loads that are under way.
 func (c *Controller) loading(s *Situation) int {
-	n := 0
+	n := len(c.staging)
 	for _, in := range s.Instances {
 		joining := in.Membership.Phase == engine.Joining && !slices.Contains(in.Staged, in.Model)
-		if joining || s.Ordered[in.ID] {
+		if joining && c.staging[in.ID].model == "" {
 			n++
 		}
 	}
@@ -282,7 +320,11 @@
 func (c *Controller) carryOut(ctx context.Context, p Plan) {
 	for _, command := range p.Commands {
 		_ = level.Info(c.Logger).Log("msg", "order", "operation", command.Operation, "group", command.Group.Name,
-			"instance", command.Instance, "cut", command.CutRunning)
+			"model", command.Model, "instance", command.Instance, "cut", command.CutRunning)
+		if command.Operation == engine.Stage {
+			c.stage(ctx, command)
+			continue
+		}
 		c.send(ctx, command)
 	}
 	for _, d := range p.Groups {
@@ -308,9 +350,36 @@
 	}
 }
 
+// stage orders a load onto a host. The instance may join a group meanwhile.
+func (c *Controller) stage(ctx context.Context, command engine.Command) {
+	configuration := c.Configuration.Load()
+	limit := stagingLimit
+	if service := configuration.ModelService(); service != nil {
+		if m := service.Engine.Model(command.Model); m != nil {
+			limit = stagingSlack + 2*m.LoadTime
+		}
+	}
+	c.staging[command.Instance] = staging{command.Model, time.Now().Add(limit)}
+	c.loads.take(1)
+	c.dispatch(ctx, command)
+}
+
+// Times of a load onto a host.
+const (
+	// stagingLimit is the longest time of a load of unknown length.
+	stagingLimit = 30 * time.Second
+	// stagingSlack is added to twice the time of a load before it counts as lost.
+	stagingSlack = 3 * time.Second
+)
+
 // send sends a command while the lease holds. The caller holds the lock.
 func (c *Controller) send(ctx context.Context, command engine.Command) {
 	c.ordered[command.Instance] = order{command, time.Now().Add(orderLifetime)}
+	c.dispatch(ctx, command)
+}
+
+// dispatch sends a command beside the caller, which holds the lock.
+func (c *Controller) dispatch(ctx context.Context, command engine.Command) {
 	c.orders.Inc(1)
 	term := c.term
 	go func() {
@@ -335,6 +404,8 @@
 	}
 	loss, lost := c.headLost[command.Group]
 	switch {
+	case command.Operation == engine.Stage && err != nil:
+		c.staging[command.Instance] = staging{command.Model, time.Now().Add(failedPause)}
 	case lost && command.Operation == engine.CloseHead && errors.Is(err, syscall.ECONNREFUSED):
 		loss.Refused = true
 		c.headLost[command.Group] = loss
@@ -347,8 +418,12 @@
 	}
 }
 
-// refusedPause is the time before a refused order is considered again.
-const refusedPause = 400 * time.Millisecond
+const (
+	// refusedPause is the time before a refused order is considered again.
+	refusedPause = 400 * time.Millisecond
+	// failedPause is the time before another load is ordered of an instance.
+	failedPause = 1500 * time.Millisecond
+)
 
 // freeOrphans breaks groups whose head is missing from the list: the head may
 // still serve, and its members may not be used before it certainly doesn't.
@@ -370,7 +445,7 @@
 }
 
 // headAnswerTime is how long a missing head is asked to close.
-const headAnswerTime = 700 * time.Millisecond
+const headAnswerTime = 300 * time.Millisecond
 
 // releaseMembers orders the members of a group without head to leave.
 func (c *Controller) releaseMembers(ctx context.Context, s *Situation, g *engine.Group) {
--- a/formation/free.go
+++ b/formation/free.go
@@ -9,7 +9,7 @@
 const (
 	// stallMargin is added to the time after which a stalled head has certainly
 	// broken, for clocks and messages.
-	stallMargin = time.Second
+	stallMargin = 500 * time.Millisecond
 	// adoptTime is how long a new holder leaves an unfinished group alone that it
 	// didn't order itself: its orders may still be on their way.
 	adoptTime = 4 * time.Second
@@ -18,8 +18,8 @@
 )
 
 // free returns the instances that may join another group, by fabric domain.
-func (s *Situation) free() map[string][]*engine.Instance {
-	result := map[string][]*engine.Instance{}
+func (s *Situation) free() domains {
+	result := domains{}
 	for _, in := range s.Instances {
 		if !in.Leaving && !s.Ordered[in.ID] && s.released(in) {
 			result[in.FabricDomain] = append(result[in.FabricDomain], in)
--- a/formation/need.go
+++ b/formation/need.go
@@ -19,12 +19,16 @@
 	// target is the number of groups by model, have those that exist or form.
 	target map[string]float64
 	have   map[string]float64
+	// coming is the number of instances by model that have or load its weights
+	// and belong to no group.
+	coming map[string]float64
 	models []catalog.Model
 }
 
 // needs divides all instances between the models by their demand.
 func (s *Situation) needs() *needs {
-	n := &needs{target: map[string]float64{}, have: map[string]float64{}, models: s.Profile.Models}
+	n := &needs{target: map[string]float64{}, have: map[string]float64{},
+		coming: map[string]float64{}, models: s.Profile.Models}
 	weights := s.weights()
 	total := 0.0
 	for _, w := range weights {
@@ -75,7 +79,11 @@
 	return head != nil && head.Membership.Phase == engine.Joining && !s.abandoned(g)
 }
 
-func (n *needs) add(model string) { n.have[model]++ }
+// add counts a new group and takes its members from the instances to come.
+func (n *needs) add(model string, members int) {
+	n.have[model]++
+	n.coming[model] = max(n.coming[model]-float64(members), 0)
+}
 
 // shortage is the missing part of the groups that a model needs; it is negative
 // for a model with more.
@@ -84,9 +92,15 @@
 	return (target - n.have[model]) / target
 }
 
+// shortageToCome is the shortage once the instances to come have formed groups.
+func (n *needs) shortageToCome(m *catalog.Model) float64 {
+	target := max(n.target[m.Name], 0.5)
+	return (target - n.have[m.Name] - n.coming[m.Name]/float64(m.Size)) / target
+}
+
 // wants reports whether free instances may be given to the model. A model that
-// has enough doesn't take the instances that a larger one waits for.
-func (n *needs) wants(model *catalog.Model, free []*engine.Instance) bool {
+// has enough doesn't take the instances that another one waits for.
+func (n *needs) wants(model *catalog.Model) bool {
 	if n.shortage(model.Name) > 0 {
 		return true
 	}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -33,7 +33,9 @@
 			p.Commands = append(p.Commands, command)
 		}
 	}
-	p.Groups = s.drafts()
+	free, need := s.free(), s.needs()
+	p.Groups = s.drafts(free, need)
+	p.Commands = append(p.Commands, s.stages(free, need)...)
 	return p
 }
 
@@ -58,39 +60,39 @@
 	return engine.Command{}, false
 }
 
-// drafts returns new groups from free instances, the most needed first.
-func (s *Situation) drafts() []Draft {
-	free := s.free()
-	need := s.needs()
+// drafts returns new groups from free instances, the most needed first. A group
+// over several domains is slow, but better than instances that serve nobody; it
+// is only formed while its model is short of groups.
+func (s *Situation) drafts(free domains, need *needs) []Draft {
 	loads := s.Loads
 	var drafts []Draft
 	for {
 		best, found := s.best(free, need, loads)
+		if !found {
+			best, found = s.bestAcross(free, need)
+		}
 		if !found {
 			return drafts
 		}
 		loads -= best.Loads
-		need.add(best.Model)
-		domain := best.Members[0].FabricDomain
-		free[domain] = slices.DeleteFunc(free[domain], func(in *engine.Instance) bool {
-			return slices.Contains(best.Members, in)
-		})
+		need.add(best.Model, len(best.Members))
+		free.remove(best.Members)
 		drafts = append(drafts, best)
 	}
 }
 
-// best returns the draft with the highest value.
-func (s *Situation) best(free map[string][]*engine.Instance, need *needs, loads int) (Draft, bool) {
+// best returns the draft with the highest value within one domain.
+func (s *Situation) best(free domains, need *needs, loads int) (Draft, bool) {
 	var best Draft
 	value, found := 0.0, false
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
 		for i := range s.Profile.Models {
 			model := &s.Profile.Models[i]
-			if len(free[domain]) < model.Size || !need.wants(model, free[domain]) {
+			if len(free[domain]) < model.Size || !need.wants(model) {
 				continue
 			}
 			draft := choose(free[domain], model)
-			if draft.Loads > loads {
+			if draft.Loads > 0 && (!s.LoadsAreShort || draft.Loads > loads) {
 				continue
 			}
 			if v := need.value(model, &draft); !found || v > value {
@@ -101,21 +103,74 @@
 	return best, found
 }
 
+// acrossShortage is the shortage of a model from which groups over several
+// domains are formed: they do a third of the work of others.
+const acrossShortage = 0.2
+
+// bestAcross returns a draft of instances from several domains that have the
+// weights already.
+func (s *Situation) bestAcross(free domains, need *needs) (Draft, bool) {
+	var best Draft
+	value, found := acrossShortage, false
+	for i := range s.Profile.Models {
+		model := &s.Profile.Models[i]
+		if shortage := need.shortage(model.Name); shortage > value {
+			draft := choose(free.warm(model.Name), model)
+			if len(draft.Members) == model.Size {
+				best, value, found = draft, shortage, true
+			}
+		}
+	}
+	return best, found
+}
+
+// domains are instances by fabric domain.
+type domains map[string][]*engine.Instance
+
+func (d domains) remove(taken []*engine.Instance) {
+	for _, in := range taken {
+		d[in.FabricDomain] = slices.DeleteFunc(d[in.FabricDomain], func(other *engine.Instance) bool {
+			return other == in
+		})
+	}
+}
+
+// warm returns the instances that have a model's weights, those of the domains
+// with most of them first.
+func (d domains) warm(model string) []*engine.Instance {
+	var lists [][]*engine.Instance
+	for _, domain := range slices.Sorted(maps.Keys(d)) {
+		var list []*engine.Instance
+		for _, in := range d[domain] {
+			if isWarm(in, model) {
+				list = append(list, in)
+			}
+		}
+		lists = append(lists, list)
+	}
+	slices.SortStableFunc(lists, func(a, b []*engine.Instance) int { return cmp.Compare(len(b), len(a)) })
+	return slices.Concat(lists...)
+}
+
 // choose picks the members that are ready soonest.
 func choose(free []*engine.Instance, model *catalog.Model) Draft {
 	sorted := slices.Clone(free)
-	slices.SortFunc(sorted, func(a, b *engine.Instance) int {
-		return cmp.Or(cmp.Compare(effort(a, model.Name), effort(b, model.Name)), cmp.Compare(a.ID, b.ID))
+	slices.SortStableFunc(sorted, func(a, b *engine.Instance) int {
+		return cmp.Compare(effort(a, model.Name), effort(b, model.Name))
 	})
-	d := Draft{Model: model.Name, Members: sorted[:model.Size]}
+	d := Draft{Model: model.Name, Members: sorted[:min(model.Size, len(sorted))]}
 	for _, in := range d.Members {
-		if effort(in, model.Name) >= effortLoad {
+		if !isWarm(in, model.Name) {
 			d.Loads++
 		}
 	}
 	return d
 }
 
+// isWarm reports whether an instance can join a group of a model without a load
+// from the weight store.
+func isWarm(in *engine.Instance, model string) bool { return effort(in, model) < effortLoad }
+
 // Efforts of joining a group, by rising time.
 const (
 	effortNone = iota
--- /dev/null
+++ b/formation/report.go
@@ -0,0 +1,74 @@
+package formation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/engine"
+)
+
+// reportInterval is the time between two log lines on the state of all groups.
+const reportInterval = time.Second
+
+// census counts the instances and groups of one model.
+type census struct {
+	serving, across, forming, broken int
+}
+
+// report logs how many groups each model has, against those that it needs.
+func (c *Controller) report(s *Situation) {
+	if s.Now.Sub(c.reported) < reportInterval {
+		return
+	}
+	c.reported = s.Now
+	free, need := s.free(), s.needs()
+	idle := 0
+	for _, list := range free {
+		idle += len(list)
+	}
+	for i := range s.Profile.Models {
+		m := &s.Profile.Models[i]
+		n := s.census(m.Name)
+		warm := len(free.warm(m.Name))
+		metrics.GetOrRegisterGauge(fmt.Sprintf("formation.serving_groups.size_%d", m.Size), c.Registry).Update(int64(n.serving))
+		_ = level.Info(c.Logger).Log("msg", "groups", "model", m.Name, "size", m.Size, "serving", n.serving,
+			"across", n.across, "forming", n.forming, "broken", n.broken,
+			"needed", fmt.Sprintf("%.1f", need.target[m.Name]), "demand", fmt.Sprintf("%.1f", s.Demand[m.Name]),
+			"instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads)
+	}
+}
+
+// census counts the groups of a model by state.
+func (s *Situation) census(model string) census {
+	var n census
+	for _, g := range s.Groups {
+		if g.Model != model {
+			continue
+		}
+		switch {
+		case g.Serving(s.size(g)):
+			n.serving++
+			if spansDomains(g) {
+				n.across++
+			}
+		case s.keeps(g):
+			n.forming++
+		default:
+			n.broken++
+		}
+	}
+	return n
+}
+
+// spansDomains reports whether the members of a group are in several domains.
+func spansDomains(g *engine.Group) bool {
+	for _, m := range g.Members {
+		if m.FabricDomain != g.Members[0].FabricDomain {
+			return true
+		}
+	}
+	return false
+}
--- a/formation/situation.go
+++ b/formation/situation.go
@@ -28,6 +28,11 @@
 	SeenSince map[engine.GroupID]time.Time
 	// Loads is the number of loads from the weight store that may start now.
 	Loads int
+	// LoadsAreShort tells that the first traffic is still to come; loads take a
+	// tenth of their time until then.
+	LoadsAreShort bool
+	// Staging maps instances to the model whose weights they were told to load.
+	Staging map[string]string
 	// StallTime is how long a head that lost a member accepts requests.
 	StallTime time.Duration
 	Now       time.Time
--- /dev/null
+++ b/formation/stage.go
@@ -0,0 +1,98 @@
+package formation
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/engine"
+)
+
+// completionValue is the worth of completing a group within a domain, as a part
+// of the groups that a model needs.
+const completionValue = 0.15
+
+// stages returns commands that load weights onto free instances which no group
+// can use as they are. Loads take long; an instance that waits for them in a group
+// would hold up the others.
+func (s *Situation) stages(free domains, need *needs) []engine.Command {
+	if s.LoadsAreShort {
+		return nil
+	}
+	s.countComing(free, need)
+	var commands []engine.Command
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		for _, in := range free[domain] {
+			if s.Staging[in.ID] != "" || s.isUseful(in, need) || len(commands) >= s.Loads {
+				continue
+			}
+			model := s.stageModel(free[domain], need)
+			need.coming[model.Name]++
+			s.Staging[in.ID] = model.Name
+			commands = append(commands, engine.Command{Operation: engine.Stage, Instance: in.ID,
+				Address: in.Address, Model: model.Name})
+		}
+	}
+	return commands
+}
+
+// countComing counts the free instances by the weights that they have or load.
+func (s *Situation) countComing(free domains, need *needs) {
+	clear(need.coming)
+	for _, list := range free {
+		for _, in := range list {
+			if model := s.weightsOf(in); model != "" {
+				need.coming[model]++
+			}
+		}
+	}
+}
+
+// weightsOf returns the model whose weights an instance loads or has.
+func (s *Situation) weightsOf(in *engine.Instance) string {
+	if model := s.Staging[in.ID]; model != "" {
+		return model
+	}
+	for i := range s.Profile.Models {
+		if name := s.Profile.Models[i].Name; isWarm(in, name) {
+			return name
+		}
+	}
+	return ""
+}
+
+// isUseful reports whether an instance has the weights of a model that is short
+// of groups, or any weights while none is.
+func (s *Situation) isUseful(in *engine.Instance, need *needs) bool {
+	short := false
+	for i := range s.Profile.Models {
+		m := &s.Profile.Models[i]
+		if need.shortageToCome(m) > 0 || need.shortage(m.Name) > 0 {
+			short = true
+			if isWarm(in, m.Name) {
+				return true
+			}
+		}
+	}
+	return !short && s.weightsOf(in) != ""
+}
+
+// stageModel chooses the model whose weights serve a domain's free instances best.
+func (s *Situation) stageModel(free []*engine.Instance, need *needs) *catalog.Model {
+	var best *catalog.Model
+	value := 0.0
+	for i := range s.Profile.Models {
+		m := &s.Profile.Models[i]
+		have := 0
+		for _, in := range free {
+			if isWarm(in, m.Name) || s.Staging[in.ID] == m.Name {
+				have++
+			}
+		}
+		v := need.shortageToCome(m) + completionValue*float64(have%m.Size)/float64(m.Size)
+		if best == nil || v > value {
+			best, value = m, v
+		}
+	}
+	return best
+}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -76,6 +76,8 @@
 // Place is a taken place. It is released once.
 type Place struct {
 	*Target
+	// Crowded tells that the target's slots were all taken.
+	Crowded    bool
 	dispatcher *Dispatcher
 	prompt     atomicOnce
 }
@@ -148,7 +150,8 @@
 }
 
 func (d *Dispatcher) place(t *Target, prompt int) *Place {
-	return &Place{Target: t, dispatcher: d, prompt: atomicOnce{tokens: prompt}}
+	crowded := t.Load.Running()+d.peers.Running(t.Instance.ID) >= t.Slots
+	return &Place{Target: t, Crowded: crowded, dispatcher: d, prompt: atomicOnce{tokens: prompt}}
 }
 
 // enqueue adds a waiter behind those of its rank; the caller holds the lock.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -165,6 +165,13 @@
 const (
 	// firstEventSlack is added to the time in which a first event is expected.
 	firstEventSlack = 500 * time.Millisecond
+	// lastAttemptPatience multiplies the limits of an attempt after which the
+	// request can't be moved any more. Its caller is told at once then, and may
+	// come back with the last event.
+	lastAttemptPatience = 2
+	// crowdedSlack is added where all places of the engine are taken, so that the
+	// request waits for one to end: about half of a stream.
+	crowdedSlack = 800 * time.Millisecond
 	// minGap is the shortest silence between events that counts as a stall. It
 	// has room for the passes in which long prompts are read.
 	minGap = 400 * time.Millisecond
@@ -192,8 +199,13 @@
 	return max(r.LatencyGoal, gapEvents*gap) + 2*read + firstEventSlack
 }
 
+// progressWindow is how fresh an event of another stream must be to show that a
+// target works: several passes of a full batch.
+const progressWindow = 300 * time.Millisecond
+
 // monitor watches one attempt for silence.
 type monitor struct {
+	load        *Load
 	first, next time.Duration
 	begun       bool
 	// last tells that the request can't be moved any more.
@@ -201,13 +213,16 @@
 }
 
 func newMonitor(s *stream, place *Place) *monitor {
-	m := &monitor{last: s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable()}
+	m := &monitor{load: place.Load, last: s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable()}
 	profile := s.service.Engine
 	var model *catalog.Model
 	if profile != nil {
 		model = profile.Model(place.Pool.Model)
 	}
 	m.first = silenceLimit(s.route, profile, model, s.PromptTokens, false)
+	if place.Crowded {
+		m.first += crowdedSlack
+	}
 	m.next = silenceLimit(s.route, profile, model, s.PromptTokens, true)
 	return m
 }
@@ -221,15 +236,19 @@
 
 // watch implements upstream.Watch.
 func (m *monitor) watch(silent time.Duration) (time.Duration, error) {
-	if m.last {
-		return defaultPatience, nil
-	}
 	limit := m.first
 	if m.begun {
 		limit = m.next
 	}
-	if silent >= limit {
-		return 0, errSilent
+	if m.last {
+		limit *= lastAttemptPatience
+	}
+	if silent < limit {
+		return limit - silent, nil
+	}
+	if !m.begun && m.load.progressed(time.Now().Add(-progressWindow)) {
+		// The engine works on others; this request waits for its turn.
+		return progressWindow, nil
 	}
-	return limit - silent, nil
+	return 0, errSilent
 }
--- a/forward/table.go
+++ b/forward/table.go
@@ -44,6 +44,9 @@
 	l.avoidUntil.Store(0)
 }
 
+// progressed reports whether a byte came from the target after a time.
+func (l *Load) progressed(after time.Time) bool { return l.progressAt.Load() > after.UnixNano() }
+
 // Target is a backend server that takes requests for its pool.
 type Target struct {
 	Instance *engine.Instance
