Ask the members of a silent group; let members of a missing head leave and join at once

Cause: survivors of a broken group idled: 3.6 s until the list dropped the dead member, and 6 s more when that was the head. Several nodes find the group silent within half a second; the holder now asks its members then.

--- a/engine/command.go
+++ b/engine/command.go
@@ -43,3 +43,10 @@
 	// is unknown.
 	Send(ctx context.Context, command Command) error
 }
+
+// Prober asks engines whether they are alive, without a place in their queue.
+type Prober interface {
+	// Probe returns nil if the engine at the instance's address answers and is
+	// the instance.
+	Probe(ctx context.Context, in *Instance) error
+}
--- a/engine/roster.go
+++ b/engine/roster.go
@@ -114,12 +114,13 @@
 	}
 	for service, list := range r.ByService {
 		slices.SortFunc(list, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
-		r.Groups[service] = groupsOf(list)
+		r.Groups[service] = GroupsOf(list)
 	}
 	return r
 }
 
-func groupsOf(instances []*Instance) []*Group {
+// GroupsOf returns the groups that instances report, sorted by name and epoch.
+func GroupsOf(instances []*Instance) []*Group {
 	byID := make(map[GroupID]*Group)
 	for _, in := range instances {
 		m := in.Membership
--- a/entry/module.go
+++ b/entry/module.go
@@ -12,7 +12,6 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
-	"github.com/rattanlanding/rattanlanding/engine"
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
@@ -133,8 +132,8 @@
 }
 
 func newFormation(s Settings, w *World, st *status, board *blackboard.Board, logger log.Logger, registry metrics.Registry) *formation.Controller {
-	var commander engine.Commander = platform.NewCommander()
-	return formation.NewController(formation.Config{StallTime: s.StallTime, FirstStart: s.FirstStart}, formation.Ports{
+	commander := platform.NewCommander()
+	return formation.NewController(formation.Config{FirstStart: s.FirstStart}, formation.Ports{
 		Term: func() (formation.Term, bool) {
 			shards := board.Shards.Load()
 			if shards == nil {
@@ -144,7 +143,7 @@
 			return formation.Term{Number: held.Epoch, Until: held.GoodUntil}, ok && time.Now().Before(held.GoodUntil)
 		},
 		Configuration: &w.Configuration, Roster: &w.Roster, Demand: st.demand,
-		Commander: commander, Logger: logger, Registry: registry,
+		Commander: commander, Prober: commander, Suspects: st.suspects, Logger: logger, Registry: registry,
 	})
 }
 
--- a/entry/state.go
+++ b/entry/state.go
@@ -93,6 +93,18 @@
 	return total
 }
 
+// suspects counts, by instance, the nodes that found it silent.
+func (s *status) suspects() map[string]int {
+	counts := map[string]int{}
+	own := s.state()
+	for _, state := range append(s.mesh.View().Live, &own) {
+		for _, instance := range state.Suspects {
+			counts[instance]++
+		}
+	}
+	return counts
+}
+
 // members lists the nodes for the lease, which goes to one that serves.
 func (s *status) members() *blackboard.Members {
 	own := fleet.NodeServing
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -6,7 +6,6 @@
 	"errors"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -55,14 +54,15 @@
 	// Demand returns the requests of all nodes by model.
 	Demand    func() map[string]float64
 	Commander engine.Commander
-	Logger    log.Logger
-	Registry  metrics.Registry
+	// Suspects counts, by head, the nodes that found a group silent.
+	Suspects func() map[string]int
+	Prober   engine.Prober
+	Logger   log.Logger
+	Registry metrics.Registry
 }
 
 // Config configures a Controller.
 type Config struct {
-	// StallTime is how long a head that lost a member accepts requests.
-	StallTime time.Duration
 	// FirstStart tells that the whole system starts for the first time, so that
 	// the first holder of the lease forms groups before there is any traffic.
 	FirstStart bool
@@ -81,18 +81,21 @@
 	ordered   map[string]order
 	staging   map[string]staging
 	formed    map[engine.GroupID]Formation
-	headLost  map[engine.GroupID]HeadLoss
-	lastHead  map[engine.GroupID]*engine.Instance
-	seen      map[engine.GroupID]time.Time
+	// headLost tells since when the head of a group is missing from the list.
+	headLost map[engine.GroupID]time.Time
+	lastHead map[engine.GroupID]*engine.Instance
+	seen     map[engine.GroupID]time.Time
 	// reported is the time of the last line on the state of all groups.
 	reported time.Time
 	// known and knownSince tell how long the number of instances is unchanged.
 	known      int
 	knownSince time.Time
 	demand     map[string]float64
-	// unsafeUntil keeps instances out of new groups whose old head may still run.
-	unsafeUntil map[string]time.Time
-	loads       loadLimit
+	loads      loadLimit
+	// lost are instances that didn't answer although they are listed.
+	lost map[string]lostInstance
+	// examined tells when a head's group was examined last.
+	examined map[string]time.Time
 }
 
 // order is a command whose effect isn't listed yet.
@@ -149,26 +152,21 @@
 	if (now.Sub(c.since) < takeoverDelay && len(s.Groups) > 0) || c.gathering(s) {
 		return
 	}
+	c.examineSuspects(ctx, s)
 	c.carryOut(ctx, Make(s))
 	c.report(s)
 	c.freeOrphans(ctx, s)
 }
 
-// takeOver starts a term with nothing but the list. An instance that was in a
-// group and left it may have been ordered to by the previous holder because its
-// head is missing, and that head may still serve.
+// takeOver starts a term with nothing but the list.
 func (c *Controller) takeOver(term Term, instances []*engine.Instance, now time.Time) {
 	c.term, c.since = term.Number, now
 	c.nextEpoch = term.Number * epochsPerTerm
 	c.ordered, c.formed = map[string]order{}, map[engine.GroupID]Formation{}
-	c.headLost, c.lastHead = map[engine.GroupID]HeadLoss{}, map[engine.GroupID]*engine.Instance{}
+	c.headLost, c.lastHead = map[engine.GroupID]time.Time{}, map[engine.GroupID]*engine.Instance{}
 	c.seen, c.demand = map[engine.GroupID]time.Time{}, map[string]float64{}
-	c.unsafeUntil, c.staging = map[string]time.Time{}, map[string]staging{}
-	for _, in := range instances {
-		if in.Model != "" && in.Membership.Group == "" {
-			c.unsafeUntil[in.ID] = now.Add(c.cfg.StallTime + stallMargin)
-		}
-	}
+	c.staging, c.lost = map[string]staging{}, map[string]lostInstance{}
+	c.examined = map[string]time.Time{}
 	_ = level.Info(c.Logger).Log("msg", "forming groups from now on", "term", term.Number, "instances", len(instances))
 }
 
@@ -185,11 +183,10 @@
 }
 
 func (c *Controller) situation(service *catalog.Service, roster *engine.Roster, now time.Time) *Situation {
+	instances := c.withoutLost(roster.ByService[service.Name], now)
 	s := &Situation{
-		Profile: service.Engine, Instances: roster.ByService[service.Name], Groups: roster.Groups[service.Name],
-		UnsafeUntil: c.unsafeUntil,
-		Demand:      c.average(), Ordered: map[string]bool{}, Formed: c.formed, HeadLost: c.headLost, SeenSince: c.seen,
-		StallTime: c.cfg.StallTime, Now: now,
+		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
+		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, SeenSince: c.seen, Now: now,
 	}
 	c.settle(s)
 	c.settleStaging(s)
@@ -254,7 +251,7 @@
 			c.lastHead[g.ID] = head
 			delete(c.headLost, g.ID)
 		} else if _, known := c.headLost[g.ID]; !known && c.isHeadMissing(s, g) {
-			c.headLost[g.ID] = HeadLoss{Since: s.Now, Head: c.lastHead[g.ID]}
+			c.headLost[g.ID] = s.Now
 			_ = level.Warn(c.Logger).Log("msg", "head of a group is missing", "group", g.ID.Name, "epoch", g.ID.Epoch)
 		}
 	}
@@ -402,13 +399,9 @@
 		_ = level.Warn(c.Logger).Log("msg", "order failed", "operation", command.Operation,
 			"group", command.Group.Name, "instance", command.Instance, "err", err)
 	}
-	loss, lost := c.headLost[command.Group]
 	switch {
 	case command.Operation == engine.Stage && err != nil:
 		c.staging[command.Instance] = staging{command.Model, time.Now().Add(failedPause)}
-	case lost && command.Operation == engine.CloseHead && errors.Is(err, syscall.ECONNREFUSED):
-		loss.Refused = true
-		c.headLost[command.Group] = loss
 	case errors.Is(err, engine.ErrRefused) && command.Operation != engine.Join:
 		// The state has changed since; the next look at the list tells.
 		if o, ok := c.ordered[command.Instance]; ok && cmp.Compare(o.Operation, command.Operation) == 0 {
@@ -425,37 +418,23 @@
 	failedPause = 1500 * time.Millisecond
 )
 
-// freeOrphans breaks groups whose head is missing from the list: the head may
-// still serve, and its members may not be used before it certainly doesn't.
+// freeOrphans breaks groups whose head is missing from the list. The head may
+// still serve: it is told to end its requests, and its members are told to leave
+// before they may be used. Without them it can't go on.
 func (c *Controller) freeOrphans(ctx context.Context, s *Situation) {
-	for id, loss := range c.headLost {
+	for id, since := range c.headLost {
 		g := s.group(id)
-		if g == nil || loss.Refused || !loss.MembersLeftAt.IsZero() {
+		if g == nil {
 			continue
 		}
-		if loss.Head != nil && s.Now.Sub(loss.Since) < headAnswerTime {
-			if _, sent := c.ordered[loss.Head.ID]; !sent {
-				c.send(ctx, engine.Command{Operation: engine.CloseHead, Instance: loss.Head.ID,
-					Address: loss.Head.Address, Group: id, CutRunning: true})
-			}
-			continue
+		if head := c.lastHead[id]; head != nil && since.Equal(s.Now) {
+			c.dispatch(ctx, engine.Command{Operation: engine.CloseHead, Instance: head.ID, Address: head.Address,
+				Group: id, CutRunning: true})
 		}
-		c.releaseMembers(ctx, s, g)
-	}
-}
-
-// headAnswerTime is how long a missing head is asked to close.
-const headAnswerTime = 300 * time.Millisecond
-
-// releaseMembers orders the members of a group without head to leave.
-func (c *Controller) releaseMembers(ctx context.Context, s *Situation, g *engine.Group) {
-	loss := c.headLost[g.ID]
-	loss.MembersLeftAt = s.Now
-	c.headLost[g.ID] = loss
-	for _, in := range g.Members {
-		c.unsafeUntil[in.ID] = s.Now.Add(c.cfg.StallTime + stallMargin)
-		if !s.Ordered[in.ID] {
-			c.send(ctx, engine.Command{Operation: engine.Leave, Instance: in.ID, Address: in.Address, Group: g.ID})
+		for _, in := range g.Members {
+			if !s.Ordered[in.ID] {
+				c.send(ctx, engine.Command{Operation: engine.Leave, Instance: in.ID, Address: in.Address, Group: id})
+			}
 		}
 	}
 }
--- a/formation/free.go
+++ b/formation/free.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// stallMargin is added to the time after which a stalled head has certainly
-	// broken, for clocks and messages.
-	stallMargin = 500 * time.Millisecond
 	// adoptTime is how long a new holder leaves an unfinished group alone that it
 	// didn't order itself: its orders may still be on their way.
 	adoptTime = 4 * time.Second
@@ -28,20 +25,18 @@
 	return result
 }
 
-// released reports whether the instance's group, if it has one, certainly runs
-// nothing.
+// released reports whether the instance has no group, or one that certainly runs
+// nothing. A head that isn't listed may still serve callers, so its members first
+// have to leave.
 func (s *Situation) released(in *engine.Instance) bool {
 	m := in.Membership
-	if s.Now.Before(s.UnsafeUntil[in.ID]) {
-		return false
-	}
 	if m.Group == "" || m.Phase == engine.Broken {
 		return true
 	}
 	g := s.group(engine.GroupID{Name: m.Group, Epoch: m.Epoch})
 	head := g.Head()
 	if head == nil {
-		return s.headGone(g)
+		return false
 	}
 	switch head.Membership.Phase {
 	case engine.Open, engine.Closing:
@@ -52,22 +47,6 @@
 	return s.abandoned(g)
 }
 
-// headGone reports whether a head that isn't listed certainly runs nothing. It
-// answers to heads that still serve callers while they are cut off from the
-// store.
-func (s *Situation) headGone(g *engine.Group) bool {
-	loss, known := s.HeadLost[g.ID]
-	switch {
-	case !known:
-		return false
-	case loss.Refused:
-		return true
-	case loss.MembersLeftAt.IsZero():
-		return false
-	}
-	return s.Now.Sub(loss.MembersLeftAt) >= s.StallTime+stallMargin
-}
-
 // abandoned reports whether a group that isn't open will never become whole.
 func (s *Situation) abandoned(g *engine.Group) bool {
 	f, mine := s.Formed[g.ID]
--- a/formation/situation.go
+++ b/formation/situation.go
@@ -19,11 +19,6 @@
 	Ordered map[string]bool
 	// Formed are the member lists of the groups that this holder ordered.
 	Formed map[engine.GroupID]Formation
-	// HeadLost tells since when a group's head is missing from the list.
-	HeadLost map[engine.GroupID]HeadLoss
-	// UnsafeUntil keeps instances that left a group out of new ones, until the
-	// group's head certainly runs nothing.
-	UnsafeUntil map[string]time.Time
 	// SeenSince tells since when this holder has known a group.
 	SeenSince map[engine.GroupID]time.Time
 	// Loads is the number of loads from the weight store that may start now.
@@ -33,9 +28,7 @@
 	LoadsAreShort bool
 	// Staging maps instances to the model whose weights they were told to load.
 	Staging map[string]string
-	// StallTime is how long a head that lost a member accepts requests.
-	StallTime time.Duration
-	Now       time.Time
+	Now     time.Time
 }
 
 // Formation is a group that was ordered.
@@ -45,19 +38,6 @@
 	At      time.Time
 }
 
-// HeadLoss is what is known of a head that is no longer listed.
-type HeadLoss struct {
-	// Since is when the head was found missing.
-	Since time.Time
-	// Head is its last entry; nil if this holder never saw it.
-	Head *engine.Instance
-	// Refused tells that nothing listens at the head's address any more.
-	Refused bool
-	// MembersLeftAt is when the remaining members had left the group, so that a
-	// head that still runs breaks; zero before.
-	MembersLeftAt time.Time
-}
-
 // group returns the listed group with the given ID, or nil.
 func (s *Situation) group(id engine.GroupID) *engine.Group {
 	for _, g := range s.Groups {
