--- a/formation/controller.go
+++ b/formation/controller.go
@@ -186,7 +186,7 @@
 	instances := c.withoutLost(roster.ByService[service.Name], now)
 	s := &Situation{
 		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
-		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, SeenSince: c.seen, Now: now,
+		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, LastHead: c.lastHead, SeenSince: c.seen, Now: now,
 	}
 	c.settle(s)
 	c.settleStaging(s)
@@ -333,7 +333,7 @@
 func (c *Controller) form(ctx context.Context, d Draft) {
 	id := engine.GroupID{Name: groupName(c.nextEpoch), Epoch: c.nextEpoch}
 	c.nextEpoch++
-	f := Formation{Model: d.Model, At: time.Now()}
+	f := Formation{Model: d.Model, Loads: d.Loads, At: time.Now()}
 	for _, in := range d.Members {
 		f.Members = append(f.Members, in.ID)
 	}
--- a/formation/free.go
+++ b/formation/free.go
@@ -9,9 +9,10 @@
 const (
 	// adoptTime is how long a new holder leaves an unfinished group alone that it
 	// didn't order itself: its orders may still be on their way.
-	adoptTime = 4 * time.Second
-	// joinSlack is added to the time that a join takes before it counts as lost.
-	joinSlack = 6 * time.Second
+	adoptTime = 2500 * time.Millisecond
+	// joinSlack is added to the time that a join takes before it counts as lost: an
+	// order may be unanswered and carried out after a second.
+	joinSlack = 1500 * time.Millisecond
 )
 
 // free returns the instances that may join another group, by fabric domain.
@@ -27,7 +28,7 @@
 
 // released reports whether the instance has no group, or one that certainly runs
 // nothing. A head that isn't listed may still serve callers, so its members first
-// have to leave.
+// have to leave. One that is listed elsewhere has given its group up.
 func (s *Situation) released(in *engine.Instance) bool {
 	m := in.Membership
 	if m.Group == "" || m.Phase == engine.Broken {
@@ -36,7 +37,8 @@
 	g := s.group(engine.GroupID{Name: m.Group, Epoch: m.Epoch})
 	head := g.Head()
 	if head == nil {
-		return false
+		last := s.LastHead[g.ID]
+		return last != nil && s.instance(last.ID) != nil
 	}
 	switch head.Membership.Phase {
 	case engine.Open, engine.Closing:
@@ -72,6 +74,9 @@
 	if model == nil {
 		return 0
 	}
+	if f.Loads == 0 {
+		return model.WarmTime
+	}
 	// Loads beyond those that the weight store serves at once slow each other.
 	return 2 * model.LoadTime
 }
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -88,11 +88,11 @@
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
 		for i := range s.Profile.Models {
 			model := &s.Profile.Models[i]
-			if len(free[domain]) < model.Size || !need.wants(model) {
+			if len(free[domain]) < model.Size {
 				continue
 			}
 			draft := choose(free[domain], model)
-			if draft.Loads > 0 && (!s.LoadsAreShort || draft.Loads > loads) {
+			if draft.Loads > 0 && (!s.LoadsAreShort || draft.Loads > loads || !need.wants(model)) {
 				continue
 			}
 			if v := need.value(model, &draft); !found || v > value {
--- a/formation/report.go
+++ b/formation/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -16,6 +17,7 @@
 // census counts the instances and groups of one model.
 type census struct {
 	serving, across, forming, broken int
+	brokenGroups                     []string
 }
 
 // report logs how many groups each model has, against those that it needs.
@@ -37,7 +39,7 @@
 		_ = level.Info(c.Logger).Log("msg", "groups", "model", m.Name, "size", m.Size, "serving", n.serving,
 			"across", n.across, "forming", n.forming, "broken", n.broken,
 			"needed", fmt.Sprintf("%.1f", need.target[m.Name]), "demand", fmt.Sprintf("%.1f", s.Demand[m.Name]),
-			"instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads)
+			"broken_groups", strings.Join(n.brokenGroups, ","), "instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads)
 	}
 }
 
@@ -58,11 +60,24 @@
 			n.forming++
 		default:
 			n.broken++
+			n.brokenGroups = append(n.brokenGroups, describe(g))
 		}
 	}
 	return n
 }
 
+// describe names a group with the states of its members by rank.
+func describe(g *engine.Group) string {
+	text := g.ID.Name
+	for _, in := range g.Members {
+		text += fmt.Sprintf(" %d:%s", in.Membership.Rank, in.Membership.Phase)
+		if in.Leaving {
+			text += "(leaving)"
+		}
+	}
+	return text
+}
+
 // spansDomains reports whether the members of a group are in several domains.
 func spansDomains(g *engine.Group) bool {
 	for _, m := range g.Members {
--- a/formation/situation.go
+++ b/formation/situation.go
@@ -19,6 +19,8 @@
 	Ordered map[string]bool
 	// Formed are the member lists of the groups that this holder ordered.
 	Formed map[engine.GroupID]Formation
+	// LastHead is the head of a group as listed last.
+	LastHead map[engine.GroupID]*engine.Instance
 	// SeenSince tells since when this holder has known a group.
 	SeenSince map[engine.GroupID]time.Time
 	// Loads is the number of loads from the weight store that may start now.
@@ -35,7 +37,9 @@
 type Formation struct {
 	Model   string
 	Members []string
-	At      time.Time
+	// Loads is the number of members that load weights from the weight store.
+	Loads int
+	At    time.Time
 }
 
 // group returns the listed group with the given ID, or nil.
