Judge silence by the longest pass; give slow groups fewer requests; on-time requests first

Cause: a pass of a batch takes five steps, each of which may read 2,048 prompt tokens: 270 ms at pace 1, 800 ms in a group over several domains, while 400 ms of silence were a stall. 55 of 89 examined groups were whole; each was avoided for three seconds and its streams moved. Groups over several domains also received as many requests as others, three times too many.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -81,8 +81,12 @@
 	// StepTime and StepTimePerRequest give the duration of a token step.
 	StepTime           time.Duration
 	StepTimePerRequest time.Duration
-	// ReadRate is the prompt tokens read per second.
-	ReadRate float64
+	// ReadRate is the prompt tokens read per second, ReadChunk the most that one
+	// step reads.
+	ReadRate  float64
+	ReadChunk int
+	// DistanceFactor multiplies the times of a group over several fabric domains.
+	DistanceFactor float64
 	// StepsPerEvent is the number of token steps between two events.
 	StepsPerEvent int
 	// LoadsPerSecond and LoadsAtOnce bound loads from the weight store.
@@ -90,6 +94,22 @@
 	LoadsAtOnce    int
 }
 
+// EventGap returns the usual time between two events of a full group at pace 1,
+// and the longest one, while prompts are read in every step.
+func (p *EngineProfile) EventGap() (usual, longest time.Duration) {
+	step := p.StepTime + time.Duration(p.Slots)*p.StepTimePerRequest
+	usual = step * time.Duration(p.StepsPerEvent)
+	return usual, usual + p.ReadTime(p.ReadChunk)*time.Duration(p.StepsPerEvent)
+}
+
+// ReadTime returns the time to read prompt tokens at pace 1.
+func (p *EngineProfile) ReadTime(tokens int) time.Duration {
+	if p.ReadRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / p.ReadRate * float64(time.Second))
+}
+
 // Model returns the model with the given name, or nil.
 func (p *EngineProfile) Model(name string) *Model {
 	for i := range p.Models {
--- a/engine/roster.go
+++ b/engine/roster.go
@@ -92,6 +92,16 @@
 	return head != nil && head.Membership.Phase == Open && g.Whole(size)
 }
 
+// SpansDomains reports whether the members are in several fabric domains.
+func (g *Group) SpansDomains() bool {
+	for _, m := range g.Members {
+		if m.FabricDomain != g.Members[0].FabricDomain {
+			return true
+		}
+	}
+	return false
+}
+
 // Roster is one version of the platform's list.
 type Roster struct {
 	ByID map[string]*Instance
--- a/entry/state.go
+++ b/entry/state.go
@@ -53,7 +53,7 @@
 	state := mesh.State{
 		Node: s.settings.Node, CallerAddress: s.settings.CallerAddress, PeerAddress: s.settings.PeerAddress,
 		FailureDomain: s.settings.FailureDomain, Serving: s.Ready(), Leaving: s.leaving.Load(),
-		Running: map[string]uint16{}, Demand: map[string]uint16{},
+		Use: map[uint32]mesh.Use{}, Demand: map[string]uint16{}, Waiting: map[string]uint16{},
 	}
 	if c := s.world.Configuration.Load(); c != nil {
 		state.ConfigurationVersion = c.Version
@@ -64,7 +64,7 @@
 	now := time.Now()
 	s.tables.Load().Each(func(t *forward.Target) {
 		if n := t.Load.Running(); n > 0 {
-			state.Running[t.Instance.ID] = uint16(n)
+			state.Use[mesh.Key(t.Instance.ID)] = mesh.NewUse(n, t.Load.Progressed(now))
 			if t.Pool.Model != "" {
 				state.Demand[t.Pool.Model] += uint16(n)
 			}
@@ -76,6 +76,7 @@
 	for pool, n := range s.dispatcher.Waiting() {
 		if pool.Model != "" {
 			state.Demand[pool.Model] += uint16(n)
+			state.Waiting[pool.Model] = uint16(n)
 		}
 	}
 	return state
--- a/formation/report.go
+++ b/formation/report.go
@@ -53,7 +53,7 @@
 		switch {
 		case g.Serving(s.size(g)):
 			n.serving++
-			if spansDomains(g) {
+			if g.SpansDomains() {
 				n.across++
 			}
 		case s.keeps(g):
@@ -77,13 +77,3 @@
 	}
 	return text
 }
-
-// spansDomains reports whether the members of a group are in several domains.
-func spansDomains(g *engine.Group) bool {
-	for _, m := range g.Members {
-		if m.FabricDomain != g.Members[0].FabricDomain {
-			return true
-		}
-	}
-	return false
-}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -15,6 +15,9 @@
 }
 
 const (
+	// usualSlots is the size of a batch to which loads are scaled, so that targets
+	// of different sizes fill alike.
+	usualSlots = 17.0
 	// promptWeight is the load of a prompt token against that of a running
 	// request. A batch of 17 requests makes a token step a fifth longer, and
 	// reading 2,000 tokens delays it by about the time of one event.
@@ -27,9 +30,9 @@
 	overcommit = 0.12
 )
 
-// score is the load of a candidate in requests.
+// score is the load of a candidate in requests of a usual batch.
 func (c *Candidate) score() float64 {
-	s := c.Requests + c.PromptTokens*promptWeight
+	s := (c.Requests + c.PromptTokens*promptWeight) * usualSlots / float64(max(c.Slots, 1))
 	if !c.Near {
 		s += distanceWeight
 	}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -16,6 +16,10 @@
 type Peers interface {
 	// Running returns the requests of other nodes at an instance.
 	Running(instance string) int
+	// Progress reports whether an instance sends events to other nodes.
+	Progress(instance string) bool
+	// Waiting returns the requests of other nodes that wait for a place.
+	Waiting(model string) int
 	// Nodes returns the number of nodes that serve, this one among them.
 	Nodes() int
 }
@@ -28,10 +32,6 @@
 	ErrFull = errors.New("all places are taken")
 )
 
-// maxQueueWait is the longest wait for a place. Callers leave streams after two
-// seconds without an event.
-const maxQueueWait = 1200 * time.Millisecond
-
 // recheckInterval is how often waiting requests look for a place that another
 // node gave back.
 const recheckInterval = 25 * time.Millisecond
@@ -48,7 +48,7 @@
 
 // waiter is a request that waits for a place.
 type waiter struct {
-	rank  int
+	turn  Turn
 	found chan *Target
 	avoid map[string]bool
 	// prompt is the length of the request's prompt in tokens.
@@ -69,8 +69,12 @@
 	PromptTokens int
 	// Avoid names instances that were tried before.
 	Avoid map[string]bool
-	// Wait bounds the time in the queue.
-	Wait time.Duration
+	// Begun tells that the caller has a part of the answer.
+	Begun bool
+	// GoalAt is when the answer is late.
+	GoalAt time.Time
+	// Until is when waiting is of no use any more.
+	Until time.Time
 }
 
 // Place is a taken place. It is released once.
@@ -108,7 +112,7 @@
 
 // Acquire returns a place for the request, after a wait if all are taken.
 func (d *Dispatcher) Acquire(ctx context.Context, w Want) (*Place, error) {
-	me := &waiter{rank: w.Rank, found: make(chan *Target, 1), avoid: w.Avoid, prompt: w.PromptTokens}
+	me := &waiter{turn: Turn{Begun: w.Begun, Rank: w.Rank, GoalAt: w.GoalAt}, found: make(chan *Target, 1), avoid: w.Avoid, prompt: w.PromptTokens}
 	d.mu.Lock()
 	if len(d.tables.Load().Targets(w.Pool)) == 0 {
 		d.mu.Unlock()
@@ -118,7 +122,7 @@
 		d.mu.Unlock()
 		return d.place(target, w.PromptTokens), nil
 	}
-	if w.Wait <= 0 {
+	if !time.Now().Before(w.Until) {
 		d.mu.Unlock()
 		return nil, ErrFull
 	}
@@ -128,7 +132,7 @@
 }
 
 func (d *Dispatcher) wait(ctx context.Context, w Want, me *waiter) (*Place, error) {
-	limit := time.NewTimer(min(w.Wait, maxQueueWait))
+	limit := time.NewTimer(time.Until(w.Until))
 	defer limit.Stop()
 	recheck := time.NewTicker(recheckInterval)
 	defer recheck.Stop()
@@ -154,15 +158,8 @@
 	return &Place{Target: t, Crowded: crowded, dispatcher: d, prompt: atomicOnce{tokens: prompt}}
 }
 
-// enqueue adds a waiter behind those of its rank; the caller holds the lock.
-func (d *Dispatcher) enqueue(p Pool, w *waiter) {
-	queue := d.waiting[p]
-	at := len(queue)
-	for at > 0 && queue[at-1].rank > w.rank {
-		at--
-	}
-	d.waiting[p] = slices.Insert(queue, at, w)
-}
+// enqueue adds a waiter; the caller holds the lock.
+func (d *Dispatcher) enqueue(p Pool, w *waiter) { d.waiting[p] = append(d.waiting[p], w) }
 
 // withdraw removes a waiter and returns the target it was given meanwhile.
 func (d *Dispatcher) withdraw(p Pool, w *waiter) *Target {
@@ -180,6 +177,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queue := d.waiting[p]
+	now := time.Now()
+	slices.SortStableFunc(queue, func(a, b *waiter) int { return a.turn.Compare(b.turn, now) })
 	left := queue[:0]
 	for _, w := range queue {
 		if target := d.pick(p, w); target != nil {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -39,7 +39,7 @@
 // plainAttempt sends the request once and delivers a whole answer.
 func (h *Handler) plainAttempt(ctx context.Context, c *call) *verdict.Error {
 	place, err := h.Dispatcher.Acquire(ctx, Want{Pool: c.pool(), Rank: rank(c.route, c.organisation),
-		Avoid: c.tried, Wait: time.Until(c.deadline) / 2})
+		Avoid: c.tried, GoalAt: c.goalAt, Until: time.Now().Add(time.Until(c.deadline) / 2)})
 	if err != nil {
 		return h.noPlace(c, err)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -65,12 +65,12 @@
 // streamAttempt sends the request once and passes its events on.
 func (h *Handler) streamAttempt(ctx context.Context, s *stream) *verdict.Error {
 	place, err := h.Dispatcher.Acquire(ctx, Want{Pool: s.pool(), Rank: rank(s.route, s.organisation),
-		PromptTokens: s.PromptTokens, Avoid: s.tried, Wait: time.Until(s.deadline)})
+		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: s.waitUntil()})
 	if err != nil {
 		return h.noPlace(s.call, err)
 	}
 	defer place.Release()
-	monitor := newMonitor(s, place)
+	monitor := h.newMonitor(s, place)
 	answer, failed := h.send(ctx, s.call, place, s.lastEventID, monitor.watch)
 	if failed == nil {
 		failed = h.relay(s, place, answer, monitor)
@@ -81,6 +81,22 @@
 	return failed
 }
 
+// firstEventPatience is the time after which callers leave a stream that has sent
+// nothing, less the time to a first event from an engine with a free place.
+const firstEventPatience = 1600 * time.Millisecond
+
+// waitUntil returns when the caller would leave before an engine could answer.
+func (s *stream) waitUntil() time.Time {
+	at := s.started.Add(firstEventPatience)
+	if s.begun {
+		at = time.Now().Add(firstEventPatience)
+	}
+	if s.deadline.Before(at) {
+		return s.deadline
+	}
+	return at
+}
+
 // relay passes the events of one attempt on to the caller.
 func (h *Handler) relay(s *stream, place *Place, answer *upstream.Answer, monitor *monitor) *verdict.Error {
 	defer answer.Abort()
@@ -102,7 +118,7 @@
 		}
 		now := time.Now()
 		place.Load.progress(now)
-		if monitor.event(now) {
+		if monitor.event() {
 			place.PromptRead()
 		}
 		if err := h.pass(s, answer, event); err != nil {
@@ -180,23 +196,19 @@
 	gapEvents = 6
 )
 
-// silenceLimit returns the silence after which a stream is moved to another
-// engine. It answers to engines that accept requests and do nothing, and must not
-// answer to long prompts and full batches.
-func silenceLimit(r *catalog.Route, p *catalog.EngineProfile, m *catalog.Model, promptTokens int, begun bool) time.Duration {
-	if p == nil || m == nil {
-		return defaultPatience
-	}
-	step := p.StepTime + time.Duration(p.Slots)*p.StepTimePerRequest
-	gap := time.Duration(float64(step)*m.Pace) * time.Duration(p.StepsPerEvent)
-	if begun {
-		return max(minGap, gapEvents*gap)
-	}
-	read := time.Duration(0)
-	if p.ReadRate > 0 {
-		read = time.Duration(float64(promptTokens) / p.ReadRate * float64(time.Second))
+// silenceLimits returns the silence before the first event, and between events,
+// after which a stream is moved to another engine. They answer to engines that
+// accept requests and do nothing, and must not answer to long prompts, full
+// batches or slow groups.
+func silenceLimits(r *catalog.Route, p *catalog.EngineProfile, pace float64, promptTokens int) (first, next time.Duration) {
+	if p == nil {
+		return defaultPatience, defaultPatience
 	}
-	return max(r.LatencyGoal, gapEvents*gap) + 2*read + firstEventSlack
+	scaled := func(d time.Duration) time.Duration { return time.Duration(float64(d) * pace) }
+	usual, longest := p.EventGap()
+	next = max(minGap, scaled(gapEvents*usual), scaled(2*longest))
+	first = max(r.LatencyGoal, next) + 2*scaled(p.ReadTime(promptTokens)) + firstEventSlack
+	return first, next
 }
 
 // progressWindow is how fresh an event of another stream must be to show that a
@@ -205,30 +217,30 @@
 
 // monitor watches one attempt for silence.
 type monitor struct {
-	load        *Load
+	load *Load
+	// elsewhere reports whether the engine sends events to other nodes.
+	elsewhere   func() bool
 	first, next time.Duration
 	begun       bool
 	// last tells that the request can't be moved any more.
 	last bool
 }
 
-func newMonitor(s *stream, place *Place) *monitor {
-	m := &monitor{load: place.Load, last: s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable()}
-	profile := s.service.Engine
-	var model *catalog.Model
-	if profile != nil {
-		model = profile.Model(place.Pool.Model)
+func (h *Handler) newMonitor(s *stream, place *Place) *monitor {
+	m := &monitor{
+		load:      place.Load,
+		elsewhere: func() bool { return h.Peers.Progress(place.Instance.ID) },
+		last:      s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable(),
 	}
-	m.first = silenceLimit(s.route, profile, model, s.PromptTokens, false)
+	m.first, m.next = silenceLimits(s.route, s.service.Engine, place.Pace, s.PromptTokens)
 	if place.Crowded {
 		m.first += crowdedSlack
 	}
-	m.next = silenceLimit(s.route, profile, model, s.PromptTokens, true)
 	return m
 }
 
 // event records an event and reports whether it was the first one.
-func (m *monitor) event(time.Time) bool {
+func (m *monitor) event() bool {
 	first := !m.begun
 	m.begun = true
 	return first
@@ -246,7 +258,7 @@
 	if silent < limit {
 		return limit - silent, nil
 	}
-	if !m.begun && m.load.progressed(time.Now().Add(-progressWindow)) {
+	if !m.begun && (m.load.Progressed(time.Now()) || m.elsewhere()) {
 		// The engine works on others; this request waits for its turn.
 		return progressWindow, nil
 	}
--- a/forward/table.go
+++ b/forward/table.go
@@ -44,8 +44,10 @@
 	l.avoidUntil.Store(0)
 }
 
-// progressed reports whether a byte came from the target after a time.
-func (l *Load) progressed(after time.Time) bool { return l.progressAt.Load() > after.UnixNano() }
+// Progressed reports whether an event came from the target lately.
+func (l *Load) Progressed(now time.Time) bool {
+	return l.progressAt.Load() > now.Add(-progressWindow).UnixNano()
+}
 
 // Target is a backend server that takes requests for its pool.
 type Target struct {
@@ -53,9 +55,12 @@
 	// Group is the group that the instance heads; zero for a plain server.
 	Group engine.GroupID
 	Pool  Pool
-	// Slots is the number of requests that it runs at once.
+	// Slots is the number of requests that it runs at once at its usual speed. A
+	// slower target has fewer, so that none of them is late.
 	Slots int
-	Load  *Load
+	// Pace multiplies the times of the service's engines.
+	Pace float64
+	Load *Load
 }
 
 // Table maps pools to their targets. It is immutable.
@@ -134,7 +139,7 @@
 func addServers(s *catalog.Service, r *engine.Roster, add func(*Target)) {
 	for _, in := range r.ByService[s.Name] {
 		if !in.Leaving {
-			add(&Target{Instance: in, Pool: Pool{Service: s.Name}, Slots: max(in.Slots, 1)})
+			add(&Target{Instance: in, Pool: Pool{Service: s.Name}, Slots: max(in.Slots, 1), Pace: 1})
 		}
 	}
 }
@@ -149,6 +154,11 @@
 		if slots <= 0 {
 			slots = max(g.Head().Slots, 1)
 		}
-		add(&Target{Instance: g.Head(), Group: g.ID, Pool: Pool{s.Name, g.Model}, Slots: slots})
+		pace := model.Pace
+		if g.SpansDomains() {
+			pace *= s.Engine.DistanceFactor
+			slots = max(int(float64(slots)/s.Engine.DistanceFactor), 1)
+		}
+		add(&Target{Instance: g.Head(), Group: g.ID, Pool: Pool{s.Name, g.Model}, Slots: slots, Pace: pace})
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -47,7 +47,9 @@
 	// Live are the newest states of nodes heard lately, sorted by name.
 	Live []*State
 	// running sums the requests of other nodes by instance.
-	running map[string]int
+	running map[uint32]int
+	// progress holds the instances that sent events to other nodes.
+	progress map[uint32]bool
 	// suspects counts the nodes that found an instance silent.
 	suspects map[string]int
 }
@@ -219,7 +221,7 @@
 			delete(m.targets, address)
 		}
 	}
-	v := &View{running: map[string]int{}, suspects: map[string]int{}}
+	v := &View{running: map[uint32]int{}, progress: map[uint32]bool{}, suspects: map[string]int{}}
 	for address, other := range m.members {
 		switch silent := now.Sub(other.heardAt); {
 		case silent > forgetAfter:
@@ -242,8 +244,11 @@
 
 func (v *View) add(s *State) {
 	v.Live = append(v.Live, s)
-	for instance, n := range s.Running {
-		v.running[instance] += int(n)
+	for instance, use := range s.Use {
+		v.running[instance] += use.Requests()
+		if use.Progress() {
+			v.progress[instance] = true
+		}
 	}
 	for _, instance := range s.Suspects {
 		v.suspects[instance]++
@@ -254,7 +259,19 @@
 func (m *Mesh) View() *View { return m.view.Load() }
 
 // Running implements forward.Peers.
-func (m *Mesh) Running(instance string) int { return m.View().running[instance] }
+func (m *Mesh) Running(instance string) int { return m.View().running[Key(instance)] }
+
+// Progress implements forward.Peers.
+func (m *Mesh) Progress(instance string) bool { return m.View().progress[Key(instance)] }
+
+// Waiting implements forward.Peers.
+func (m *Mesh) Waiting(model string) int {
+	n := 0
+	for _, s := range m.View().Live {
+		n += int(s.Waiting[model])
+	}
+	return n
+}
 
 // Suspected reports whether another node found the instance silent.
 func (m *Mesh) Suspected(instance string) bool { return m.View().suspects[instance] > 0 }
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanlanding/rattanlanding/object"
@@ -26,16 +27,42 @@
 	// ConfigurationVersion and ListCursor tell which documents the node holds.
 	ConfigurationVersion uint64         `msgpack:"v"`
 	ListCursor           object.Version `msgpack:"r"`
-	// Running maps instances to the node's requests there.
-	Running map[string]uint16 `msgpack:"q"`
+	// Use maps instances, by the hash of their ID, to what the node does there.
+	Use map[uint32]Use `msgpack:"q"`
 	// Demand maps models to the node's requests that run or wait.
 	Demand map[string]uint16 `msgpack:"d"`
+	// Waiting maps models to the node's requests that wait for a place.
+	Waiting map[string]uint16 `msgpack:"w"`
 	// Suspects are the instances that the node found silent.
 	Suspects []string `msgpack:"x"`
 	// Known are peer addresses of some other nodes.
 	Known []string `msgpack:"k"`
 }
 
+// Use packs a number of requests and whether events arrive.
+type Use uint16
+
+// progressBit tells that events arrive.
+const progressBit Use = 1 << 15
+
+// NewUse returns the use of an instance.
+func NewUse(requests int, progress bool) Use {
+	u := Use(min(requests, int(progressBit)-1))
+	if progress {
+		u |= progressBit
+	}
+	return u
+}
+
+// Requests returns the number of requests.
+func (u Use) Requests() int { return int(u &^ progressBit) }
+
+// Progress reports whether an event arrived lately.
+func (u Use) Progress() bool { return u&progressBit != 0 }
+
+// Key returns the hash under which the use of an instance is sent.
+func Key(instance string) uint32 { return uint32(xxhash.Sum64String(instance)) }
+
 // encode returns the datagram of a state. Addresses of other nodes are left out
 // if they don't fit.
 func encode(s *State) ([]byte, error) {
