Fill engines only to their slots, refuse what would wait in vain, stage two models per host

Changes: a free place belongs to the waiting nodes in a known order; requests that are late and would get no place are refused at once; before the first traffic, when loads take a tenth, each host gets the weights of the other model too.

--- a/entry/module.go
+++ b/entry/module.go
@@ -106,7 +106,7 @@
 func newStatus(s Settings, w *World, tables *forward.Tables, f followers, logger log.Logger, registry metrics.Registry) *status {
 	st := &status{settings: s, world: w, tables: tables, instances: f.instances}
 	st.mesh = mesh.New(mesh.Config{Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, logger, registry)
-	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.FailureDomain)
+	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.Node, s.FailureDomain)
 	return st
 }
 
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -45,7 +45,7 @@
 	// retryDelay is the pause after a failed call.
 	retryDelay = 250 * time.Millisecond
 	// settleDelay gathers changes that follow each other closely into one call.
-	settleDelay = 60 * time.Millisecond
+	settleDelay = 120 * time.Millisecond
 )
 
 // Snapshot is the copy at one moment.
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -17,7 +17,7 @@
 // would hold up the others.
 func (s *Situation) stages(free domains, need *needs) []engine.Command {
 	if s.LoadsAreShort {
-		return nil
+		return s.stagesBeforeTraffic()
 	}
 	s.countComing(free, need)
 	var commands []engine.Command
@@ -36,6 +36,41 @@
 	return commands
 }
 
+// stagesBeforeTraffic loads another model onto the host of each member of a
+// serving group, while loads cost next to nothing. Such an instance can join groups
+// of either model later without a load.
+func (s *Situation) stagesBeforeTraffic() []engine.Command {
+	var commands []engine.Command
+	for _, in := range s.Instances {
+		m := in.Membership
+		if m.Phase != engine.Open && m.Phase != engine.Ready {
+			continue
+		}
+		if model := s.otherModel(in); model != "" && s.Staging[in.ID] == "" {
+			s.Staging[in.ID] = model
+			commands = append(commands, engine.Command{Operation: engine.Stage, Instance: in.ID,
+				Address: in.Address, Model: model})
+		}
+	}
+	return commands
+}
+
+// otherModel returns the first model that an instance has no weights of, unless
+// weights of another one than its group's are staged already.
+func (s *Situation) otherModel(in *engine.Instance) string {
+	for _, staged := range in.Staged {
+		if staged != in.Model {
+			return ""
+		}
+	}
+	for i := range s.Profile.Models {
+		if name := s.Profile.Models[i].Name; name != in.Model {
+			return name
+		}
+	}
+	return ""
+}
+
 // countComing counts the free instances by the weights that they have or load.
 func (s *Situation) countComing(free domains, need *needs) {
 	clear(need.coming)
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -122,9 +122,12 @@
 	}
 }
 
-func (m *handlerMetrics) answered(c *call, status int) {
-	m.duration.UpdateSince(c.started)
-	metrics.GetOrRegisterCounter("forward.answers."+strconv.Itoa(status), m.registry).Inc(1)
+// answered records an answer of a backend server.
+func (h *Handler) answered(c *call, status, events int) {
+	h.metrics.duration.UpdateSince(c.started)
+	metrics.GetOrRegisterCounter("forward.answers."+strconv.Itoa(status), h.metrics.registry).Inc(1)
+	_ = level.Info(h.Logger).Log("msg", "answered", "request", c.ID, "status", status, "sends", c.sends,
+		"first_ms", c.firstAfter.Milliseconds(), "total_ms", time.Since(c.started).Milliseconds(), "events", events)
 }
 
 func (m *handlerMetrics) refused(status int) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/upstream"
 	"github.com/rattanlanding/rattanlanding/verdict"
@@ -22,6 +24,9 @@
 func (h *Handler) send(ctx context.Context, c *call, place *Place, lastEventID string, watch upstream.Watch) (*upstream.Answer, *verdict.Error) {
 	c.tried[place.Instance.ID] = true
 	c.sends++
+	_ = level.Info(h.Logger).Log("msg", "sent", "request", c.ID, "route", c.route.Name, "send", c.sends,
+		"instance", place.Instance.ID, "group", place.Group.Name, "own", place.Own, "others", place.Others,
+		"slots", place.Slots, "after_ms", time.Since(c.started).Milliseconds(), "last_event", lastEventID)
 	fresh := c.route.Kind == catalog.Unsafe
 	conn, err := h.Pool.Get(ctx, place.Instance.Address, fresh, h.connectionLimit(c.service))
 	if err != nil {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -8,6 +8,9 @@
 	// read yet.
 	PromptTokens float64
 	Slots        int
+	// Ahead is the number of nodes with waiting requests that come before this one
+	// at the target.
+	Ahead int
 	// Near tells that the target is in this node's failure domain.
 	Near bool
 	// Avoid tells that the target was tried before or is suspected.
@@ -26,8 +29,8 @@
 	// domain may have more than one elsewhere, since bytes between domains cost.
 	distanceWeight = 0.6
 	// overcommit is the part of the slots that may wait at a target beside those
-	// that run. Short waits there fill a freed place at once.
-	overcommit = 0.12
+	// that run, so that a freed slot is filled at once.
+	overcommit = 0.05
 )
 
 // score is the load of a candidate in requests of a usual batch.
@@ -39,9 +42,12 @@
 	return s
 }
 
-// hasPlace reports whether another request can soon start at the candidate.
+// hasPlace reports whether another request of this node can start at the
+// candidate. Free places belong to the nodes with waiting requests in an order
+// that they all know, so that one free place doesn't draw a request from each. It
+// answers to full targets, where news of other nodes' requests come too late.
 func (c *Candidate) hasPlace() bool {
-	return c.Requests < float64(c.Slots)*(1+overcommit)
+	return c.Requests+float64(c.Ahead) < float64(c.Slots)*(1+overcommit)
 }
 
 // Choose returns the index of the least loaded candidate that has a place, or
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
 // Peers tells what other nodes have sent. Implementations are safe for
@@ -18,8 +19,9 @@
 	Running(instance string) int
 	// Progress reports whether an instance sends events to other nodes.
 	Progress(instance string) bool
-	// Waiting returns the requests of other nodes that wait for a place.
-	Waiting(model string) int
+	// WaitingNodes returns the names of other nodes with requests that wait for a
+	// group of a model.
+	WaitingNodes(model string) []string
 	// Nodes returns the number of nodes that serve, this one among them.
 	Nodes() int
 }
@@ -40,10 +42,14 @@
 type Dispatcher struct {
 	tables        *Tables
 	peers         Peers
+	node          string
 	failureDomain string
 
 	mu      sync.Mutex
 	waiting map[Pool][]*waiter
+	// pumping holds the pools with a goroutine that looks for places.
+	pumping map[Pool]bool
+	flows   map[Pool]*flow
 }
 
 // waiter is a request that waits for a place.
@@ -56,8 +62,9 @@
 }
 
 // NewDispatcher returns a dispatcher over the newest table.
-func NewDispatcher(tables *Tables, peers Peers, failureDomain string) *Dispatcher {
-	return &Dispatcher{tables: tables, peers: peers, failureDomain: failureDomain, waiting: map[Pool][]*waiter{}}
+func NewDispatcher(tables *Tables, peers Peers, node, failureDomain string) *Dispatcher {
+	return &Dispatcher{tables: tables, peers: peers, node: node, failureDomain: failureDomain, waiting: map[Pool][]*waiter{},
+		pumping: map[Pool]bool{}, flows: map[Pool]*flow{}}
 }
 
 // Want is a request for a place.
@@ -80,10 +87,12 @@
 // Place is a taken place. It is released once.
 type Place struct {
 	*Target
-	// Crowded tells that the target's slots were all taken.
-	Crowded    bool
-	dispatcher *Dispatcher
-	prompt     atomicOnce
+	// Own and Others are the requests of this node and of the others at the target
+	// when the place was taken.
+	Own, Others int
+	taken       time.Time
+	dispatcher  *Dispatcher
+	prompt      atomicOnce
 }
 
 // atomicOnce is the prompt that is still counted.
@@ -100,6 +109,9 @@
 	return n
 }
 
+// Crowded reports whether the target's slots were all taken.
+func (p *Place) Crowded() bool { return p.Own+p.Others > p.Slots }
+
 // PromptRead tells that the engine has read the prompt.
 func (p *Place) PromptRead() { p.Load.prompts.Add(-int64(p.prompt.take())) }
 
@@ -107,13 +119,20 @@
 func (p *Place) Release() {
 	p.PromptRead()
 	p.Load.running.Add(-1)
-	p.dispatcher.serve(p.Pool)
+	d := p.dispatcher
+	d.mu.Lock()
+	d.flow(p.Pool).ended(time.Since(p.taken))
+	d.mu.Unlock()
+	d.serve(p.Pool)
 }
 
 // Acquire returns a place for the request, after a wait if all are taken.
 func (d *Dispatcher) Acquire(ctx context.Context, w Want) (*Place, error) {
 	me := &waiter{turn: Turn{Begun: w.Begun, Rank: w.Rank, GoalAt: w.GoalAt}, found: make(chan *Target, 1), avoid: w.Avoid, prompt: w.PromptTokens}
 	d.mu.Lock()
+	if !w.Begun {
+		d.flow(w.Pool).arrived(time.Now())
+	}
 	if len(d.tables.Load().Targets(w.Pool)) == 0 {
 		d.mu.Unlock()
 		return nil, ErrNoTarget
@@ -131,35 +150,79 @@
 	return d.wait(ctx, w, me)
 }
 
+// wait waits for a place. When the answer can't be on time any more, the request
+// waits on only if there is room for late ones.
 func (d *Dispatcher) wait(ctx context.Context, w Want, me *waiter) (*Place, error) {
 	limit := time.NewTimer(time.Until(w.Until))
 	defer limit.Stop()
-	recheck := time.NewTicker(recheckInterval)
-	defer recheck.Stop()
-	for {
+	late := time.NewTimer(max(time.Until(w.GoalAt.Add(-firstEventTime)), 0))
+	defer late.Stop()
+	for waiting := true; waiting; {
 		select {
 		case target := <-me.found:
 			return d.place(target, w.PromptTokens), nil
-		case <-recheck.C:
-			d.serve(w.Pool)
-			continue
+		case <-late.C:
+			waiting = w.Begun || d.hasRoomForLate(w.Pool, time.Until(w.Until))
 		case <-limit.C:
+			waiting = false
 		case <-ctx.Done():
+			waiting = false
 		}
-		if target := d.withdraw(w.Pool, me); target != nil {
-			return d.place(target, w.PromptTokens), nil
+	}
+	if target := d.withdraw(w.Pool, me); target != nil {
+		return d.place(target, w.PromptTokens), nil
+	}
+	return nil, ErrFull
+}
+
+// hasRoomForLate reports whether a request that is late already will get a place
+// within its patience.
+func (d *Dispatcher) hasRoomForLate(p Pool, patience time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slots := 0
+	now := time.Now()
+	for _, t := range d.tables.Load().Targets(p) {
+		if !t.Load.Suspected(now) {
+			slots += t.Slots
+		}
+	}
+	share := float64(slots) / float64(max(d.peers.Nodes(), 1))
+	return d.flow(p).lateWait(share, len(d.waiting[p]), now) <= patience
+}
+
+// flow returns the measured flow of a pool; the caller holds the lock.
+func (d *Dispatcher) flow(p Pool) *flow {
+	if d.flows[p] == nil {
+		d.flows[p] = &flow{}
+	}
+	return d.flows[p]
+}
+
+// pump looks for places that other nodes gave back, while requests wait.
+func (d *Dispatcher) pump(p Pool) {
+	ticker := time.NewTicker(recheckInterval)
+	defer ticker.Stop()
+	for range ticker.C {
+		if !d.serve(p) {
+			return
 		}
-		return nil, ErrFull
 	}
 }
 
 func (d *Dispatcher) place(t *Target, prompt int) *Place {
-	crowded := t.Load.Running()+d.peers.Running(t.Instance.ID) >= t.Slots
-	return &Place{Target: t, Crowded: crowded, dispatcher: d, prompt: atomicOnce{tokens: prompt}}
+	return &Place{Target: t, Own: t.Load.Running(), Others: d.peers.Running(t.Instance.ID),
+		taken: time.Now(), dispatcher: d, prompt: atomicOnce{tokens: prompt}}
 }
 
 // enqueue adds a waiter; the caller holds the lock.
-func (d *Dispatcher) enqueue(p Pool, w *waiter) { d.waiting[p] = append(d.waiting[p], w) }
+func (d *Dispatcher) enqueue(p Pool, w *waiter) {
+	d.waiting[p] = append(d.waiting[p], w)
+	if len(d.waiting[p]) == 1 && !d.pumping[p] {
+		d.pumping[p] = true
+		go d.pump(p)
+	}
+}
 
 // withdraw removes a waiter and returns the target it was given meanwhile.
 func (d *Dispatcher) withdraw(p Pool, w *waiter) *Target {
@@ -172,8 +235,8 @@
 	return <-w.found
 }
 
-// serve gives free places to waiting requests.
-func (d *Dispatcher) serve(p Pool) {
+// serve gives free places to waiting requests and reports whether any are left.
+func (d *Dispatcher) serve(p Pool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queue := d.waiting[p]
@@ -190,9 +253,11 @@
 	clear(queue[len(left):])
 	if len(left) == 0 {
 		delete(d.waiting, p)
-		return
+		delete(d.pumping, p)
+		return false
 	}
 	d.waiting[p] = left
+	return true
 }
 
 // pick chooses a target and counts the request there; the caller holds the lock.
@@ -202,12 +267,14 @@
 		return nil
 	}
 	now := time.Now()
+	waiting := d.peers.WaitingNodes(p.Model)
 	candidates := make([]Candidate, len(targets))
 	for i, t := range targets {
 		candidates[i] = Candidate{
 			Requests:     float64(t.Load.Running() + d.peers.Running(t.Instance.ID)),
 			PromptTokens: float64(t.Load.prompts.Load()),
 			Slots:        t.Slots,
+			Ahead:        d.ahead(t.Instance.ID, waiting),
 			Near:         t.Instance.FailureDomain == d.failureDomain,
 			Avoid:        w.avoid[t.Instance.ID] || t.Load.Suspected(now),
 		}
@@ -222,6 +289,20 @@
 	return targets[best]
 }
 
+// ahead counts the waiting nodes that come before this one at an instance.
+func (d *Dispatcher) ahead(instance string, waiting []string) int {
+	if len(waiting) == 0 {
+		return 0
+	}
+	n, own := 0, rendezvous.Score(instance, d.node)
+	for _, node := range waiting {
+		if rendezvous.Score(instance, node) > own {
+			n++
+		}
+	}
+	return n
+}
+
 // Waiting returns the number of waiting requests by pool.
 func (d *Dispatcher) Waiting() map[Pool]int {
 	d.mu.Lock()
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -102,6 +102,8 @@
 	mayHaveRun bool
 	// tried names the instances that were sent the request.
 	tried map[string]bool
+	// firstAfter is the time to the first event.
+	firstAfter time.Duration
 	// runs counts the attempts that may have run, sends counts all.
 	runs, sends int
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -82,5 +82,7 @@
 		h.abandon(c)
 		return
 	}
-	h.metrics.answered(c, answer.Status)
+	if c.route.Kind != catalog.Streaming {
+		h.answered(c, answer.Status, 0)
+	}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -22,8 +22,8 @@
 	// lastEventID is the last event that the caller has.
 	lastEventID string
 	flusher     *http.ResponseController
-	// moved counts the attempts that ended before the stream did.
-	moved int
+	// status is that of the answer, events the number of events passed on.
+	status, events int
 }
 
 // stream answers a request with events, from as many engines as it takes.
@@ -32,7 +32,7 @@
 	for {
 		err := h.streamAttempt(ctx, s)
 		if err == nil {
-			h.metrics.answered(c, http.StatusOK)
+			h.answered(c, s.status, s.events)
 			return
 		}
 		if c.request.Context().Err() != nil {
@@ -43,7 +43,6 @@
 			h.endStream(s, err)
 			return
 		}
-		s.moved++
 		_ = level.Info(h.Logger).Log("msg", "stream goes on elsewhere", "request", c.ID, "sends", c.sends,
 			"last_event", s.lastEventID, "begun", s.begun, "err", err)
 	}
@@ -134,7 +133,8 @@
 	if s.begun {
 		return
 	}
-	s.begun = true
+	s.begun, s.status = true, answer.Status
+	s.firstAfter = time.Since(s.started)
 	copyHeader(s.writer.Header(), answer.Header)
 	s.writer.WriteHeader(answer.Status)
 	h.metrics.firstEvent.UpdateSince(s.started)
@@ -150,6 +150,7 @@
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the caller is gone").WithCause(err)
 	}
+	s.events++
 	if e.id != "" {
 		s.lastEventID = e.id
 	}
@@ -166,6 +167,7 @@
 	if answer.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.runs < s.route.MaxAttempts {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d", answer.Status)
 	}
+	s.status = answer.Status
 	h.deliver(s.call, answer, body)
 	return nil
 }
@@ -233,7 +235,7 @@
 		last:      s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable(),
 	}
 	m.first, m.next = silenceLimits(s.route, s.service.Engine, place.Pace, s.PromptTokens)
-	if place.Crowded {
+	if place.Crowded() {
 		m.first += crowdedSlack
 	}
 	return m
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -13,14 +13,19 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
 
 // Times of the exchange.
 const (
 	// sendInterval is the time between two states of a node. The load that other
 	// nodes place is at most this much older than a datagram's way.
-	sendInterval = 200 * time.Millisecond
-	// silentAfter is how long a node counts without news: five lost datagrams.
+	sendInterval = 100 * time.Millisecond
+	// intervalPerNode stretches the interval in a large deployment, so that a node
+	// receives a bounded number of states a second.
+	intervalPerNode = 10 * time.Millisecond
+	// silentAfter is how long a node counts without news. Lost datagrams are rare.
 	silentAfter = 1200 * time.Millisecond
 	// forgetAfter is the silence after which a node is told nothing any more.
 	forgetAfter = 30 * time.Second
@@ -50,6 +55,8 @@
 	running map[uint32]int
 	// progress holds the instances that sent events to other nodes.
 	progress map[uint32]bool
+	// waiting names the nodes with requests that wait, by model.
+	waiting map[string][]string
 	// suspects counts the nodes that found an instance silent.
 	suspects map[string]int
 }
@@ -111,17 +118,12 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	go m.receive(conn)
-	ticker := time.NewTicker(sendInterval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		m.send(conn)
 		m.refresh()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+		wait.For(ctx, max(sendInterval, time.Duration(m.Nodes())*intervalPerNode))
 	}
+	return nil
 }
 
 // send tells every known node the state.
@@ -221,7 +223,8 @@
 			delete(m.targets, address)
 		}
 	}
-	v := &View{running: map[uint32]int{}, progress: map[uint32]bool{}, suspects: map[string]int{}}
+	v := &View{running: map[uint32]int{}, progress: map[uint32]bool{},
+		waiting: map[string][]string{}, suspects: map[string]int{}}
 	for address, other := range m.members {
 		switch silent := now.Sub(other.heardAt); {
 		case silent > forgetAfter:
@@ -250,6 +253,11 @@
 			v.progress[instance] = true
 		}
 	}
+	for model, n := range s.Waiting {
+		if n > 0 {
+			v.waiting[model] = append(v.waiting[model], s.Node)
+		}
+	}
 	for _, instance := range s.Suspects {
 		v.suspects[instance]++
 	}
@@ -264,14 +272,8 @@
 // Progress implements forward.Peers.
 func (m *Mesh) Progress(instance string) bool { return m.View().progress[Key(instance)] }
 
-// Waiting implements forward.Peers.
-func (m *Mesh) Waiting(model string) int {
-	n := 0
-	for _, s := range m.View().Live {
-		n += int(s.Waiting[model])
-	}
-	return n
-}
+// WaitingNodes implements forward.Peers.
+func (m *Mesh) WaitingNodes(model string) []string { return m.View().waiting[model] }
 
 // Suspected reports whether another node found the instance silent.
 func (m *Mesh) Suspected(instance string) bool { return m.View().suspects[instance] > 0 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -52,6 +52,8 @@
 	conn     *Conn
 	response *http.Response
 	wrote    chan error
+	// done tells that the body was read to its end.
+	done bool
 }
 
 // Do sends a request on c and reads the head of the answer. The connection is
@@ -134,25 +136,28 @@
 type bodyReader struct {
 	answer *Answer
 	stop   func() bool
-	done   bool
 }
 
 // Read implements io.Reader. Any error but io.EOF means that the body is not
 // whole.
 func (b *bodyReader) Read(p []byte) (int, error) {
-	if b.done {
+	if b.answer.done {
 		return 0, io.EOF
 	}
 	n, err := b.answer.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.done = true
+		b.answer.done = true
 		b.answer.finish(b.stop())
 	}
 	return n, err
 }
 
-// Abort closes the connection of an answer that is not read to its end.
-func (a *Answer) Abort() { a.conn.Close() }
+// Abort closes the connection of an answer that wasn't read to its end.
+func (a *Answer) Abort() {
+	if !a.done {
+		a.conn.Close()
+	}
+}
 
 // finish keeps the connection if nothing speaks against it.
 func (a *Answer) finish(current bool) {
