--- a/engine/roster.go
+++ b/engine/roster.go
@@ -86,10 +86,25 @@
 	return true
 }
 
-// Serving reports whether a whole group of the given size accepts requests.
-func (g *Group) Serving(size int) bool {
+// IsOpen reports whether the head is listed and accepts requests.
+func (g *Group) IsOpen() bool {
 	head := g.Head()
-	return head != nil && head.Membership.Phase == Open && g.Whole(size)
+	return head != nil && head.Membership.Phase == Open && !head.Leaving
+}
+
+// Serving reports whether a whole group of the given size accepts requests.
+func (g *Group) Serving(size int) bool { return g.IsOpen() && g.Whole(size) }
+
+// LacksOnlyListing reports whether the group would be whole but for members that
+// aren't listed. These may be lost, or cut off from the store.
+func (g *Group) LacksOnlyListing(size int) bool {
+	for _, m := range g.Members {
+		joined := m.Membership.Phase == Ready || m.Membership.Rank == 0
+		if !joined || m.Leaving || m.Membership.Rank >= size {
+			return false
+		}
+	}
+	return len(g.Members) < size
 }
 
 // SpansDomains reports whether the members are in several fabric domains.
--- a/entry/state.go
+++ b/entry/state.go
@@ -53,7 +53,7 @@
 	state := mesh.State{
 		Node: s.settings.Node, CallerAddress: s.settings.CallerAddress, PeerAddress: s.settings.PeerAddress,
 		FailureDomain: s.settings.FailureDomain, Serving: s.Ready(), Leaving: s.leaving.Load(),
-		Use: map[uint32]mesh.Use{}, Demand: map[string]uint16{}, Waiting: map[string]uint16{},
+		Use: map[uint32]mesh.Use{}, Demand: map[string]float32{}, Waiting: map[string]uint16{},
 	}
 	if c := s.world.Configuration.Load(); c != nil {
 		state.ConfigurationVersion = c.Version
@@ -65,17 +65,18 @@
 	s.tables.Load().Each(func(t *forward.Target) {
 		if n := t.Load.Running(); n > 0 {
 			state.Use[mesh.Key(t.Instance.ID)] = mesh.NewUse(n, t.Load.Progressed(now))
-			if t.Pool.Model != "" {
-				state.Demand[t.Pool.Model] += uint16(n)
-			}
 		}
 		if t.Load.Suspected(now) {
 			state.Suspects = append(state.Suspects, t.Instance.ID)
 		}
 	})
+	for pool, places := range s.dispatcher.Demand() {
+		if pool.Model != "" && places > 0 {
+			state.Demand[pool.Model] += float32(places)
+		}
+	}
 	for pool, n := range s.dispatcher.Waiting() {
 		if pool.Model != "" {
-			state.Demand[pool.Model] += uint16(n)
 			state.Waiting[pool.Model] = uint16(n)
 		}
 	}
@@ -106,6 +107,12 @@
 	return counts
 }
 
+// progress reports whether a target sends events to any node.
+func (s *status) progress(instance string) bool {
+	t := s.tables.Load().Target(instance)
+	return (t != nil && t.Load.Progressed(time.Now())) || s.mesh.Progress(instance)
+}
+
 // members lists the nodes for the lease, which goes to one that serves.
 func (s *status) members() *blackboard.Members {
 	own := fleet.NodeServing
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -56,6 +56,8 @@
 	Commander engine.Commander
 	// Suspects counts, by head, the nodes that found a group silent.
 	Suspects func() map[string]int
+	// Progress reports whether the group of a head sends events to any node.
+	Progress func(head string) bool
 	Prober   engine.Prober
 	Logger   log.Logger
 	Registry metrics.Registry
@@ -80,6 +82,7 @@
 	nextEpoch uint64
 	ordered   map[string]order
 	staging   map[string]staging
+	reserved  Reservation
 	formed    map[engine.GroupID]Formation
 	// headLost tells since when the head of a group is missing from the list.
 	headLost map[engine.GroupID]time.Time
@@ -91,7 +94,9 @@
 	known      int
 	knownSince time.Time
 	demand     map[string]float64
-	loads      loadLimit
+	// demandSince is the time of the first demand of this term.
+	demandSince time.Time
+	loads       loadLimit
 	// lost are instances that didn't answer although they are listed.
 	lost map[string]lostInstance
 	// examined tells when a head's group was examined last.
@@ -165,6 +170,7 @@
 	c.ordered, c.formed = map[string]order{}, map[engine.GroupID]Formation{}
 	c.headLost, c.lastHead = map[engine.GroupID]time.Time{}, map[engine.GroupID]*engine.Instance{}
 	c.seen, c.demand = map[engine.GroupID]time.Time{}, map[string]float64{}
+	c.reserved, c.demandSince = Reservation{}, time.Time{}
 	c.staging, c.lost = map[string]staging{}, map[string]lostInstance{}
 	c.examined = map[string]time.Time{}
 	_ = level.Info(c.Logger).Log("msg", "forming groups from now on", "term", term.Number, "instances", len(instances))
@@ -186,7 +192,13 @@
 	instances := c.withoutLost(roster.ByService[service.Name], now)
 	s := &Situation{
 		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
-		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, LastHead: c.lastHead, SeenSince: c.seen, Now: now,
+		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, Reserved: c.reserved, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seen, Now: now,
+	}
+	if len(s.Demand) > 0 && c.demandSince.IsZero() {
+		c.demandSince = now
+	}
+	if !c.demandSince.IsZero() {
+		s.DemandFor = now.Sub(c.demandSince)
 	}
 	c.settle(s)
 	c.settleStaging(s)
@@ -324,7 +336,14 @@
 		}
 		c.send(ctx, command)
 	}
+	if p.Reserve.Domain != "" {
+		c.reserved = p.Reserve
+		_ = level.Info(c.Logger).Log("msg", "instances kept for a model that is short", "model", p.Reserve.Model, "domain", p.Reserve.Domain)
+	}
 	for _, d := range p.Groups {
+		if d.Model == c.reserved.Model && d.Members[0].FabricDomain == c.reserved.Domain {
+			c.reserved = Reservation{}
+		}
 		c.form(ctx, d)
 	}
 }
--- a/formation/free.go
+++ b/formation/free.go
@@ -46,7 +46,7 @@
 	case engine.Broken:
 		return true
 	}
-	return s.abandoned(g)
+	return s.abandoned(g) || s.givesUp(g.ID)
 }
 
 // abandoned reports whether a group that isn't open will never become whole.
--- a/formation/need.go
+++ b/formation/need.go
@@ -9,6 +9,11 @@
 	// baseDemand is added to each model's demand, in requests, so that a model
 	// without traffic keeps groups.
 	baseDemand = 4
+	// reservePerMember is the reserve for each member of a group.
+	reservePerMember = 0.25
+	// heldShortage is the shortage of a model from which instances with its weights
+	// are kept from another model that is less short.
+	heldShortage = 0.15
 	// warmValue is the worth of members that need no load, as a part of the
 	// groups that a model needs.
 	warmValue = 0.25
@@ -58,14 +63,18 @@
 	weights := map[string]float64{}
 	for _, m := range s.Profile.Models {
 		if len(s.Demand) == 0 {
-			weights[m.Name] = max(m.Share, 0.01)
+			weights[m.Name] = max(m.Share, 0.01) * reserve(&m)
 			continue
 		}
-		weights[m.Name] = (s.Demand[m.Name] + baseDemand) * float64(m.Size)
+		weights[m.Name] = (s.Demand[m.Name] + baseDemand) * float64(m.Size) * reserve(&m)
 	}
 	return weights
 }
 
+// reserve is the factor by which a model's groups exceed its demand. A group breaks
+// with any of its members, so larger ones need more of a reserve.
+func reserve(m *catalog.Model) float64 { return 1 + reservePerMember*float64(m.Size) }
+
 // keeps reports whether a group serves or will.
 func (s *Situation) keeps(g *engine.Group) bool {
 	size := s.size(g)
@@ -74,7 +83,7 @@
 	}
 	head := g.Head()
 	if g.Whole(size) {
-		return head != nil && head.Membership.Phase != engine.Closing
+		return head != nil && head.Membership.Phase != engine.Closing && !s.givesUp(g.ID)
 	}
 	return head != nil && head.Membership.Phase == engine.Joining && !s.abandoned(g)
 }
@@ -112,6 +121,22 @@
 	return true
 }
 
+// holdsBack reports whether members of a draft have the weights of a model that is
+// shorter of groups. They would lose these weights with the next load.
+func (n *needs) holdsBack(d *Draft) bool {
+	own := n.shortage(d.Model)
+	for i := range n.models {
+		other := n.models[i].Name
+		if other == d.Model || n.shortage(other) <= max(heldShortage, own) {
+			continue
+		}
+		if len(warmOf(d.Members, other)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // value ranks drafts: the model that misses most first, and members that have
 // its weights.
 func (n *needs) value(model *catalog.Model, d *Draft) float64 {
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -15,6 +15,8 @@
 	Commands []engine.Command
 	// Groups are new groups.
 	Groups []Draft
+	// Reserve keeps free instances for a model; zero for no change.
+	Reserve Reservation
 }
 
 // Draft is a group to be formed.
@@ -36,6 +38,8 @@
 	free, need := s.free(), s.needs()
 	p.Groups = s.drafts(free, need)
 	p.Commands = append(p.Commands, s.stages(free, need)...)
+	closes, reservation := s.rebalance(free, need)
+	p.Commands, p.Reserve = append(p.Commands, closes...), reservation
 	return p
 }
 
@@ -50,8 +54,11 @@
 	switch head.Membership.Phase {
 	case engine.Ready:
 		command.Operation = engine.OpenHead
-		return command, whole
+		return command, whole && !s.givesUp(g.ID)
 	case engine.Open:
+		if g.LacksOnlyListing(s.size(g)) && s.Progress(head.ID) {
+			return engine.Command{}, false
+		}
 		command.Operation = engine.CloseHead
 		// Requests of a group that lost a member make no progress.
 		command.CutRunning = len(g.Members) < s.size(g)
@@ -88,13 +95,16 @@
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
 		for i := range s.Profile.Models {
 			model := &s.Profile.Models[i]
-			if len(free[domain]) < model.Size {
+			if len(free[domain]) < model.Size || s.reserves(domain, model.Name) {
 				continue
 			}
 			draft := choose(free[domain], model)
 			if draft.Loads > 0 && (!s.LoadsAreShort || draft.Loads > loads || !need.wants(model)) {
 				continue
 			}
+			if draft.Loads == 0 && need.holdsBack(&draft) {
+				continue
+			}
 			if v := need.value(model, &draft); !found || v > value {
 				best, value, found = draft, v, true
 			}
@@ -135,23 +145,6 @@
 	}
 }
 
-// warm returns the instances that have a model's weights, those of the domains
-// with most of them first.
-func (d domains) warm(model string) []*engine.Instance {
-	var lists [][]*engine.Instance
-	for _, domain := range slices.Sorted(maps.Keys(d)) {
-		var list []*engine.Instance
-		for _, in := range d[domain] {
-			if isWarm(in, model) {
-				list = append(list, in)
-			}
-		}
-		lists = append(lists, list)
-	}
-	slices.SortStableFunc(lists, func(a, b []*engine.Instance) int { return cmp.Compare(len(b), len(a)) })
-	return slices.Concat(lists...)
-}
-
 // choose picks the members that are ready soonest.
 func choose(free []*engine.Instance, model *catalog.Model) Draft {
 	sorted := slices.Clone(free)
--- a/formation/situation.go
+++ b/formation/situation.go
@@ -28,6 +28,12 @@
 	// LoadsAreShort tells that the first traffic is still to come; loads take a
 	// tenth of their time until then.
 	LoadsAreShort bool
+	// Progress reports whether the group of a head sends events.
+	Progress func(head string) bool
+	// DemandFor is how long the demand has been measured.
+	DemandFor time.Duration
+	// Reserved keeps the free instances of a domain for one model.
+	Reserved Reservation
 	// Staging maps instances to the model whose weights they were told to load.
 	Staging map[string]string
 	Now     time.Time
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -121,7 +121,7 @@
 	p.Load.running.Add(-1)
 	d := p.dispatcher
 	d.mu.Lock()
-	d.flow(p.Pool).ended(time.Since(p.taken))
+	d.flow(p.Pool).ended(time.Duration(float64(time.Since(p.taken)) / p.Slowness))
 	d.mu.Unlock()
 	d.serve(p.Pool)
 }
@@ -134,6 +134,7 @@
 		d.flow(w.Pool).arrived(time.Now())
 	}
 	if len(d.tables.Load().Targets(w.Pool)) == 0 {
+		d.flow(w.Pool).refuse(time.Now())
 		d.mu.Unlock()
 		return nil, ErrNoTarget
 	}
@@ -172,6 +173,9 @@
 	if target := d.withdraw(w.Pool, me); target != nil {
 		return d.place(target, w.PromptTokens), nil
 	}
+	d.mu.Lock()
+	d.flow(w.Pool).refuse(time.Now())
+	d.mu.Unlock()
 	return nil, ErrFull
 }
 
@@ -276,7 +280,7 @@
 			Slots:        t.Slots,
 			Ahead:        d.ahead(t.Instance.ID, waiting),
 			Near:         t.Instance.FailureDomain == d.failureDomain,
-			Avoid:        w.avoid[t.Instance.ID] || t.Load.Suspected(now),
+			Avoid:        w.avoid[t.Instance.ID] || t.Load.Suspected(now) || !d.isWhole(t, now),
 		}
 	}
 	best := Choose(candidates, rand.IntN(len(candidates)))
@@ -289,6 +293,13 @@
 	return targets[best]
 }
 
+// isWhole reports whether a target has all its members. A member that the list has
+// dropped is there as long as the group's events arrive: without it nothing moves.
+// It answers to members that are cut off from the store alone.
+func (d *Dispatcher) isWhole(t *Target, now time.Time) bool {
+	return !t.MemberUnlisted || t.Load.Progressed(now) || d.peers.Progress(t.Instance.ID)
+}
+
 // ahead counts the waiting nodes that come before this one at an instance.
 func (d *Dispatcher) ahead(instance string, waiting []string) int {
 	if len(waiting) == 0 {
@@ -303,6 +314,19 @@
 	return n
 }
 
+// Demand returns the places that the requests for each pool would occupy, those
+// refused among them.
+func (d *Dispatcher) Demand() map[Pool]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	demand := make(map[Pool]float64, len(d.flows))
+	for p, f := range d.flows {
+		demand[p] = f.demand(now)
+	}
+	return demand
+}
+
 // Waiting returns the number of waiting requests by pool.
 func (d *Dispatcher) Waiting() map[Pool]int {
 	d.mu.Lock()
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -10,27 +10,49 @@
 	flowWindow = time.Second
 	// serviceWeight is that of one request in the average time of service.
 	serviceWeight = 0.05
+	// overload is the ratio of arrivals to places from which no lull helps.
+	overload = 1.3
+	// lullShare is the part of the places that lulls leave to late requests.
+	lullShare = 0.15
 	// never is a wait without end.
 	never = time.Duration(math.MaxInt64)
 )
 
 // flow measures the requests of one pool at this node.
 type flow struct {
-	// rate is the average of arrivals a second, as of at.
-	rate float64
-	at   time.Time
+	// rate and refused are the averages of arrivals and refusals a second, as of at.
+	rate, refused float64
+	at            time.Time
 	// service is the average time for which a place is held.
 	service time.Duration
 }
 
 // arrived counts a request. The rate decays exponentially between requests.
 func (f *flow) arrived(now time.Time) {
-	f.rate = f.rateAt(now) + 1/flowWindow.Seconds()
-	f.at = now
+	f.decay(now)
+	f.rate += 1 / flowWindow.Seconds()
 }
 
-func (f *flow) rateAt(now time.Time) float64 {
-	return f.rate * math.Exp(-now.Sub(f.at).Seconds()/flowWindow.Seconds())
+// refuse counts a refusal.
+func (f *flow) refuse(now time.Time) {
+	f.decay(now)
+	f.refused += 1 / flowWindow.Seconds()
+}
+
+func (f *flow) decay(now time.Time) {
+	left := math.Exp(-now.Sub(f.at).Seconds() / flowWindow.Seconds())
+	f.rate, f.refused, f.at = f.rate*left, f.refused*left, now
+}
+
+// demand returns the number of places that all requests would occupy. Callers
+// who were refused come back once, and count once.
+func (f *flow) demand(now time.Time) float64 {
+	f.decay(now)
+	if f.rate <= 0 {
+		return 0
+	}
+	first := f.rate / (1 + min(f.refused/f.rate, 1))
+	return first * f.service.Seconds()
 }
 
 // ended counts the time for which a place was held.
@@ -43,16 +65,20 @@
 }
 
 // lateWait returns the time in which late requests get the places that those
-// which can still be on time leave over. It answers to more arrivals than the
+// which can still be on time leave over. It answers to many more arrivals than the
 // places of this node's share can serve: then late requests wait in vain, and are
-// better told at once to come back.
+// better told at once to come back. While arrivals about match the places, lulls
+// leave some over.
 func (f *flow) lateWait(slots float64, waiting int, now time.Time) time.Duration {
 	if f.service <= 0 {
 		return 0
 	}
-	spare := slots/f.service.Seconds() - f.rateAt(now)
-	if spare <= 0 {
+	capacity := slots / f.service.Seconds()
+	f.decay(now)
+	rate := f.rate
+	if rate > overload*capacity {
 		return never
 	}
+	spare := max(capacity-rate, lullShare*capacity)
 	return time.Duration(float64(waiting) / spare * float64(time.Second))
 }
--- a/forward/table.go
+++ b/forward/table.go
@@ -58,9 +58,12 @@
 	// Slots is the number of requests that it runs at once at its usual speed. A
 	// slower target has fewer, so that none of them is late.
 	Slots int
-	// Pace multiplies the times of the service's engines.
-	Pace float64
-	Load *Load
+	// Pace multiplies the times of the service's engines, Slowness those of other
+	// targets of the pool.
+	Pace, Slowness float64
+	// MemberUnlisted tells that a member of the group is no longer listed.
+	MemberUnlisted bool
+	Load           *Load
 }
 
 // Table maps pools to their targets. It is immutable.
@@ -139,7 +142,7 @@
 func addServers(s *catalog.Service, r *engine.Roster, add func(*Target)) {
 	for _, in := range r.ByService[s.Name] {
 		if !in.Leaving {
-			add(&Target{Instance: in, Pool: Pool{Service: s.Name}, Slots: max(in.Slots, 1), Pace: 1})
+			add(&Target{Instance: in, Pool: Pool{Service: s.Name}, Slots: max(in.Slots, 1), Pace: 1, Slowness: 1})
 		}
 	}
 }
@@ -147,18 +150,18 @@
 func addGroups(s *catalog.Service, r *engine.Roster, add func(*Target)) {
 	for _, g := range r.Groups[s.Name] {
 		model := s.Engine.Model(g.Model)
-		if model == nil || !g.Serving(model.Size) {
+		if model == nil || !g.IsOpen() || (!g.Whole(model.Size) && !g.LacksOnlyListing(model.Size)) {
 			continue
 		}
-		slots := s.Engine.Slots
+		slots, slowness := s.Engine.Slots, 1.0
 		if slots <= 0 {
 			slots = max(g.Head().Slots, 1)
 		}
-		pace := model.Pace
 		if g.SpansDomains() {
-			pace *= s.Engine.DistanceFactor
-			slots = max(int(float64(slots)/s.Engine.DistanceFactor), 1)
+			slowness = s.Engine.DistanceFactor
+			slots = max(int(float64(slots)/slowness), 1)
 		}
-		add(&Target{Instance: g.Head(), Group: g.ID, Pool: Pool{s.Name, g.Model}, Slots: slots, Pace: pace})
+		add(&Target{Instance: g.Head(), Group: g.ID, Pool: Pool{s.Name, g.Model}, Slots: slots,
+			Pace: model.Pace * slowness, Slowness: slowness, MemberUnlisted: !g.Whole(model.Size)})
 	}
 }
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -29,8 +29,8 @@
 	ListCursor           object.Version `msgpack:"r"`
 	// Use maps instances, by the hash of their ID, to what the node does there.
 	Use map[uint32]Use `msgpack:"q"`
-	// Demand maps models to the node's requests that run or wait.
-	Demand map[string]uint16 `msgpack:"d"`
+	// Demand maps models to the places that the node's requests would occupy.
+	Demand map[string]float32 `msgpack:"d"`
 	// Waiting maps models to the node's requests that wait for a place.
 	Waiting map[string]uint16 `msgpack:"w"`
 	// Suspects are the instances that the node found silent.
