Let no late order open a group whose members were used; share groups by what models require

Causes, found by a property test with late orders, unlisted and restarted engines and changing holders: an order to open that is carried out seconds late opens a head whose members were used again; a late join completes an old group while a newer join of a member is unanswered; a group whose head never joined was kept for good. A ready head now leaves before its members are used, and a group is opened only by the holder that formed it and with no newer join outstanding. Ruled out: waiting for the stall time (costs 6 s a group). Also: conversions compare what models require (demand at 0.6 of the slots), not shares of all instances, and may run in several domains.

--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,74 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+var _ = Describe("Configuration", func() {
+	c := (&catalog.Configuration{
+		Routes: []catalog.Route{
+			{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+			{Name: "long", Host: "A.example", PathPrefix: "/x/y/"},
+			{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+		},
+		Organisations: []catalog.Organisation{{Name: "lodge", Keys: []string{"k1", "k2"}}},
+	}).Index()
+
+	DescribeTable("matches the longest prefix of the host",
+		func(host, path, name string) {
+			// Guards against another service's answer for a nested path.
+			route := c.Route(host, path)
+			if name == "" {
+				Expect(route).To(BeNil())
+				return
+			}
+			Expect(route.Name).To(Equal(name))
+		},
+		Entry("nested", "a.example", "/x/y/z", "long"),
+		Entry("outer", "a.example", "/x/z", "short"),
+		Entry("a port and another case", "A.EXAMPLE:80", "/x/y/", "long"),
+		Entry("no slash after the prefix", "a.example", "/xy", ""),
+		Entry("escaped slash", "a.example", "/x%2Fy/", ""),
+		Entry("unknown host", "c.example", "/x/", ""),
+	)
+
+	It("finds the holder of a key", func() {
+		// Guards against a request in another organisation's name.
+		Expect(c.KeyHolder("k2").Name).To(Equal("lodge"))
+		Expect(c.KeyHolder("k3")).To(BeNil())
+		Expect(c.KeyHolder("")).To(BeNil())
+	})
+
+	It("splits requests by weight", func() {
+		// Guards against a target that gets nothing or everything.
+		r := catalog.Route{Targets: []catalog.Target{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}
+		counts := map[string]int{}
+		for range 2000 {
+			counts[r.PickTarget()]++
+		}
+		Expect(counts["a"]).To(BeNumerically("~", 1800, 120))
+		Expect((&catalog.Route{}).PickTarget()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("EngineProfile", func() {
+	It("tells usual and longest gaps between events", func() {
+		// Guards against taking a pass in which prompts are read for a stall.
+		p := catalog.EngineProfile{Slots: 17, StepTime: 8 * time.Millisecond, StepTimePerRequest: 100 * time.Microsecond,
+			StepsPerEvent: 5, ReadRate: 50_000, ReadChunk: 2000}
+		usual, longest := p.EventGap()
+		Expect(usual).To(Equal(48500 * time.Microsecond))
+		Expect(longest).To(Equal(usual + 200*time.Millisecond))
+	})
+})
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -82,8 +82,10 @@
 	nextEpoch uint64
 	ordered   map[string]order
 	staging   map[string]staging
-	reserved  Reservation
-	formed    map[engine.GroupID]Formation
+	// unanswered are joins that may still be carried out, by instance.
+	unanswered map[string]unansweredJoin
+	reserved   map[string]Reservation
+	formed     map[engine.GroupID]Formation
 	// headLost tells since when the head of a group is missing from the list.
 	headLost map[engine.GroupID]time.Time
 	lastHead map[engine.GroupID]*engine.Instance
@@ -170,7 +172,8 @@
 	c.ordered, c.formed = map[string]order{}, map[engine.GroupID]Formation{}
 	c.headLost, c.lastHead = map[engine.GroupID]time.Time{}, map[engine.GroupID]*engine.Instance{}
 	c.seen, c.demand = map[engine.GroupID]time.Time{}, map[string]float64{}
-	c.reserved, c.demandSince = Reservation{}, time.Time{}
+	c.reserved, c.demandSince = map[string]Reservation{}, time.Time{}
+	c.unanswered = map[string]unansweredJoin{}
 	c.staging, c.lost = map[string]staging{}, map[string]lostInstance{}
 	c.examined = map[string]time.Time{}
 	_ = level.Info(c.Logger).Log("msg", "forming groups from now on", "term", term.Number, "instances", len(instances))
@@ -192,7 +195,8 @@
 	instances := c.withoutLost(roster.ByService[service.Name], now)
 	s := &Situation{
 		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
-		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, Reserved: c.reserved, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seen, Now: now,
+		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, FirstEpoch: c.term * epochsPerTerm, Unanswered: c.unansweredEpochs(now),
+		Reserved: c.reserved, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seen, Now: now,
 	}
 	if len(s.Demand) > 0 && c.demandSince.IsZero() {
 		c.demandSince = now
@@ -200,6 +204,11 @@
 	if !c.demandSince.IsZero() {
 		s.DemandFor = now.Sub(c.demandSince)
 	}
+	for domain, r := range c.reserved {
+		if now.After(r.Until) {
+			delete(c.reserved, domain)
+		}
+	}
 	c.settle(s)
 	c.settleStaging(s)
 	c.trackGroups(s)
@@ -337,12 +346,12 @@
 		c.send(ctx, command)
 	}
 	if p.Reserve.Domain != "" {
-		c.reserved = p.Reserve
+		c.reserved[p.Reserve.Domain] = p.Reserve
 		_ = level.Info(c.Logger).Log("msg", "instances kept for a model that is short", "model", p.Reserve.Model, "domain", p.Reserve.Domain)
 	}
 	for _, d := range p.Groups {
-		if d.Model == c.reserved.Model && d.Members[0].FabricDomain == c.reserved.Domain {
-			c.reserved = Reservation{}
+		if domain := d.Members[0].FabricDomain; c.reserved[domain].Model == d.Model {
+			delete(c.reserved, domain)
 		}
 		c.form(ctx, d)
 	}
@@ -419,6 +428,8 @@
 			"group", command.Group.Name, "instance", command.Instance, "err", err)
 	}
 	switch {
+	case command.Operation == engine.Join && err != nil && !errors.Is(err, engine.ErrRefused):
+		c.unanswered[command.Instance] = unansweredJoin{command.Group.Epoch, time.Now().Add(lateOrderTime)}
 	case command.Operation == engine.Stage && err != nil:
 		c.staging[command.Instance] = staging{command.Model, time.Now().Add(failedPause)}
 	case errors.Is(err, engine.ErrRefused) && command.Operation != engine.Join:
@@ -430,7 +441,29 @@
 	}
 }
 
+// unansweredJoin is a join that may be carried out until a time.
+type unansweredJoin struct {
+	epoch uint64
+	until time.Time
+}
+
+// unansweredEpochs returns the joins that may still be carried out.
+func (c *Controller) unansweredEpochs(now time.Time) map[string]uint64 {
+	epochs := make(map[string]uint64, len(c.unanswered))
+	for id, join := range c.unanswered {
+		if now.After(join.until) {
+			delete(c.unanswered, id)
+			continue
+		}
+		epochs[id] = join.epoch
+	}
+	return epochs
+}
+
 const (
+	// lateOrderTime is how long an order without an answer may still be carried
+	// out; the platform's pages name seconds, their days up to twelve.
+	lateOrderTime = 15 * time.Second
 	// refusedPause is the time before a refused order is considered again.
 	refusedPause = 400 * time.Millisecond
 	// failedPause is the time before another load is ordered of an instance.
--- a/formation/free.go
+++ b/formation/free.go
@@ -27,30 +27,31 @@
 }
 
 // released reports whether the instance has no group, or one that certainly runs
-// nothing. A head that isn't listed may still serve callers, so its members first
-// have to leave. One that is listed elsewhere has given its group up.
+// nothing and never will. A head that isn't listed may still serve callers, so its
+// members first have to leave. A head that is ready may open yet, by an order that
+// is carried out late, so it has to leave before its members are used. One that is
+// listed elsewhere has given its group up, and one that never joined opens nothing.
 func (s *Situation) released(in *engine.Instance) bool {
 	m := in.Membership
 	if m.Group == "" || m.Phase == engine.Broken {
 		return true
 	}
 	g := s.group(engine.GroupID{Name: m.Group, Epoch: m.Epoch})
-	head := g.Head()
-	if head == nil {
-		last := s.LastHead[g.ID]
-		return last != nil && s.instance(last.ID) != nil
+	if head := g.Head(); head != nil {
+		return head.Membership.Phase == engine.Broken
 	}
-	switch head.Membership.Phase {
-	case engine.Open, engine.Closing:
-		return false
-	case engine.Broken:
-		return true
+	if last := s.LastHead[g.ID]; last != nil {
+		return s.instance(last.ID) != nil
 	}
-	return s.abandoned(g) || s.givesUp(g.ID)
+	f, mine := s.Formed[g.ID]
+	return mine && s.instance(f.Members[0]) != nil && s.abandoned(g)
 }
 
 // abandoned reports whether a group that isn't open will never become whole.
 func (s *Situation) abandoned(g *engine.Group) bool {
+	if s.mayBeLeft(g) {
+		return true
+	}
 	f, mine := s.Formed[g.ID]
 	if !mine {
 		return !g.Whole(s.size(g)) && s.Now.Sub(s.SeenSince[g.ID]) >= adoptTime
@@ -68,6 +69,21 @@
 	return !g.Whole(model.Size) && s.Now.Sub(f.At) >= s.joinTime(f)+joinSlack
 }
 
+// mayBeLeft reports whether a member may still be taken out of the group by a join
+// with a higher epoch that is carried out late. For groups of an earlier holder,
+// nobody knows.
+func (s *Situation) mayBeLeft(g *engine.Group) bool {
+	if g.ID.Epoch < s.FirstEpoch && s.Now.Sub(s.SeenSince[g.ID]) >= adoptTime {
+		return true
+	}
+	for _, in := range g.Members {
+		if s.Unanswered[in.ID] > g.ID.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
 // joinTime is the longest time that the joins of a group may take.
 func (s *Situation) joinTime(f Formation) time.Duration {
 	model := s.Profile.Model(f.Model)
--- a/formation/need.go
+++ b/formation/need.go
@@ -13,7 +13,10 @@
 	reservePerMember = 0.25
 	// heldShortage is the shortage of a model from which instances with its weights
 	// are kept from another model that is less short.
-	heldShortage = 0.15
+	heldShortage = 0.2
+	// planUse is the part of a group's slots that is planned with. The rest is for
+	// bursts and for the time until a lost group is replaced.
+	planUse = 0.6
 	// warmValue is the worth of members that need no load, as a part of the
 	// groups that a model needs.
 	warmValue = 0.25
@@ -21,9 +24,12 @@
 
 // needs compares the groups of each model with those that its demand asks for.
 type needs struct {
-	// target is the number of groups by model, have those that exist or form.
+	// target is each model's part of the groups that all instances can form.
 	target map[string]float64
-	have   map[string]float64
+	// required is the number of groups by model that serve its demand with room to
+	// spare, working those that exist or form, where one over several domains counts
+	// as a part.
+	required, working map[string]float64
 	// coming is the number of instances by model that have or load its weights
 	// and belong to no group.
 	coming map[string]float64
@@ -32,8 +38,8 @@
 
 // needs divides all instances between the models by their demand.
 func (s *Situation) needs() *needs {
-	n := &needs{target: map[string]float64{}, have: map[string]float64{},
-		coming: map[string]float64{}, models: s.Profile.Models}
+	n := &needs{target: map[string]float64{},
+		coming: map[string]float64{}, required: map[string]float64{}, working: map[string]float64{}, models: s.Profile.Models}
 	weights := s.weights()
 	total := 0.0
 	for _, w := range weights {
@@ -46,18 +52,33 @@
 		}
 	}
 	for _, m := range s.Profile.Models {
+		n.required[m.Name] = s.Demand[m.Name] / (float64(max(s.Profile.Slots, 1)) * planUse)
 		if total > 0 {
 			n.target[m.Name] = usable * weights[m.Name] / total / float64(m.Size)
 		}
 	}
 	for _, g := range s.Groups {
 		if s.keeps(g) {
-			n.have[g.Model]++
+			n.working[g.Model] += s.workOf(g)
 		}
 	}
+	for _, r := range s.Reserved {
+		n.working[r.Model]++
+	}
 	return n
 }
 
+// workOf returns the work of a group as a part of that of a usual one.
+func (s *Situation) workOf(g *engine.Group) float64 {
+	if g.SpansDomains() {
+		return 1 / max(s.Profile.DistanceFactor, 1)
+	}
+	return 1
+}
+
+// lacks returns the number of groups that a model misses to serve its demand.
+func (n *needs) lacks(model string) float64 { return n.required[model] - n.working[model] }
+
 // weights returns the instances that each model's demand occupies, in any unit.
 func (s *Situation) weights() map[string]float64 {
 	weights := map[string]float64{}
@@ -89,22 +110,24 @@
 }
 
 // add counts a new group and takes its members from the instances to come.
-func (n *needs) add(model string, members int) {
-	n.have[model]++
-	n.coming[model] = max(n.coming[model]-float64(members), 0)
+func (n *needs) add(d *Draft, s *Situation) {
+	if r, reserved := s.Reserved[d.Members[0].FabricDomain]; !reserved || r.Model != d.Model {
+		n.working[d.Model] += s.workOf(&engine.Group{Members: d.Members})
+	}
+	n.coming[d.Model] = max(n.coming[d.Model]-float64(len(d.Members)), 0)
 }
 
 // shortage is the missing part of the groups that a model needs; it is negative
 // for a model with more.
 func (n *needs) shortage(model string) float64 {
 	target := max(n.target[model], 0.5)
-	return (target - n.have[model]) / target
+	return (target - n.working[model]) / target
 }
 
 // shortageToCome is the shortage once the instances to come have formed groups.
 func (n *needs) shortageToCome(m *catalog.Model) float64 {
 	target := max(n.target[m.Name], 0.5)
-	return (target - n.have[m.Name] - n.coming[m.Name]/float64(m.Size)) / target
+	return (target - n.working[m.Name] - n.coming[m.Name]/float64(m.Size)) / target
 }
 
 // wants reports whether free instances may be given to the model. A model that
@@ -122,15 +145,15 @@
 }
 
 // holdsBack reports whether members of a draft have the weights of a model that is
-// shorter of groups. They would lose these weights with the next load.
+// shorter of groups. They would lose these weights in a group of another model.
 func (n *needs) holdsBack(d *Draft) bool {
 	own := n.shortage(d.Model)
 	for i := range n.models {
-		other := n.models[i].Name
-		if other == d.Model || n.shortage(other) <= max(heldShortage, own) {
+		other := &n.models[i]
+		if other.Name == d.Model || n.shortage(other.Name) <= max(heldShortage, own) {
 			continue
 		}
-		if len(warmOf(d.Members, other)) > 0 {
+		if len(warmOf(d.Members, other.Name)) > 0 {
 			return true
 		}
 	}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -52,9 +52,13 @@
 	command := engine.Command{Instance: head.ID, Address: head.Address, Group: g.ID}
 	whole := g.Whole(s.size(g))
 	switch head.Membership.Phase {
-	case engine.Ready:
+	case engine.Ready, engine.Joining:
+		if s.abandoned(g) || s.givesUp(g.ID) {
+			command.Operation = engine.Leave
+			return command, true
+		}
 		command.Operation = engine.OpenHead
-		return command, whole && !s.givesUp(g.ID)
+		return command, whole && g.ID.Epoch >= s.FirstEpoch
 	case engine.Open:
 		if g.LacksOnlyListing(s.size(g)) && s.Progress(head.ID) {
 			return engine.Command{}, false
@@ -69,7 +73,7 @@
 
 // drafts returns new groups from free instances, the most needed first. A group
 // over several domains is slow, but better than instances that serve nobody; it
-// is only formed while its model is short of groups.
+// is only formed while its model lacks groups for its demand.
 func (s *Situation) drafts(free domains, need *needs) []Draft {
 	loads := s.Loads
 	var drafts []Draft
@@ -82,7 +86,7 @@
 			return drafts
 		}
 		loads -= best.Loads
-		need.add(best.Model, len(best.Members))
+		need.add(&best, s)
 		free.remove(best.Members)
 		drafts = append(drafts, best)
 	}
@@ -113,21 +117,22 @@
 	return best, found
 }
 
-// acrossShortage is the shortage of a model from which groups over several
-// domains are formed: they do a third of the work of others.
-const acrossShortage = 0.2
-
 // bestAcross returns a draft of instances from several domains that have the
-// weights already.
+// weights already, for a model that lacks groups. Such a group is slow, so it takes
+// nothing from a domain in which a usual one is about to be formed.
 func (s *Situation) bestAcross(free domains, need *needs) (Draft, bool) {
+	usable := maps.Clone(free)
+	for domain := range s.Reserved {
+		delete(usable, domain)
+	}
 	var best Draft
-	value, found := acrossShortage, false
+	value, found := 0.0, false
 	for i := range s.Profile.Models {
 		model := &s.Profile.Models[i]
-		if shortage := need.shortage(model.Name); shortage > value {
-			draft := choose(free.warm(model.Name), model)
+		if lacks := need.lacks(model.Name); lacks > value {
+			draft := choose(usable.warm(model.Name), model)
 			if len(draft.Members) == model.Size {
-				best, value, found = draft, shortage, true
+				best, value, found = draft, lacks, true
 			}
 		}
 	}
--- a/formation/rebalance.go
+++ b/formation/rebalance.go
@@ -10,18 +10,12 @@
 )
 
 const (
-	// convertShortage is the shortage of a model from which groups of another one
-	// are given up for it.
-	convertShortage = 0.35
-	// convertMargin is how much less short the other model must be, before and
-	// after. It keeps groups from changing back and forth.
-	convertMargin = 0.3
 	// settledDemand is how long the demand has to be measured before groups are
 	// given up for it.
 	settledDemand = 6 * time.Second
 	// reservationTime is how long the instances of closed groups are kept for the
 	// model that they were closed for: streams in progress take some seconds.
-	reservationTime = 5 * time.Second
+	reservationTime = 4500 * time.Millisecond
 )
 
 // Reservation keeps the free instances of a domain for one model.
@@ -34,13 +28,18 @@
 
 // givesUp reports whether a group was closed for the sake of another model.
 func (s *Situation) givesUp(id engine.GroupID) bool {
-	return s.Now.Before(s.Reserved.Until) && slices.Contains(s.Reserved.Closed, id)
+	for _, r := range s.Reserved {
+		if slices.Contains(r.Closed, id) {
+			return true
+		}
+	}
+	return false
 }
 
 // reserves reports whether a domain's free instances are kept for another model.
 func (s *Situation) reserves(domain, model string) bool {
-	r := s.Reserved
-	return r.Domain == domain && r.Model != model && s.Now.Before(r.Until)
+	r, reserved := s.Reserved[domain]
+	return reserved && r.Model != model
 }
 
 // rebalance closes groups of a model with enough of them, so that their members
@@ -48,19 +47,22 @@
 // more than another, and to traffic that shifts between models. All members have
 // the weights already; requests in progress finish first.
 func (s *Situation) rebalance(free domains, need *needs) ([]engine.Command, Reservation) {
-	if s.Now.Before(s.Reserved.Until) || s.LoadsAreShort || s.DemandFor < settledDemand {
+	if s.LoadsAreShort || s.DemandFor < settledDemand {
 		return nil, Reservation{}
 	}
 	short := s.shortest(need)
-	if short == nil || need.shortage(short.Name) < convertShortage {
+	if short == nil || need.lacks(short.Name) <= 0 {
 		return nil, Reservation{}
 	}
 	var best []*engine.Group
-	for domain, groups := range s.convertible(need, short) {
+	for domain, groups := range s.convertible(short) {
+		if _, reserved := s.Reserved[domain]; reserved {
+			continue
+		}
 		missing := short.Size - len(warmOf(free[domain], short.Name))
 		var taken []*engine.Group
 		for _, g := range groups {
-			if missing > 0 && s.affords(need, g, len(taken)+1, short) {
+			if missing > 0 && affords(need, g.Model, len(taken)+1, short.Name) {
 				taken = append(taken, g)
 				missing -= len(g.Members)
 			}
@@ -83,12 +85,12 @@
 	return commands, reservation
 }
 
-// shortest returns the model with the greatest shortage.
+// shortest returns the model that lacks the greatest part of its groups.
 func (s *Situation) shortest(need *needs) *catalog.Model {
 	var short *catalog.Model
 	for i := range s.Profile.Models {
 		m := &s.Profile.Models[i]
-		if short == nil || need.shortage(m.Name) > need.shortage(short.Name) {
+		if short == nil || need.lacks(m.Name)/need.required[m.Name] > need.lacks(short.Name)/need.required[short.Name] {
 			short = m
 		}
 	}
@@ -97,7 +99,7 @@
 
 // convertible returns the serving groups of other models, by domain, whose members
 // have the weights of a model.
-func (s *Situation) convertible(need *needs, short *catalog.Model) map[string][]*engine.Group {
+func (s *Situation) convertible(short *catalog.Model) map[string][]*engine.Group {
 	byDomain := map[string][]*engine.Group{}
 	for _, g := range s.Groups {
 		if g.Model == short.Name || g.SpansDomains() || !g.Serving(s.size(g)) || s.Ordered[g.Head().ID] {
@@ -111,12 +113,12 @@
 	return byDomain
 }
 
-// affords reports whether a group's model is less short than another, even after
-// a number of its groups are closed.
-func (s *Situation) affords(need *needs, g *engine.Group, closed int, short *catalog.Model) bool {
-	target := max(need.target[g.Model], 0.5)
-	after := (target - need.have[g.Model] + float64(closed)) / target
-	return after < need.shortage(short.Name)-convertMargin+1/max(need.target[short.Name], 1)
+// affords reports whether a model would still have a greater part of the groups that
+// it requires than another one with a group more, after a number of its groups are
+// closed. With too few instances for both, both then lack the same part.
+func affords(need *needs, model string, closed int, short string) bool {
+	after := (need.working[model] - float64(closed)) / need.required[model]
+	return after >= (need.working[short]+1)/need.required[short]
 }
 
 // warmOf returns the instances that have the weights of a model.
--- a/formation/situation.go
+++ b/formation/situation.go
@@ -19,6 +19,11 @@
 	Ordered map[string]bool
 	// Formed are the member lists of the groups that this holder ordered.
 	Formed map[engine.GroupID]Formation
+	// FirstEpoch is the lowest epoch of this holder.
+	FirstEpoch uint64
+	// Unanswered is the highest epoch of the joins that an instance was ordered and
+	// did not answer, while they may still be carried out.
+	Unanswered map[string]uint64
 	// LastHead is the head of a group as listed last.
 	LastHead map[engine.GroupID]*engine.Instance
 	// SeenSince tells since when this holder has known a group.
@@ -32,8 +37,8 @@
 	Progress func(head string) bool
 	// DemandFor is how long the demand has been measured.
 	DemandFor time.Duration
-	// Reserved keeps the free instances of a domain for one model.
-	Reserved Reservation
+	// Reserved keeps the free instances of some domains for one model each.
+	Reserved map[string]Reservation
 	// Staging maps instances to the model whose weights they were told to load.
 	Staging map[string]string
 	Now     time.Time
