Test the new packages, and the whole path against a stand-in of the platform

A test of the choice found that a target of one to six slots took a request more than its slots; the overcommit is now a part of the slots, rounded down.

--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,288 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/fx"
+
+	"github.com/rattanlanding/rattanlanding/platform/platformtest"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+// deployment is a store, engines and nodes.
+type deployment struct {
+	store   *platformtest.Store
+	engines []*platformtest.Engine
+	desk    *platformtest.Engine
+	nodes   []*fx.App
+}
+
+// settingsOf returns the settings of node i.
+func settingsOf(store string, i int) Settings {
+	s := DefaultSettings()
+	ip := fmt.Sprintf("127.0.91.%d", i+1)
+	s.Node, s.Region, s.FailureDomain = fmt.Sprintf("node-%d", i), "r1", "z1"
+	s.CallerAddress, s.DirectoryAddress = ip+":18401", ip+":18402"
+	s.ReadinessAddress, s.PeerAddress = ip+":18403", ip+":18404"
+	s.Seeds = []string{"127.0.91.1:1", "127.0.91.2:1"}
+	s.PlatformAddress, s.FirstStart = store, true
+	s.AddressTTL, s.StopTime = 100*time.Millisecond, 2*time.Second
+	return s
+}
+
+// configuration returns the operators' document.
+func configuration(version int, keys ...string) map[string]any {
+	route := func(prefix, kind, service string, resumable bool) map[string]any {
+		return map[string]any{"name": prefix, "hostname": "a.example", "pathPrefix": prefix, "routeType": kind, "service": service,
+			"timeoutMs": 5000, "latencyGoalMs": 400, "maxAttempts": 2, "resumable": resumable, "targetGapMs": 300}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{route("/chat/", "streaming", "llm", true), route("/pay/", "unsafe", "desk", false),
+			route("/look/", "safe", "desk", false)},
+		"services": []any{
+			map[string]any{"name": "llm", "engine": map[string]any{"slots": 17, "stride": 5, "step_ms": 1, "read_per_s": 45900.0,
+				"chunk": 2048, "far_x": 3, "loadsPerS": 5, "loads_at_once": 7,
+				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "loadS": 1, "warmupS": 0.1}}}},
+			map[string]any{"name": "desk"},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+		"tenants": []any{map[string]any{"name": "lodge", "apiKeys": keys}},
+	}
+}
+
+// deploy starts a whole deployment and waits until it serves.
+func deploy() *deployment {
+	store, err := platformtest.NewStore("")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(store.Close)
+	d := &deployment{store: store}
+	store.Put("config", "main", configuration(1, "k1", "k2"))
+	for i := range 4 {
+		e, err := platformtest.NewEngine(store, fmt.Sprintf("e%d", i), "llm", "d0", 40)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		d.engines = append(d.engines, e)
+	}
+	d.desk, err = platformtest.NewEngine(store, "desk-1", "desk", "", 0)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.desk.Close)
+	for i := range 2 {
+		d.nodes = append(d.nodes, startNode(settingsOf(store.Address(), i), ""))
+	}
+	Eventually(func() int { return len(d.open()) }, 10*time.Second).Should(Equal(2))
+	Eventually(func() (int, error) { return statusCode(http.Get("http://127.0.91.2:18403/api/readyz")) }, 5*time.Second).Should(Equal(200))
+	time.Sleep(300 * time.Millisecond)
+	return d
+}
+
+func startNode(s Settings, file SettingsFile) *fx.App {
+	app := New(s, file, log.NewNopLogger())
+	Expect(app.Start(context.Background())).To(Succeed())
+	DeferCleanup(func() { _ = app.Stop(context.Background()) })
+	return app
+}
+
+func (d *deployment) open() (heads []*platformtest.Engine) {
+	for _, e := range d.engines {
+		if e.IsOpen() {
+			heads = append(heads, e)
+		}
+	}
+	return heads
+}
+
+func statusCode(r *http.Response, err error) (int, error) {
+	if err != nil {
+		return 0, err
+	}
+	defer r.Body.Close()
+	return r.StatusCode, nil
+}
+
+// send sends a request to node 0.
+func send(method, path, id, key, body string) *http.Response {
+	r, err := http.NewRequest(method, "http://127.0.91.1:18401"+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "a.example"
+	r.Header.Set("X-Rattanlanding-Request-Id", id)
+	r.Header.Set("X-Rattanlanding-Model", "m")
+	r.Header.Set("X-Rattanlanding-Deadline-Ms", "4000")
+	r.Header.Set("Authorization", "Token "+key)
+	answer, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(answer.Body.Close)
+	return answer
+}
+
+// eventIDs reads a stream to its end.
+func eventIDs(r *http.Response) (ids []string) {
+	scanner := bufio.NewScanner(r.Body)
+	for scanner.Scan() {
+		if id, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	Expect(scanner.Err()).NotTo(HaveOccurred())
+	return ids
+}
+
+func numbers(n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprint(i+1))
+	}
+	return all
+}
+
+var _ = Describe("a deployment", Ordered, func() {
+	var d *deployment
+	BeforeAll(func() { d = deploy() })
+
+	It("names its nodes to callers", func() {
+		// Guards against callers that know one node only.
+		Eventually(func() ([]string, error) {
+			r, err := http.Get("http://127.0.91.1:18402/api/resolve?name=a.example&region=r1&zone=z1")
+			if err != nil {
+				return nil, err
+			}
+			defer r.Body.Close()
+			var book struct{ Addresses []string }
+			err = json.NewDecoder(r.Body).Decode(&book)
+			return book.Addresses, err
+		}, 3*time.Second).Should(ConsistOf("127.0.91.1:18401", "127.0.91.2:18401"))
+	})
+
+	It("streams whole answers", func() {
+		// Guards against missing, doubled or joined events.
+		Expect(eventIDs(send("POST", "/chat/x", "s1", "k1", "hello"))).To(Equal(numbers(40)))
+	})
+
+	It("goes on with a stream whose engine dies", func() {
+		// Guards against a stream that breaks off or repeats events.
+		r := send("POST", "/chat/x", "s2", "k1", "hello")
+		var ran *platformtest.Engine
+		for _, e := range d.open() {
+			if e.Runs("s2") == 1 {
+				ran = e
+			}
+		}
+		Expect(ran).NotTo(BeNil())
+		ran.Crash(time.Second)
+		Expect(eventIDs(r)).To(Equal(numbers(40)))
+	})
+
+	It("runs an unsafe call once, in the organisation's name", func() {
+		// Guards against a second charge, and against a key that reaches a server.
+		r := send("POST", "/pay/x", "u1", "k2", "charge")
+		body, err := io.ReadAll(r.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("POST for lodge"))
+		Expect(r.Header.Get("X-Rattanlanding-Server-Signature")).To(Equal("desk-1"))
+		Expect(d.desk.Runs("u1")).To(Equal(1))
+	})
+
+	It("answers strangers and bad input clearly", func() {
+		// Guards against requests that run without leave or in parts.
+		Expect(send("POST", "/pay/x", "b1", "wrong", "x").StatusCode).To(Equal(http.StatusUnauthorized))
+		Expect(send("POST", "/none/x", "b2", "k1", "x").StatusCode).To(Equal(http.StatusNotFound))
+		Expect(send("POST", "/pay/x", "b3", "k1", strings.Repeat("x", 2000)).StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(send("POST", "/pay/x", "", "k1", "x").StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(d.desk.Runs("b1") + d.desk.Runs("b3")).To(BeZero())
+	})
+
+	It("applies a new configuration and never an older one", func() {
+		// Guards against a key that was taken away.
+		d.store.Put("config", "main", configuration(3, "k1"))
+		Eventually(func() int { return send("GET", "/look/x", "c1", "k2", "").StatusCode }, 3*time.Second).Should(Equal(401))
+		d.store.Put("config", "main", configuration(2, "k1", "k2"))
+		Consistently(func() int { return send("GET", "/look/x", "c2", "k2", "").StatusCode }, time.Second).Should(Equal(401))
+	})
+
+	It("ignores an entry that it can't read", func() {
+		// Guards against one bad entry that hides the others.
+		d.store.Put("servers", "bad-1", map[string]any{"service": 7})
+		d.store.Put("servers", "bad-2", map[string]any{"service": "desk", "state": "odd", "address": "127.0.0.1:1"})
+		time.Sleep(300 * time.Millisecond)
+		Expect(send("GET", "/look/x", "e1", "k1", "").StatusCode).To(Equal(200))
+	})
+
+	It("serves while the store is down", func() {
+		// Guards against a store that every request depends on.
+		d.store.SetDown(true)
+		time.Sleep(1500 * time.Millisecond)
+		Expect(send("GET", "/look/x", "d1", "k1", "").StatusCode).To(Equal(200))
+		d.store.SetDown(false)
+	})
+
+	It("leaves the answers to callers before it stops", func() {
+		// Guards against callers that are sent to a node that stops.
+		go func() { _ = d.nodes[1].Stop(context.Background()) }()
+		Eventually(func() (string, error) {
+			r, err := http.Get("http://127.0.91.1:18402/api/resolve?name=a.example&region=r1&zone=z1")
+			if err != nil {
+				return "", err
+			}
+			defer r.Body.Close()
+			body, err := io.ReadAll(r.Body)
+			return string(body), err
+		}, 3*time.Second).ShouldNot(ContainSubstring("127.0.91.2"))
+	})
+})
+
+var _ = Describe("Settings", func() {
+	It("names the field that is wrong", func() {
+		// Guards against a node that starts with half of its settings.
+		for text, field := range map[string]string{
+			`{"node": "A b"}`:                      "node",
+			`{"stopTime": 8}`:                      "stopTime",
+			`{"callerAddress": "host:1"}`:          "callerAddress",
+			`{"seeds": ["x"]}`:                     "seeds[0]",
+			`{"logLevel": "loud"}`:                 "logLevel",
+			`{"unknown": 1}`:                       "unknown",
+			`{"memoryBytes": 5, "retryRatio": -1}`: "memoryBytes",
+		} {
+			_, err := ParseSettings([]byte(text))
+			Expect(err).To(MatchError(ContainSubstring(field)), text)
+		}
+	})
+
+	It("reloads on SIGHUP and keeps running", func() {
+		// Guards against the signal's default action, which ends the process.
+		store, err := platformtest.NewStore("")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(store.Close)
+		s := settingsOf(store.Address(), 8)
+		data, err := json.Marshal(map[string]any{"node": s.Node, "region": "r1", "failureDomain": "z1",
+			"callerAddress": s.CallerAddress, "directoryAddress": s.DirectoryAddress, "readinessAddress": s.ReadinessAddress,
+			"peerAddress": s.PeerAddress, "platformAddress": s.PlatformAddress, "stopTime": "1s"})
+		Expect(err).NotTo(HaveOccurred())
+		path := filepath.Join(GinkgoT().TempDir(), "settings.json")
+		Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+		loaded, err := LoadSettings(path)
+		Expect(err).NotTo(HaveOccurred())
+		startNode(loaded, SettingsFile(path))
+		Expect(syscall.Kill(syscall.Getpid(), syscall.SIGHUP)).To(Succeed())
+		time.Sleep(100 * time.Millisecond)
+		code, err := statusCode(http.Get("http://" + s.CallerAddress + "/x"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code).To(Equal(http.StatusServiceUnavailable))
+	})
+})
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -30,7 +30,7 @@
 	distanceWeight = 0.6
 	// overcommit is the part of the slots that may wait at a target beside those
 	// that run, so that a freed slot is filled at once.
-	overcommit = 0.05
+	overcommit = 0.06
 )
 
 // score is the load of a candidate in requests of a usual batch.
@@ -47,7 +47,8 @@
 // that they all know, so that one free place doesn't draw a request from each. It
 // answers to full targets, where news of other nodes' requests come too late.
 func (c *Candidate) hasPlace() bool {
-	return c.Requests+float64(c.Ahead) < float64(c.Slots)*(1+overcommit)
+	limit := c.Slots + int(float64(c.Slots)*overcommit)
+	return c.Requests+float64(c.Ahead) < float64(limit)
 }
 
 // Choose returns the index of the least loaded candidate that has a place, or
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,274 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/engine"
+)
+
+func TestForward(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "forward")
+}
+
+// peers is what other nodes tell.
+type peers struct {
+	running map[string]int
+	waiting []string
+	nodes   int
+	moving  bool
+}
+
+func (p *peers) Running(instance string) int  { return p.running[instance] }
+func (p *peers) Progress(string) bool         { return p.moving }
+func (p *peers) WaitingNodes(string) []string { return p.waiting }
+func (p *peers) Nodes() int                   { return max(p.nodes, 1) }
+
+var _ = Describe("Choose", func() {
+	It("takes the least loaded target with a place", func() {
+		// Guards against a full, suspected or slow target.
+		targets := []Candidate{
+			{Requests: 18, Slots: 17, Near: true},
+			{Requests: 3, Slots: 17, Near: true, Avoid: true},
+			{Requests: 4, Slots: 5, Near: true},
+			{Requests: 8, Slots: 17, Near: true},
+			{Requests: 8, Slots: 17},
+		}
+		for start := range targets {
+			Expect(Choose(targets, start)).To(Equal(3))
+		}
+		Expect(Choose(targets[:2], 0)).To(Equal(-1))
+		Expect(Choose(nil, 0)).To(Equal(-1))
+	})
+
+	It("keeps off long prompts", func() {
+		// Guards against a first event behind a queue of prompts.
+		Expect(Choose([]Candidate{{Requests: 2, Slots: 17, PromptTokens: 12_000}, {Requests: 5, Slots: 17}}, 0)).To(Equal(1))
+	})
+
+	It("leaves the last places to the nodes that come first", func() {
+		// Guards against a request from each node for one free place.
+		c := []Candidate{{Requests: 16, Slots: 17, Ahead: 3}}
+		Expect(Choose(c, 0)).To(Equal(-1))
+		c[0].Ahead = 1
+		Expect(Choose(c, 0)).To(Equal(0))
+	})
+})
+
+// table returns tables with n targets of the pool, of the given slots.
+func table(n, slots int) (*Tables, Pool) {
+	pool := Pool{Service: "desk"}
+	r := &engine.Roster{ByService: map[string][]*engine.Instance{}}
+	for i := range n {
+		r.ByService["desk"] = append(r.ByService["desk"], &engine.Instance{ID: string(rune('a' + i)), Service: "desk", Slots: slots})
+	}
+	t := NewTables()
+	t.Build((&catalog.Configuration{Services: []catalog.Service{{Name: "desk"}}}).Index(), r)
+	return t, pool
+}
+
+var _ = Describe("Dispatcher", func() {
+	want := func(p Pool, goal time.Duration) Want {
+		now := time.Now()
+		return Want{Pool: p, GoalAt: now.Add(goal), Until: now.Add(2 * time.Second)}
+	}
+
+	It("gives a freed place to a request that can still be on time", func() {
+		// Guards against serving every request late once there are more than
+		// places.
+		tables, pool := table(1, 1)
+		d := NewDispatcher(tables, &peers{}, "n", "")
+		first, err := d.Acquire(context.Background(), want(pool, time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		served := make(chan string, 2)
+		wait := func(name string, goal time.Duration) {
+			defer GinkgoRecover()
+			place, err := d.Acquire(context.Background(), want(pool, goal))
+			Expect(err).NotTo(HaveOccurred())
+			served <- name
+			place.Release()
+		}
+		go wait("late", time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		go wait("on time", time.Second)
+		time.Sleep(50 * time.Millisecond)
+		first.Release()
+		Expect(<-served).To(Equal("on time"))
+		Expect(<-served).To(Equal("late"))
+	})
+
+	It("refuses at once without a target, and when waiting has no use", func() {
+		// Guards against a request that is held for nothing.
+		tables, pool := table(0, 1)
+		d := NewDispatcher(tables, &peers{}, "n", "")
+		_, err := d.Acquire(context.Background(), want(pool, time.Second))
+		Expect(err).To(MatchError(ErrNoTarget))
+		tables, pool = table(1, 1)
+		d = NewDispatcher(tables, &peers{}, "n", "")
+		_, err = d.Acquire(context.Background(), want(pool, time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		w := want(pool, time.Second)
+		w.Until = time.Now()
+		_, err = d.Acquire(context.Background(), w)
+		Expect(err).To(MatchError(ErrFull))
+	})
+
+	It("counts the requests of other nodes", func() {
+		// Guards against nodes that overfill a target together.
+		tables, pool := table(2, 4)
+		d := NewDispatcher(tables, &peers{running: map[string]int{"a": 4, "b": 3}}, "n", "")
+		place, err := d.Acquire(context.Background(), want(pool, time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(place.Instance.ID).To(Equal("b"))
+		w := want(pool, 0)
+		w.Until = time.Now().Add(20 * time.Millisecond)
+		_, err = d.Acquire(context.Background(), w)
+		Expect(err).To(MatchError(ErrFull))
+	})
+
+	It("loses no place under concurrent use", func() {
+		// Guards against places that leak when waiting ends as one is given.
+		tables, pool := table(3, 2)
+		d := NewDispatcher(tables, &peers{}, "n", "")
+		done := make(chan bool)
+		for range 40 {
+			go func() {
+				for range 25 {
+					w := want(pool, time.Millisecond)
+					w.Until = time.Now().Add(rand.N(3 * time.Millisecond))
+					if place, err := d.Acquire(context.Background(), w); err == nil {
+						time.Sleep(rand.N(time.Millisecond))
+						place.Release()
+					}
+				}
+				done <- true
+			}()
+		}
+		for range 40 {
+			<-done
+		}
+		tables.Load().Each(func(t *Target) { Expect(t.Load.Running()).To(BeZero()) })
+		Eventually(d.Waiting).Should(BeEmpty())
+	})
+})
+
+var _ = Describe("flow", func() {
+	It("tells when late requests wait in vain", func() {
+		// Guards against callers that are held until they leave.
+		var f flow
+		now := time.Now()
+		f.ended(time.Second)
+		for i := range 300 {
+			f.arrived(now.Add(time.Duration(i) * 10 * time.Millisecond))
+		}
+		end := now.Add(3 * time.Second)
+		Expect(f.lateWait(50, 1, end)).To(Equal(never))
+		Expect(f.lateWait(200, 1, end)).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(f.lateWait(90, 5, end)).To(BeNumerically("~", 370*time.Millisecond, 100*time.Millisecond))
+	})
+
+	It("counts callers who come back once", func() {
+		// Guards against a demand that grows because of refusals.
+		var f flow
+		now := time.Now()
+		f.ended(time.Second)
+		for i := range 400 {
+			at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+			f.arrived(at)
+			if i%2 == 0 {
+				f.refuse(at)
+			}
+		}
+		Expect(f.demand(now.Add(4 * time.Second))).To(BeNumerically("~", 66, 5))
+	})
+})
+
+var _ = Describe("silenceLimits", func() {
+	profile := &catalog.EngineProfile{Slots: 17, StepTime: 7800 * time.Microsecond, StepTimePerRequest: 95 * time.Microsecond,
+		StepsPerEvent: 5, ReadRate: 45_900, ReadChunk: 2048}
+	route := &catalog.Route{LatencyGoal: 400 * time.Millisecond}
+
+	It("leaves room for the longest pass, long prompts and slow groups", func() {
+		// Guards against moving streams of groups that work.
+		first, next := silenceLimits(route, profile, 1, 4000)
+		Expect(next).To(BeNumerically(">", 270*time.Millisecond))
+		Expect(next).To(BeNumerically("<", time.Second))
+		Expect(first).To(BeNumerically(">", next+150*time.Millisecond))
+		_, slow := silenceLimits(route, profile, 3, 0)
+		Expect(slow).To(BeNumerically(">", 3*270*time.Millisecond))
+	})
+})
+
+var _ = Describe("eventReader", func() {
+	read := func(text string) (ids []string, raw string, err error) {
+		r := newEventReader(io.MultiReader(strings.NewReader(text)))
+		defer r.free()
+		for {
+			e, err := r.next()
+			if err != nil {
+				return ids, raw, err
+			}
+			ids, raw = append(ids, e.id), raw+string(e.raw)
+		}
+	}
+
+	It("passes whole events unchanged", func() {
+		// Guards against events that are joined, changed or lost.
+		text := "id: 1\ndata: a\n\nversions: 2\nid:2\r\ndata: id: 9\r\n\r\n: note\n\n"
+		ids, raw, err := read(text)
+		Expect(err).To(MatchError(io.EOF))
+		Expect(ids).To(Equal([]string{"1", "2", ""}))
+		Expect(raw).To(Equal(text))
+	})
+
+	It("keeps back an event that breaks off", func() {
+		// Guards against pieces of two answers in one event.
+		ids, raw, err := read("id: 1\ndata: a\n\nid: 2\ndata: b\n")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(ids).To(Equal([]string{"1"}))
+		Expect(raw).To(Equal("id: 1\ndata: a\n\n"))
+	})
+
+	It("bounds an event", func() {
+		// Guards against an engine that fills the memory.
+		_, _, err := read("data: " + strings.Repeat("x", maxEvent+eventBuffer) + "\n\n")
+		Expect(err).To(MatchError(errEventTooLarge))
+	})
+})
+
+// FuzzEvents checks that every event passed on is whole and in order.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n\n", uint8(3))
+	f.Fuzz(func(t *testing.T, text string, size uint8) {
+		r := newEventReader(&slowReader{strings.NewReader(text), int(size)%7 + 1})
+		defer r.free()
+		var passed strings.Builder
+		for {
+			e, err := r.next()
+			if err != nil {
+				break
+			}
+			passed.Write(e.raw)
+		}
+		if !strings.HasPrefix(text, passed.String()) {
+			t.Fatalf("passed %q of %q", passed.String(), text)
+		}
+	})
+}
+
+// slowReader returns a few bytes at a time.
+type slowReader struct {
+	io.Reader
+	size int
+}
+
+func (r *slowReader) Read(p []byte) (int, error) { return r.Reader.Read(p[:min(len(p), r.size)]) }
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,83 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+)
+
+func TestMesh(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "mesh")
+}
+
+// node starts a mesh that knows only the first node.
+func node(i int) (*Mesh, context.CancelFunc) {
+	address := fmt.Sprintf("127.0.92.%d:18501", i)
+	m := New(Config{Address: address, Seeds: []string{"127.0.92.1:18501"}}, func() State {
+		return State{Node: fmt.Sprint("n", i), PeerAddress: address, Serving: true,
+			Use: map[uint32]Use{Key("i-1"): NewUse(i, i == 2)}, Suspects: []string{"i-9"}}
+	}, log.NewNopLogger(), metrics.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() { _ = m.Run(ctx) }()
+	return m, cancel
+}
+
+var _ = Describe("Mesh", func() {
+	It("tells every node what the others do, and forgets one that is silent", func() {
+		// Guards against load that other nodes place unseen.
+		first, _ := node(1)
+		second, _ := node(2)
+		third, stop := node(3)
+		Eventually(second.Nodes, 5*time.Second).Should(Equal(3))
+		Eventually(func() int { return third.Running("i-1") }, 5*time.Second).Should(Equal(3))
+		Expect(first.Progress("i-1")).To(BeTrue())
+		Expect(first.Suspected("i-9")).To(BeTrue())
+		stop()
+		Eventually(second.Nodes, 5*time.Second).Should(Equal(2))
+		Eventually(func() int { return second.Running("i-1") }, time.Second).Should(Equal(1))
+	})
+
+	It("takes no older state of a boot, and a restarted node whatever its clock", func() {
+		// Guards against old datagrams, and against a restart after the clock was
+		// set back.
+		m := New(Config{Address: "127.0.92.9:1"}, nil, log.NewNopLogger(), metrics.NewRegistry())
+		now := time.Now()
+		told := func(boot int64, count uint64, at time.Time) uint64 {
+			m.accept(&State{Node: "n", PeerAddress: "127.0.92.8:1", Boot: boot, Count: count}, at)
+			return m.members["127.0.92.8:1"].state.Count
+		}
+		Expect(told(10, 5, now)).To(BeEquivalentTo(5))
+		Expect(told(10, 4, now)).To(BeEquivalentTo(5))
+		Expect(told(9, 7, now.Add(100*time.Millisecond))).To(BeEquivalentTo(5))
+		Expect(told(9, 8, now.Add(2*silentAfter))).To(BeEquivalentTo(8))
+	})
+
+	It("keeps a state of many groups within a datagram", func() {
+		// Guards against datagrams that a large deployment loses.
+		s := State{Node: "edge-port-spain-1", CallerAddress: "10.100.200.40:8227", PeerAddress: "10.100.200.40:7340", Use: map[uint32]Use{}}
+		for i := range 120 {
+			s.Use[Key(strings.Repeat("i", i))] = NewUse(3, true)
+		}
+		for i := range sharedAddresses {
+			s.Known = append(s.Known, fmt.Sprintf("10.100.200.%d:7340", 100+i))
+		}
+		data, err := encode(&s)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(data)).To(BeNumerically("<=", maxDatagram))
+		back, err := decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back.Use[Key("iii")].Requests()).To(Equal(3))
+		Expect(back.Use[Key("iii")].Progress()).To(BeTrue())
+		_, err = decode([]byte("x"))
+		Expect(err).To(HaveOccurred())
+	})
+})
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,154 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+// serve answers each request on a connection with the next of answers, and closes
+// after the last one if it asks so.
+func serve(answers ...string) (address string, connections *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go answerAll(conn, answers)
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+func answerAll(conn net.Conn, answers []string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer := answers[min(i, len(answers)-1)]
+		_, _ = io.WriteString(conn, strings.TrimPrefix(answer, "close "))
+		if strings.HasPrefix(answer, "close ") {
+			return
+		}
+	}
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// exchange sends request "r" and reads the whole answer.
+func exchange(p *upstream.Pool, address string, watch upstream.Watch) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := p.Get(ctx, address, false, 0)
+	if err != nil {
+		return "", err
+	}
+	answer, err := conn.Do(ctx, &upstream.Request{Method: "POST", Target: "/x", Host: "h", Body: []byte("b"), Watch: watch,
+		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == "r" }})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Abort()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+var _ = Describe("Conn", func() {
+	It("keeps a connection after a whole answer", func() {
+		// Guards against a new connection for each request.
+		address, connections := serve(whole("r", "one"))
+		p := upstream.NewPool(upstream.Config{})
+		for range 3 {
+			Expect(exchange(p, address, nil)).To(Equal("one"))
+		}
+		Expect(connections.Load()).To(BeEquivalentTo(1))
+		p.Retain(func(string) bool { return false })
+		Expect(exchange(p, address, nil)).To(Equal("one"))
+		Expect(connections.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("skips answers to other requests and drops what nobody asked for", func() {
+		// Guards against an answer that belongs to another request.
+		address, connections := serve(whole("other", "crossed")+whole("r", "mine")+whole("late", "extra"), whole("r", "again"))
+		p := upstream.NewPool(upstream.Config{})
+		Expect(exchange(p, address, nil)).To(Equal("mine"))
+		Expect(exchange(p, address, nil)).To(Equal("mine"))
+		Expect(connections.Load()).To(BeEquivalentTo(2))
+	})
+
+	DescribeTable("reports an answer that isn't whole",
+		func(answer string) {
+			// Guards against a short answer that looks complete.
+			address, _ := serve("close " + answer)
+			_, err := exchange(upstream.NewPool(upstream.Config{}), address, nil)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("short length", "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 9\r\n\r\nshort"),
+		Entry("broken chunk", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"),
+		Entry("missing last chunk", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"),
+		Entry("no HTTP", "hello\r\n\r\n"),
+		Entry("nothing", ""),
+	)
+
+	It("ends a wait when the watch says so, and keeps no such connection", func() {
+		// Guards against an engine that accepts a request and sends nothing.
+		address, _ := serve("HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 5\r\n\r\nab")
+		silent := errors.New("silent")
+		_, err := exchange(upstream.NewPool(upstream.Config{}), address, func(d time.Duration) (time.Duration, error) {
+			if d >= 100*time.Millisecond {
+				return 0, silent
+			}
+			return 100*time.Millisecond - d, nil
+		})
+		Expect(err).To(MatchError(silent))
+	})
+
+	It("opens no more connections than allowed", func() {
+		// Guards against connections that a backend server would reset.
+		address, _ := serve(whole("r", "one"))
+		p := upstream.NewPool(upstream.Config{})
+		_, err := p.Get(context.Background(), address, true, 1)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = p.Get(context.Background(), address, true, 1)
+		Expect(err).To(MatchError(upstream.ErrNoConnection))
+	})
+})
+
+var _ = Describe("EndToEnd", func() {
+	It("drops what concerns one connection", func() {
+		// Guards against a caller that steers the connection behind the node.
+		h := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Transfer-Encoding": {"chunked"},
+			"Keep-Alive": {"timeout=1"}, "Accept": {"a"}}
+		Expect(upstream.EndToEnd(h)).To(Equal(http.Header{"Accept": {"a"}}))
+	})
+})
