--- a/cmd/rattanctl/main.go
+++ b/cmd/rattanctl/main.go
@@ -40,6 +40,7 @@
 	Status  statusCommand  `cmd:"" help:"Show a node's view of the system."`
 	State   stateCommand   `cmd:"" help:"Dump the state of one node's process."`
 	History historyCommand `cmd:"" help:"Show the accepted release notes."`
+	Explain explainCommand `cmd:"" help:"Show a request's way in the logs of several nodes."`
 }
 
 // environment is what a command needs besides its arguments.
--- a/cmd/rattanlanding/main.go
+++ b/cmd/rattanlanding/main.go
@@ -97,7 +97,7 @@
 	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
-	return runApp(entry.New(s, entry.SettingsFile(path), newLogger(sink, s.Node, s.LogLevel)))
+	return runApp(entry.New(s, entry.SettingsFile(path), logsink.Limit(newLogger(sink, s.Node, s.LogLevel))))
 }
 
 // serve runs a node until a signal or a fault stops it.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -43,6 +43,7 @@
 	leases    *lease.Manager
 	formation *formation.Controller
 	reloader  *reloader
+	inspector *inspector
 	board     *blackboard.Board
 	logger    log.Logger
 	shutdown  fx.Shutdowner
@@ -53,10 +54,10 @@
 }
 
 func newDaemon(s Settings, st *status, h *forward.Handler, d *Documents, f followers, w *World, l *lease.Manager,
-	c *formation.Controller, r *reloader, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
+	c *formation.Controller, r *reloader, i *inspector, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
 ) *daemon {
 	return &daemon{settings: s, status: st, handler: h, documents: d, followers: f, world: w, leases: l,
-		formation: c, reloader: r, board: board, logger: logger, shutdown: shutdown}
+		formation: c, reloader: r, inspector: i, board: board, logger: logger, shutdown: shutdown}
 }
 
 // start opens the listeners and starts the loops.
@@ -75,7 +76,11 @@
 		{"directoryAddress", d.settings.DirectoryAddress, platform.NewDirectoryHandler(d.status)},
 		{"readinessAddress", d.settings.ReadinessAddress, platform.NewReadinessHandler(d.status)},
 		{"peerAddress", d.settings.PeerAddress, d.documents.Handler()},
+		{"metricsAddress", d.settings.MetricsAddress, d.inspector.routes()},
 	} {
+		if s.address == "" {
+			continue
+		}
 		if err := d.serve(ctx, s.address, s.handler); err != nil {
 			return fmt.Errorf("%s: %w", s.field, err)
 		}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/mesh"
+	"github.com/rattanlanding/rattanlanding/operator"
+	"github.com/rattanlanding/rattanlanding/upstream"
+)
+
+// dump is the state of a process, for people.
+type dump struct {
+	Node          string                `json:"node"`
+	Ready         bool                  `json:"ready"`
+	Configuration uint64                `json:"configuration"`
+	InFlight      int                   `json:"inFlight"`
+	Waiting       map[string]int        `json:"waiting"`
+	Targets       map[string]targetDump `json:"targets"`
+	Peers         []*mesh.State         `json:"peers"`
+	// SilentMs tells since when the store has not answered, by document.
+	SilentMs map[string]int64 `json:"silentMs"`
+}
+
+// targetDump is what a node knows of a target.
+type targetDump struct {
+	Group   string `json:"group,omitempty"`
+	Model   string `json:"model,omitempty"`
+	Slots   int    `json:"slots"`
+	Own     int    `json:"own"`
+	Others  int    `json:"others"`
+	Address string `json:"address"`
+}
+
+// inspector serves metrics and the state of this process.
+type inspector struct {
+	status    *status
+	handler   *forward.Handler
+	followers followers
+	pool      *upstream.Pool
+	registry  metrics.Registry
+}
+
+// routes returns the handler of the metrics address.
+func (i *inspector) routes() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.GET("/metrics", func(c *gin.Context) {
+		i.update()
+		c.Data(http.StatusOK, "text/plain; version=0.0.4; charset=utf-8", operator.Exposition(i.registry))
+	})
+	router.GET("/state", func(c *gin.Context) { c.JSON(http.StatusOK, i.dump()) })
+	return router
+}
+
+// update sets the gauges that are only read when they are asked for.
+func (i *inspector) update() {
+	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, i.registry).Update(value) }
+	gauge("forward.in_flight", int64(i.handler.InFlight()))
+	gauge("mesh.nodes", int64(i.status.mesh.Nodes()))
+	gauge("upstream.dials", int64(i.pool.Dials()))
+	gauge("follow.configuration.silent_ms", i.followers.configurations.SilentFor().Milliseconds())
+	gauge("follow.instances.silent_ms", i.followers.instances.SilentFor().Milliseconds())
+	waiting := 0
+	for _, n := range i.status.dispatcher.Waiting() {
+		waiting += n
+	}
+	gauge("forward.waiting", int64(waiting))
+	targets := 0
+	i.status.tables.Load().Each(func(*forward.Target) { targets++ })
+	gauge("forward.targets", int64(targets))
+}
+
+func (i *inspector) dump() dump {
+	d := dump{
+		Node: i.status.settings.Node, Ready: i.status.Ready(), InFlight: i.handler.InFlight(),
+		Waiting: map[string]int{}, Targets: map[string]targetDump{}, Peers: i.status.mesh.View().Live,
+		SilentMs: map[string]int64{
+			"configuration": i.followers.configurations.SilentFor().Milliseconds(),
+			"instances":     i.followers.instances.SilentFor().Milliseconds(),
+		},
+	}
+	if c := i.status.world.Configuration.Load(); c != nil {
+		d.Configuration = c.Version
+	}
+	for pool, n := range i.status.dispatcher.Waiting() {
+		d.Waiting[pool.Service+"/"+pool.Model] = n
+	}
+	i.status.tables.Load().Each(func(t *forward.Target) {
+		d.Targets[t.Instance.ID] = targetDump{Group: t.Group.Name, Model: t.Pool.Model, Slots: t.Slots, Own: t.Load.Running(),
+			Others: i.status.mesh.Running(t.Instance.ID), Address: t.Instance.Address}
+	})
+	return d
+}
--- a/entry/module.go
+++ b/entry/module.go
@@ -72,6 +72,7 @@
 		newLeases,
 		newFormation,
 		newReloader,
+		newInspector,
 		newDaemon,
 	),
 	fx.Invoke(func(l fx.Lifecycle, d *daemon) { l.Append(fx.Hook{OnStart: d.start, OnStop: d.stop}) }),
@@ -150,3 +151,7 @@
 func newReloader(s Settings, file SettingsFile, st *status, h *forward.Handler, logger log.Logger) *reloader {
 	return &reloader{path: file, current: s, mesh: st.mesh, handler: h, logger: logger}
 }
+
+func newInspector(st *status, h *forward.Handler, f followers, pool *upstream.Pool, registry metrics.Registry) *inspector {
+	return &inspector{status: st, handler: h, followers: f, pool: pool, registry: registry}
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -20,6 +20,8 @@
 	CallerAddress    string `json:"callerAddress"`
 	DirectoryAddress string `json:"directoryAddress"`
 	ReadinessAddress string `json:"readinessAddress"`
+	// MetricsAddress serves metrics and the state of the process; empty for none.
+	MetricsAddress string `json:"metricsAddress"`
 	// PeerAddress takes datagrams and document requests of other nodes. Its port
 	// is the same on all nodes.
 	PeerAddress string `json:"peerAddress"`
@@ -101,6 +103,11 @@
 		}
 		listeners[a.address] = a.field
 	}
+	if s.MetricsAddress != "" {
+		if _, err := netip.ParseAddrPort(s.MetricsAddress); err != nil {
+			p.Add("metricsAddress", `must be "IP:port" with a literal IP address`)
+		}
+	}
 	for i, seed := range s.Seeds {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
 			p.Add(fmt.Sprintf("seeds[%d]", i), `must be "IP:port" with a literal IP address`)
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,52 @@
+package explain_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/explain"
+)
+
+const logs = `  1.2 edge-1 ts=2026-01-01T00:00:01.000Z node=edge-1 level=info msg=sent request=r1 instance=i-1 group=g1 own=1
+noise
+ts=2026-01-01T00:00:02.500Z node=edge-2 level=warn msg="instance believed lost" instance=i-1 group=g1 err="no answer"
+ts=2026-01-01T00:00:01.800Z node=edge-1 level=info msg="stream goes on elsewhere" request=r1 err="engine is silent"
+ts=2026-01-01T00:00:01.900Z node=edge-1 level=info msg=sent request=r2 instance=i-1 group=g1
+ts=2026-01-01T00:00:30.000Z node=edge-2 level=info msg=order instance=i-1 group=g1
+ts=broken node=edge-2 msg=sent request=r1
+`
+
+// Guards against a way in the wrong order, other requests' lines, and lines on the
+// group that are missing or unrelated.
+func TestRequest(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := explain.Read(strings.NewReader(logs))
+	g.Expect(err).NotTo(HaveOccurred())
+	way, err := explain.Request(lines, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	var out bytes.Buffer
+	g.Expect(explain.Write(&out, way, "r1")).To(Succeed())
+	g.Expect(out.String()).To(Equal(
+		"      +0 ms  edge-1               sent  instance=i-1 group=g1 own=1\n" +
+			"    +800 ms  edge-1               stream goes on elsewhere  err=engine is silent\n" +
+			"   +1500 ms  edge-2                   instance believed lost  instance=i-1 group=g1 err=no answer\n"))
+	_, err = explain.Request(lines, "r9")
+	g.Expect(err).To(MatchError(explain.ErrUnknownRequest))
+}
+
+// FuzzRead checks that no log makes the reader fail or panic.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(logs))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		lines, err := explain.Read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		if way, err := explain.Request(lines, "r1"); err == nil && len(way) == 0 {
+			t.Fatal("a known request without a way")
+		}
+	})
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
 func TestForward(t *testing.T) {
@@ -192,6 +193,31 @@
 	})
 })
 
+var _ = Describe("repeatable", func() {
+	failed := verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "no answer")
+	refused := verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "refused")
+	full := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "full")
+	call := func(kind catalog.Kind, resumable, ran bool, runs, sends int) *call {
+		return &call{route: &catalog.Route{Kind: kind, Resumable: resumable, MaxAttempts: 2}, mayHaveRun: ran, runs: runs, sends: sends}
+	}
+
+	It("never repeats an unsafe request that may have run", func() {
+		// Guards against a second charge.
+		Expect(call(catalog.Unsafe, false, true, 1, 1).repeatable(failed)).To(BeFalse())
+		Expect(call(catalog.Streaming, false, true, 1, 1).repeatable(failed)).To(BeFalse())
+		Expect(call(catalog.Unsafe, false, false, 0, 1).repeatable(refused)).To(BeTrue())
+		Expect(call(catalog.Streaming, true, true, 1, 1).repeatable(failed)).To(BeTrue())
+		Expect(call(catalog.Safe, false, true, 2, 2).repeatable(failed)).To(BeFalse())
+		Expect(call(catalog.Safe, false, false, 0, 4).repeatable(refused)).To(BeFalse())
+	})
+
+	It("doesn't count a wait for a place as an attempt to repeat", func() {
+		// Guards against a budget that refusals use up, and against a second wait.
+		Expect(call(catalog.Streaming, true, false, 0, 0).repeatable(full)).To(BeFalse())
+		Expect(call(catalog.Streaming, true, true, 1, 1).repeatable(full)).To(BeFalse())
+	})
+})
+
 var _ = Describe("silenceLimits", func() {
 	profile := &catalog.EngineProfile{Slots: 17, StepTime: 7800 * time.Microsecond, StepTimePerRequest: 95 * time.Microsecond,
 		StepsPerEvent: 5, ReadRate: 45_900, ReadChunk: 2048}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -239,22 +239,3 @@
 	// noConfigurationRetry is the time for a new node to learn the configuration.
 	noConfigurationRetry = 500 * time.Millisecond
 )
-
-// mayRepeat takes one repeat from the budget if another attempt is allowed.
-func (h *Handler) mayRepeat(ctx context.Context, c *call) bool {
-	if ctx.Err() != nil || c.runs >= c.route.MaxAttempts || c.sends >= c.route.MaxAttempts+maxRefusedSends {
-		return false
-	}
-	if c.mayHaveRun && !c.route.Repeatable() {
-		return false
-	}
-	if !h.budget(c.service.Name).Take() {
-		_ = level.Warn(h.Logger).Log("msg", "retry budget is used up", "request", c.ID, "service", c.service.Name)
-		return false
-	}
-	h.metrics.repeats.Inc(1)
-	return true
-}
-
-// maxRefusedSends bounds the sends of one request that backend servers refuse.
-const maxRefusedSends = 2
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -28,7 +28,7 @@
 			h.abandon(c)
 			return
 		}
-		if !h.mayRepeat(ctx, c) {
+		if !h.mayRepeat(ctx, c, err) {
 			h.refuse(c, c.final(err))
 			return
 		}
@@ -54,9 +54,10 @@
 		answer.Abort()
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the answer broke off").WithCause(err)
 	}
-	if answer.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe && h.mayRepeat(ctx, c) {
+	if answer.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe {
 		// Another backend server may do better; its failure would be the answer.
-		if h.plainAttempt(ctx, c) == nil {
+		own := verdict.New(verdict.Ran, verdict.ReasonBackendFailed, "backend server answered %d", answer.Status)
+		if h.mayRepeat(ctx, c, own) && h.plainAttempt(ctx, c) == nil {
 			return nil
 		}
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -39,7 +39,7 @@
 			h.abandon(c)
 			return
 		}
-		if !h.mayRepeat(ctx, c) {
+		if !h.mayRepeat(ctx, c, err) {
 			h.endStream(s, err)
 			return
 		}
--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	. "github.com/onsi/gomega"
 
 	"github.com/rattanlanding/rattanlanding/internal/logsink"
@@ -58,3 +60,23 @@
 	sink.Close()
 	g.Expect(out.String()).To(Equal("last\n"))
 }
+
+// Guards against a flood of one message that hides all others, and against lines
+// left out in silence.
+func TestLimitsEachMessage(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	now := time.Unix(100, 0)
+	logger := logsink.LimitAt(log.NewLogfmtLogger(&out), func() time.Time { return now })
+	for range 2000 {
+		g.Expect(level.Info(logger).Log("msg", "sent")).To(Succeed())
+		g.Expect(level.Warn(logger).Log("msg", "broken")).To(Succeed())
+	}
+	g.Expect(logger.Log("msg", "once")).To(Succeed())
+	g.Expect(bytes.Count(out.Bytes(), []byte("msg=sent"))).To(Equal(250))
+	g.Expect(bytes.Count(out.Bytes(), []byte("msg=broken"))).To(Equal(1000))
+	g.Expect(out.String()).To(ContainSubstring("msg=once"))
+	now = now.Add(time.Second)
+	g.Expect(level.Info(logger).Log("msg", "sent")).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring(`msg="log lines left out" of=sent lines=1750`))
+}
--- a/operator/exposition.go
+++ b/operator/exposition.go
@@ -15,9 +15,9 @@
 
 var quantiles = []float64{0.5, 0.9, 0.95, 0.99}
 
-// exposition writes the registry in the Prometheus text format, version 0.0.4.
+// Exposition writes the registry in the Prometheus text format, version 0.0.4.
 // Timers are given in seconds; histograms in the unit they were recorded in.
-func exposition(registry metrics.Registry) []byte {
+func Exposition(registry metrics.Registry) []byte {
 	var names []string
 	byName := make(map[string]any)
 	registry.Each(func(name string, metric any) {
--- a/operator/state.go
+++ b/operator/state.go
@@ -81,7 +81,7 @@
 
 func (h *handler) metrics(c *gin.Context) {
 	if strings.Contains(c.GetHeader("Accept"), "text/plain") {
-		c.Data(http.StatusOK, "text/plain; version=0.0.4; charset=utf-8", exposition(h.cfg.Registry))
+		c.Data(http.StatusOK, "text/plain; version=0.0.4; charset=utf-8", Exposition(h.cfg.Registry))
 		return
 	}
 	c.JSON(http.StatusOK, h.cfg.Registry.GetAll())
