--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -19,6 +19,9 @@
 	Running(instance string) int
 	// Progress reports whether an instance sends events to other nodes.
 	Progress(instance string) bool
+	// Demand returns the places that the requests of other nodes for a model would
+	// occupy.
+	Demand(model string) float64
 	// WaitingNodes returns the names of other nodes with requests that wait for a
 	// group of a model.
 	WaitingNodes(model string) []string
@@ -184,15 +187,18 @@
 func (d *Dispatcher) hasRoomForLate(p Pool, patience time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slots := 0
-	now := time.Now()
+	slots, now := 0, time.Now()
 	for _, t := range d.tables.Load().Targets(p) {
 		if !t.Load.Suspected(now) {
 			slots += t.Slots
 		}
 	}
-	share := float64(slots) / float64(max(d.peers.Nodes(), 1))
-	return d.flow(p).lateWait(share, len(d.waiting[p]), now) <= patience
+	f, nodes := d.flow(p), float64(max(d.peers.Nodes(), 1))
+	demand := f.demand(now) * nodes
+	if p.Model != "" {
+		demand = f.demand(now) + d.peers.Demand(p.Model)
+	}
+	return f.lateWait(demand, float64(slots), float64(slots)/nodes, len(d.waiting[p])) <= patience
 }
 
 // flow returns the measured flow of a pool; the caller holds the lock.
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -10,8 +10,10 @@
 	flowWindow = time.Second
 	// serviceWeight is that of one request in the average time of service.
 	serviceWeight = 0.05
-	// overload is the ratio of arrivals to places from which no lull helps.
-	overload = 1.3
+	// overload is the ratio of demand to places from which no lull helps.
+	overload = 1.25
+	// minSpare bounds a division, in places a second.
+	minSpare = 0.01
 	// lullShare is the part of the places that lulls leave to late requests.
 	lullShare = 0.15
 	// never is a wait without end.
@@ -64,21 +66,20 @@
 	f.service += time.Duration(serviceWeight * float64(held-f.service))
 }
 
-// lateWait returns the time in which late requests get the places that those
-// which can still be on time leave over. It answers to many more arrivals than the
-// places of this node's share can serve: then late requests wait in vain, and are
-// better told at once to come back. While arrivals about match the places, lulls
-// leave some over.
-func (f *flow) lateWait(slots float64, waiting int, now time.Time) time.Duration {
+// lateWait returns the time in which a request that is late already gets a place,
+// where demand is that of all nodes in places, and waiting are the requests of this
+// node, which has a share of the slots. It answers to more demand than places: then
+// the requests that can still be on time take them all, and late ones wait in vain
+// and are better told at once to come back. While demand about matches the places,
+// lulls leave some over.
+func (f *flow) lateWait(demand, slots, share float64, waiting int) time.Duration {
 	if f.service <= 0 {
 		return 0
 	}
-	capacity := slots / f.service.Seconds()
-	f.decay(now)
-	rate := f.rate
-	if rate > overload*capacity {
+	if demand > overload*slots {
 		return never
 	}
-	spare := max(capacity-rate, lullShare*capacity)
-	return time.Duration(float64(waiting) / spare * float64(time.Second))
+	capacity := share / f.service.Seconds()
+	spare := max(capacity*(1-demand/max(slots, 1)), lullShare*capacity)
+	return time.Duration(float64(waiting) / max(spare, minSpare) * float64(time.Second))
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -32,6 +32,7 @@
 func (p *peers) Running(instance string) int  { return p.running[instance] }
 func (p *peers) Progress(string) bool         { return p.moving }
 func (p *peers) WaitingNodes(string) []string { return p.waiting }
+func (p *peers) Demand(string) float64        { return 0 }
 func (p *peers) Nodes() int                   { return max(p.nodes, 1) }
 
 var _ = Describe("Choose", func() {
@@ -166,15 +167,12 @@
 	It("tells when late requests wait in vain", func() {
 		// Guards against callers that are held until they leave.
 		var f flow
-		now := time.Now()
 		f.ended(time.Second)
-		for i := range 300 {
-			f.arrived(now.Add(time.Duration(i) * 10 * time.Millisecond))
-		}
-		end := now.Add(3 * time.Second)
-		Expect(f.lateWait(50, 1, end)).To(Equal(never))
-		Expect(f.lateWait(200, 1, end)).To(BeNumerically("<", 50*time.Millisecond))
-		Expect(f.lateWait(90, 5, end)).To(BeNumerically("~", 370*time.Millisecond, 100*time.Millisecond))
+		Expect(f.lateWait(130, 100, 10, 1)).To(Equal(never))
+		Expect(f.lateWait(50, 100, 10, 1)).To(Equal(200 * time.Millisecond))
+		// Near to full use, lulls serve a few.
+		Expect(f.lateWait(100, 100, 10, 1)).To(BeNumerically("<", time.Second))
+		Expect(f.lateWait(100, 100, 10, 9)).To(BeNumerically(">", 2*time.Second))
 	})
 
 	It("counts callers who come back once", func() {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -272,6 +272,15 @@
 // Progress implements forward.Peers.
 func (m *Mesh) Progress(instance string) bool { return m.View().progress[Key(instance)] }
 
+// Demand implements forward.Peers.
+func (m *Mesh) Demand(model string) float64 {
+	total := 0.0
+	for _, s := range m.View().Live {
+		total += float64(s.Demand[model])
+	}
+	return total
+}
+
 // WaitingNodes implements forward.Peers.
 func (m *Mesh) WaitingNodes(model string) []string { return m.View().waiting[model] }
 
