--- a/formation/need.go
+++ b/formation/need.go
@@ -11,9 +11,6 @@
 	baseDemand = 4
 	// reservePerMember is the reserve for each member of a group.
 	reservePerMember = 0.25
-	// heldShortage is the shortage of a model from which instances with its weights
-	// are kept from another model that is less short.
-	heldShortage = 0.2
 	// planUse is the part of a group's slots that is planned with. The rest is for
 	// bursts and for the time until a lost group is replaced.
 	planUse = 0.6
@@ -144,13 +141,14 @@
 	return true
 }
 
-// holdsBack reports whether members of a draft have the weights of a model that is
-// shorter of groups. They would lose these weights in a group of another model.
+// holdsBack reports whether members of a draft have the weights of a model that
+// lacks groups for its demand, and more so than the draft's own. They would lose
+// these weights in a group of another model.
 func (n *needs) holdsBack(d *Draft) bool {
 	own := n.shortage(d.Model)
 	for i := range n.models {
 		other := &n.models[i]
-		if other.Name == d.Model || n.shortage(other.Name) <= max(heldShortage, own) {
+		if other.Name == d.Model || n.lacks(other.Name) <= 0 || n.shortage(other.Name) <= own {
 			continue
 		}
 		if len(warmOf(d.Members, other.Name)) > 0 {
