--- a/cmd/rattanctl/main.go
+++ b/cmd/rattanctl/main.go
@@ -75,7 +75,11 @@
 		return exited
 	}
 	if err == nil {
-		err = errors.Join(c.loadKey(), checkAddresses(c.Address), checkAddresses(c.State.addresses()))
+		err = errors.Join(checkAddresses(c.Address), checkAddresses(c.State.addresses()))
+		// Logs are explained without a node.
+		if !strings.HasPrefix(command.Command(), "explain") {
+			err = errors.Join(c.loadKey(), err)
+		}
 	}
 	if err != nil {
 		fmt.Fprintln(errOut, "rattanctl:", err)
--- a/entry/module.go
+++ b/entry/module.go
@@ -30,8 +30,8 @@
 	// silent is noticed after watchWait and storeTimeout.
 	watchWait = 1500 * time.Millisecond
 	// leaseDuration and leaseRenewal are those of the lease for forming groups.
-	leaseDuration = 3 * time.Second
-	leaseRenewal  = 900 * time.Millisecond
+	leaseDuration = 2 * time.Second
+	leaseRenewal  = 600 * time.Millisecond
 	// leaseStable keeps the lease where it is: nothing is gained by moving it, and
 	// a new holder starts with the list alone.
 	leaseStable = 24 * time.Hour
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,8 +35,6 @@
 	MemoryBytes int64 `json:"memoryBytes"`
 	// StopTime is the time between the signal to stop and the end by force.
 	StopTime time.Duration `json:"stopTime"`
-	// StallTime is how long a group that lost a member accepts requests.
-	StallTime time.Duration `json:"stallTime"`
 	// AddressTTL is how long callers may keep addresses.
 	AddressTTL time.Duration `json:"addressTtl"`
 	// RetryRatio and RetryAllowance bound the repeats of all nodes together.
@@ -50,7 +48,6 @@
 const (
 	defaultMemory     = 256 << 20
 	defaultStop       = 8 * time.Second
-	defaultStall      = 5 * time.Second
 	defaultAddressTTL = 2 * time.Second
 	defaultRetryRatio = 0.1
 	defaultAllowance  = 10
@@ -59,7 +56,7 @@
 // DefaultSettings returns settings without names and addresses.
 func DefaultSettings() Settings {
 	return Settings{
-		MemoryBytes: defaultMemory, StopTime: defaultStop, StallTime: defaultStall,
+		MemoryBytes: defaultMemory, StopTime: defaultStop,
 		AddressTTL: defaultAddressTTL, RetryRatio: defaultRetryRatio, RetryAllowance: defaultAllowance,
 		LogLevel: "info",
 	}
@@ -115,7 +112,6 @@
 	}
 	p.CheckRange("memoryBytes", float64(s.MemoryBytes), 32<<20, 1<<40)
 	p.CheckRange("stopTime", s.StopTime.Seconds(), 1, 3600)
-	p.CheckRange("stallTime", s.StallTime.Seconds(), 0, 3600)
 	p.CheckRange("addressTtl", s.AddressTTL.Seconds(), 0.1, 300)
 	p.CheckRange("retryRatio", s.RetryRatio, 0, 10)
 	p.CheckRange("retryAllowance", s.RetryAllowance, 0, 1e6)
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -1,6 +1,10 @@
 package entry_test
 
 import (
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -30,4 +34,22 @@
 			Expect(err).To(MatchError(ContainSubstring(field)), text)
 		}
 	})
+
+	It("agrees with the table of the operations page", func() {
+		// Guards against a setting that operators can't find.
+		page, err := os.ReadFile("../docs/OPERATIONS.md")
+		Expect(err).NotTo(HaveOccurred())
+		section := regexp.MustCompile(`(?s)### Entry settings.*?###`).Find(page)
+		var documented, known []string
+		for _, line := range regexp.MustCompile("(?m)^\\| `.*$").FindAll(section, -1) {
+			cell, _, _ := strings.Cut(string(line[2:]), " | ")
+			for _, name := range regexp.MustCompile("`([^`]+)`").FindAllStringSubmatch(cell, -1) {
+				documented = append(documented, name[1])
+			}
+		}
+		for field := range reflect.TypeFor[entry.Settings]().Fields() {
+			known = append(known, field.Tag.Get("json"))
+		}
+		Expect(documented).To(ConsistOf(known))
+	})
 })
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -34,7 +34,7 @@
 		return verdict.New(v, verdict.ReasonNoServer, "no backend server can run the request").
 			WithRetryAfter(spread(noTargetRetry))
 	}
-	return verdict.New(v, verdict.ReasonOverloaded, "all places are taken").WithRetryAfter(spread(fullRetry))
+	return verdict.New(v, verdict.ReasonOverloaded, "all places are taken").WithCause(err).WithRetryAfter(spread(fullRetry))
 }
 
 // spread draws a time between half and one and a half of d, so that callers who
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -177,9 +178,10 @@
 		return d.place(target, w.PromptTokens), nil
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.flow(w.Pool).refuse(time.Now())
-	d.mu.Unlock()
-	return nil, ErrFull
+	slots, demand := d.use(w.Pool, time.Now())
+	return nil, fmt.Errorf("%w: demand of %.1f places for %d, %d more wait here", ErrFull, demand, slots, len(d.waiting[w.Pool]))
 }
 
 // hasRoomForLate reports whether a request that is late already will get a place
@@ -187,18 +189,25 @@
 func (d *Dispatcher) hasRoomForLate(p Pool, patience time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slots, now := 0, time.Now()
+	slots, demand := d.use(p, time.Now())
+	share := float64(slots) / float64(max(d.peers.Nodes(), 1))
+	return d.flow(p).lateWait(demand, float64(slots), share, len(d.waiting[p])) <= patience
+}
+
+// use returns the slots of a pool's targets that aren't suspected, and the places
+// that the requests of all nodes would occupy. The caller holds the lock.
+func (d *Dispatcher) use(p Pool, now time.Time) (slots int, demand float64) {
 	for _, t := range d.tables.Load().Targets(p) {
 		if !t.Load.Suspected(now) {
 			slots += t.Slots
 		}
 	}
-	f, nodes := d.flow(p), float64(max(d.peers.Nodes(), 1))
-	demand := f.demand(now) * nodes
+	demand = d.flow(p).demand(now)
 	if p.Model != "" {
-		demand = f.demand(now) + d.peers.Demand(p.Model)
+		return slots, demand + d.peers.Demand(p.Model)
 	}
-	return f.lateWait(demand, float64(slots), float64(slots)/nodes, len(d.waiting[p])) <= patience
+	// Nodes tell no demand for plain services; callers spread over all of them.
+	return slots, demand * float64(max(d.peers.Nodes(), 1))
 }
 
 // flow returns the measured flow of a pool; the caller holds the lock.
--- a/settings/page_test.go
+++ b/settings/page_test.go
@@ -111,7 +111,7 @@
 
 // pageRows reads the table below the heading "Settings".
 func pageRows() map[string]row {
-	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	Expect(err).NotTo(HaveOccurred())
 	_, section, found := strings.Cut(string(page), "\n## Settings\n")
 	Expect(found).To(BeTrue())
