--- a/entry/documents.go
+++ b/entry/documents.go
@@ -36,6 +36,8 @@
 const (
 	pathConfiguration = "/documents/configuration"
 	pathInstances     = "/documents/instances"
+	// pathChanges is added for the changes after a cursor.
+	pathChanges = "/changes"
 )
 
 // Documents gives other nodes this node's copies, and takes newer ones from them
@@ -53,8 +55,10 @@
 func (d *Documents) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
-	router.GET(pathConfiguration, func(c *gin.Context) { writeSnapshot(c, d.configurations) })
-	router.GET(pathInstances, func(c *gin.Context) { writeSnapshot(c, d.instances) })
+	for path, f := range map[string]*follow.Follower{pathConfiguration: d.configurations, pathInstances: d.instances} {
+		router.GET(path, func(c *gin.Context) { writeSnapshot(c, f) })
+		router.GET(path+pathChanges, func(c *gin.Context) { writeChanges(c, f) })
+	}
 	return router
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -63,6 +63,7 @@
 		func() *blackboard.Board { return &blackboard.Board{} },
 		forward.NewTables,
 		newStore,
+		newRelay,
 		newFollowers,
 		newPool,
 		newWorld,
@@ -89,10 +90,14 @@
 	configurations, instances *follow.Follower
 }
 
-func newFollowers(store *platform.Store, logger log.Logger) followers {
+func newRelay(s Settings, store *platform.Store) *relay {
+	return &relay{store: store, settings: s, client: &http.Client{}}
+}
+
+func newFollowers(r *relay, logger log.Logger) followers {
 	return followers{
-		configurations: follow.New(follow.Config{Kind: platform.ConfigurationKind, Wait: watchWait}, store, logger),
-		instances:      follow.New(follow.Config{Kind: platform.InstanceKind, Wait: watchWait}, store, logger),
+		configurations: follow.New(follow.Config{Kind: platform.ConfigurationKind, Wait: watchWait}, r, logger),
+		instances:      follow.New(follow.Config{Kind: platform.InstanceKind, Wait: watchWait}, r, logger),
 	}
 }
 
@@ -104,9 +109,10 @@
 
 // newStatus also makes the parts that know each other: the mesh tells what the
 // status says, and the status names the nodes that the mesh hears.
-func newStatus(s Settings, w *World, tables *forward.Tables, f followers, logger log.Logger, registry metrics.Registry) *status {
+func newStatus(s Settings, w *World, tables *forward.Tables, f followers, r *relay, logger log.Logger, registry metrics.Registry) *status {
 	st := &status{settings: s, world: w, tables: tables, instances: f.instances}
 	st.mesh = mesh.New(mesh.Config{Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, logger, registry)
+	r.mesh.Store(st.mesh)
 	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.Node, s.FailureDomain)
 	return st
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -140,3 +140,47 @@
 	g.Expect(names(f)).To(Equal([]string{"one", "two"}))
 	g.Expect(f.Cursor()).To(Equal(object.Version(5)))
 }
+
+// Guards against a copy of a copy that misses changes or repeats old ones.
+func TestPassesChangesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSource()
+		s.put("a", false)
+		first := follow.New(follow.Config{Kind: "k", Wait: time.Second}, s, log.NewNopLogger())
+		_, err := first.Since(context.Background(), 0, time.Second)
+		g.Expect(err).To(MatchError(follow.ErrHistoryGone))
+		second := follow.New(follow.Config{Kind: "k", Wait: time.Second}, copyOf{first}, log.NewNopLogger())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{}, 2)
+		for _, f := range []*follow.Follower{first, second} {
+			go func() { _ = f.Run(ctx); done <- struct{}{} }()
+		}
+		for i := range 500 {
+			s.put("abcdefgh"[i%8:i%8+1], i%3 == 0)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		g.Expect(names(second)).To(Equal(names(first)))
+		g.Expect(second.Current.Load().Objects).To(Equal(first.Current.Load().Objects))
+		g.Expect(s.lists).To(Equal(1))
+		cancel()
+		<-done
+		<-done
+	})
+}
+
+// copyOf follows another follower's copy.
+type copyOf struct{ *follow.Follower }
+
+func (c copyOf) List(context.Context, string) (object.Listing, error) {
+	s := c.Current.Load()
+	if s == nil {
+		return object.Listing{}, object.ErrUnavailable
+	}
+	return object.Listing{Cursor: s.Cursor, Changed: true, Objects: s.Objects}, nil
+}
+
+func (c copyOf) Changes(ctx context.Context, _ string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
+	return c.Since(ctx, cursor, wait)
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -44,8 +44,10 @@
 const (
 	// retryDelay is the pause after a failed call.
 	retryDelay = 250 * time.Millisecond
+	// maxHistory is the number of deltas that followers of a copy may lag behind.
+	maxHistory = 200
 	// settleDelay gathers changes that follow each other closely into one call.
-	settleDelay = 120 * time.Millisecond
+	settleDelay = 60 * time.Millisecond
 )
 
 // Snapshot is the copy at one moment.
@@ -74,6 +76,10 @@
 	objects map[string]object.Object
 	cursor  object.Version
 
+	// history are the newest deltas, oldest first; the first one follows since.
+	history []Delta
+	since   object.Version
+
 	// confirmed is the time of the newest answer of the store.
 	confirmed time.Time
 	lost      bool
@@ -168,6 +174,7 @@
 	}
 	f.cursor = max(f.cursor, delta.Cursor)
 	if len(delta.Events) > 0 {
+		f.remember(delta)
 		f.publish()
 	}
 	return len(delta.Events) > 0, nil
@@ -180,7 +187,7 @@
 	if s.Cursor < f.cursor {
 		return
 	}
-	f.cursor = s.Cursor
+	f.cursor, f.history, f.since = s.Cursor, nil, s.Cursor
 	f.objects = make(map[string]object.Object, len(s.Objects))
 	for _, o := range s.Objects {
 		f.objects[o.Key.Name] = o
@@ -188,6 +195,53 @@
 	f.publish()
 }
 
+// remember keeps a delta for followers of this copy; the caller holds the lock.
+func (f *Follower) remember(d Delta) {
+	f.history = append(f.history, d)
+	if len(f.history) > maxHistory {
+		f.since = f.history[0].Cursor
+		f.history = f.history[1:]
+	}
+}
+
+// Since returns the changes of the copy after a cursor. It waits for one, at most
+// for wait, and returns ErrHistoryGone if they are not known.
+func (f *Follower) Since(ctx context.Context, cursor object.Version, wait time.Duration) (Delta, error) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		changed := f.Current.Changed()
+		delta, err := f.newer(cursor)
+		if err != nil || len(delta.Events) > 0 {
+			return delta, err
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return delta, nil
+		case <-ctx.Done():
+			return delta, ctx.Err()
+		}
+	}
+}
+
+// newer joins the remembered deltas after a cursor. One that holds older changes,
+// too, does no harm: its last change of an object is the newest.
+func (f *Follower) newer(cursor object.Version) (Delta, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cursor < f.since || f.Current.Load() == nil {
+		return Delta{}, ErrHistoryGone
+	}
+	joined := Delta{Cursor: max(f.cursor, cursor)}
+	for _, d := range f.history {
+		if d.Cursor > cursor {
+			joined.Events = append(joined.Events, d.Events...)
+		}
+	}
+	return joined, nil
+}
+
 // publish shares the copy; the caller holds the lock.
 func (f *Follower) publish() {
 	objects := slices.SortedFunc(maps.Values(f.objects), func(a, b object.Object) int {
