Give members of groups another model's weights with loads to spare

Cause: an instance that joined a group of the other model kept the weights of that one only, so after some changes no group could be given to the larger model.

--- a/formation/stage.go
+++ b/formation/stage.go
@@ -12,6 +12,9 @@
 // of the groups that a model needs.
 const completionValue = 0.15
 
+// reservedLoads are kept for instances that are listed next.
+const reservedLoads = 2
+
 // stages returns commands that load weights onto free instances which no group
 // can use as they are. Loads take long; an instance that waits for them in a group
 // would hold up the others.
@@ -33,6 +36,29 @@
 				Address: in.Address, Model: model.Name})
 		}
 	}
+	if spare := s.Loads - len(commands) - reservedLoads; spare > 0 {
+		commands = append(commands, s.spareStages(need, spare)...)
+	}
+	return commands
+}
+
+// spareStages uses loads that no free instance needs: members of serving groups
+// that have the weights of one model only get those of another, the shortest one
+// first. Survivors of a broken group can then join groups of either.
+func (s *Situation) spareStages(need *needs, spare int) []engine.Command {
+	var commands []engine.Command
+	for _, in := range s.Instances {
+		model := s.otherModel(in)
+		serving := in.Membership.Phase == engine.Open || in.Membership.Phase == engine.Ready
+		if model == "" || !serving || in.Leaving || s.Staging[in.ID] != "" || need.shortage(model) <= need.shortage(in.Model) {
+			continue
+		}
+		if len(commands) == spare {
+			break
+		}
+		s.Staging[in.ID] = model
+		commands = append(commands, engine.Command{Operation: engine.Stage, Instance: in.ID, Address: in.Address, Model: model})
+	}
 	return commands
 }
 
