Run one goroutine for each pool's queue; one struct for what a holder knows in a term

Also: targets of other sizes than 17 slots are scaled to the largest one, and the controller's fields of one term have a struct of their own.

--- a/formation/controller.go
+++ b/formation/controller.go
@@ -73,35 +73,55 @@
 	Ports
 	orders metrics.Counter
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	tenure
+	// reported is the time of the last line on the state of all groups.
+	reported time.Time
+	loads    loadLimit
+}
+
+// tenure is what a holder knows in one term. It starts with nothing but the list.
+type tenure struct {
 	term      uint64
 	since     time.Time
 	nextEpoch uint64
-	ordered   map[string]order
-	staging   map[string]staging
+	// ordered and staging are orders and loads whose effect isn't listed yet, by
+	// instance.
+	ordered map[string]order
+	staging map[string]staging
 	// unanswered are joins that may still be carried out, by instance.
 	unanswered map[string]unansweredJoin
-	reserved   map[string]Reservation
-	formed     map[engine.GroupID]Formation
+	// reserved keeps the free instances of some domains for one model each.
+	reserved map[string]Reservation
+	formed   map[engine.GroupID]Formation
 	// headLost tells since when the head of a group is missing from the list.
 	headLost map[engine.GroupID]time.Time
 	lastHead map[engine.GroupID]*engine.Instance
 	seen     map[engine.GroupID]time.Time
-	// reported is the time of the last line on the state of all groups.
-	reported time.Time
 	// known and knownSince tell how long the number of instances is unchanged.
 	known      int
 	knownSince time.Time
 	demand     map[string]float64
-	// demandSince is the time of the first demand of this term.
+	// demandSince is the time of the first demand.
 	demandSince time.Time
-	loads       loadLimit
 	// lost are instances that didn't answer although they are listed.
 	lost map[string]lostInstance
 	// examined tells when a head's group was examined last.
 	examined map[string]time.Time
 }
 
+func newTenure(term uint64, now time.Time) tenure {
+	return tenure{
+		term: term, since: now, nextEpoch: term * epochsPerTerm,
+		ordered: map[string]order{}, staging: map[string]staging{},
+		unanswered: map[string]unansweredJoin{}, reserved: map[string]Reservation{},
+		formed:   map[engine.GroupID]Formation{},
+		headLost: map[engine.GroupID]time.Time{}, lastHead: map[engine.GroupID]*engine.Instance{},
+		seen: map[engine.GroupID]time.Time{}, demand: map[string]float64{},
+		lost: map[string]lostInstance{}, examined: map[string]time.Time{},
+	}
+}
+
 // NewController returns a controller.
 func NewController(cfg Config, ports Ports) *Controller {
 	c := &Controller{cfg: cfg, Ports: ports, orders: metrics.GetOrRegisterCounter("formation.orders", ports.Registry)}
@@ -141,7 +161,9 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	if c.term != term.Number {
-		c.takeOver(term, roster.ByService[service.Name], now)
+		c.tenure = newTenure(term.Number, now)
+		_ = level.Info(c.Logger).Log("msg", "forming groups from now on", "term", term.Number,
+			"instances", len(roster.ByService[service.Name]))
 	}
 	for _, g := range roster.Groups[service.Name] {
 		c.nextEpoch = max(c.nextEpoch, g.ID.Epoch+1)
@@ -156,20 +178,6 @@
 	c.freeOrphans(ctx, s)
 }
 
-// takeOver starts a term with nothing but the list.
-func (c *Controller) takeOver(term Term, instances []*engine.Instance, now time.Time) {
-	c.term, c.since = term.Number, now
-	c.nextEpoch = term.Number * epochsPerTerm
-	c.ordered, c.formed = map[string]order{}, map[engine.GroupID]Formation{}
-	c.headLost, c.lastHead = map[engine.GroupID]time.Time{}, map[engine.GroupID]*engine.Instance{}
-	c.seen, c.demand = map[engine.GroupID]time.Time{}, map[string]float64{}
-	c.reserved, c.demandSince = map[string]Reservation{}, time.Time{}
-	c.unanswered = map[string]unansweredJoin{}
-	c.staging, c.lost = map[string]staging{}, map[string]lostInstance{}
-	c.examined = map[string]time.Time{}
-	_ = level.Info(c.Logger).Log("msg", "forming groups from now on", "term", term.Number, "instances", len(instances))
-}
-
 // gathering reports whether instances are still being listed for the first time.
 // Groups formed from the first few would leave none for larger ones.
 func (c *Controller) gathering(s *Situation) bool {
@@ -182,11 +190,13 @@
 	return s.Now.Sub(c.knownSince) < gatherTime
 }
 
+// situation gathers what a plan is made from, and drops what is out of date.
 func (c *Controller) situation(service *catalog.Service, roster *engine.Roster, now time.Time) *Situation {
 	instances := c.withoutLost(roster.ByService[service.Name], now)
 	s := &Situation{
 		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
-		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed, FirstEpoch: c.term * epochsPerTerm, Unanswered: c.unansweredEpochs(now),
+		Demand: c.average(), Ordered: map[string]bool{}, Formed: c.formed,
+		FirstEpoch: c.term * epochsPerTerm, Unanswered: c.unansweredEpochs(now),
 		Reserved: c.reserved, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seen, Now: now,
 	}
 	if len(s.Demand) > 0 && c.demandSince.IsZero() {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -18,9 +18,6 @@
 }
 
 const (
-	// usualSlots is the size of a batch to which loads are scaled, so that targets
-	// of different sizes fill alike.
-	usualSlots = 17.0
 	// promptWeight is the load of a prompt token against that of a running
 	// request. A batch of 17 requests makes a token step a fifth longer, and
 	// reading 2,000 tokens delays it by about the time of one event.
@@ -33,9 +30,10 @@
 	overcommit = 0.06
 )
 
-// score is the load of a candidate in requests of a usual batch.
-func (c *Candidate) score() float64 {
-	s := (c.Requests + c.PromptTokens*promptWeight) * usualSlots / float64(max(c.Slots, 1))
+// score is the load of a candidate in requests, scaled to a batch of the given
+// slots, so that targets of different sizes fill alike.
+func (c *Candidate) score(slots int) float64 {
+	s := (c.Requests + c.PromptTokens*promptWeight) * float64(slots) / float64(max(c.Slots, 1))
 	if !c.Near {
 		s += distanceWeight
 	}
@@ -56,6 +54,10 @@
 // and prompts that this node has sent. Ties go to the candidate that start names,
 // so that nodes with the same news don't choose alike.
 func Choose(candidates []Candidate, start int) int {
+	largest := 1
+	for i := range candidates {
+		largest = max(largest, candidates[i].Slots)
+	}
 	best := -1
 	for i := range candidates {
 		at := (i + start) % len(candidates)
@@ -63,7 +65,7 @@
 		if c.Avoid || !c.hasPlace() {
 			continue
 		}
-		if best < 0 || c.score() < candidates[best].score() {
+		if best < 0 || c.score(largest) < candidates[best].score(largest) {
 			best = at
 		}
 	}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
@@ -96,28 +97,15 @@
 	Own, Others int
 	taken       time.Time
 	dispatcher  *Dispatcher
-	prompt      atomicOnce
-}
-
-// atomicOnce is the prompt that is still counted.
-type atomicOnce struct {
-	mu     sync.Mutex
-	tokens int
-}
-
-func (a *atomicOnce) take() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	n := a.tokens
-	a.tokens = 0
-	return n
+	// prompt is the part of the prompt that counts as not read.
+	prompt atomic.Int64
 }
 
 // Crowded reports whether the target's slots were all taken.
 func (p *Place) Crowded() bool { return p.Own+p.Others > p.Slots }
 
 // PromptRead tells that the engine has read the prompt.
-func (p *Place) PromptRead() { p.Load.prompts.Add(-int64(p.prompt.take())) }
+func (p *Place) PromptRead() { p.Load.prompts.Add(-p.prompt.Swap(0)) }
 
 // Release gives the place back.
 func (p *Place) Release() {
@@ -132,7 +120,10 @@
 
 // Acquire returns a place for the request, after a wait if all are taken.
 func (d *Dispatcher) Acquire(ctx context.Context, w Want) (*Place, error) {
-	me := &waiter{turn: Turn{Begun: w.Begun, Rank: w.Rank, GoalAt: w.GoalAt}, found: make(chan *Target, 1), avoid: w.Avoid, prompt: w.PromptTokens}
+	me := &waiter{
+		turn:  Turn{Begun: w.Begun, Rank: w.Rank, GoalAt: w.GoalAt},
+		found: make(chan *Target, 1), avoid: w.Avoid, prompt: w.PromptTokens,
+	}
 	d.mu.Lock()
 	if !w.Begun {
 		d.flow(w.Pool).arrived(time.Now())
@@ -218,26 +209,36 @@
 	return d.flows[p]
 }
 
-// pump looks for places that other nodes gave back, while requests wait.
+// pump looks for places that other nodes gave back, while requests wait. There is
+// one for each pool at most.
 func (d *Dispatcher) pump(p Pool) {
 	ticker := time.NewTicker(recheckInterval)
 	defer ticker.Stop()
 	for range ticker.C {
-		if !d.serve(p) {
+		d.serve(p)
+		d.mu.Lock()
+		idle := len(d.waiting[p]) == 0
+		if idle {
+			delete(d.pumping, p)
+		}
+		d.mu.Unlock()
+		if idle {
 			return
 		}
 	}
 }
 
 func (d *Dispatcher) place(t *Target, prompt int) *Place {
-	return &Place{Target: t, Own: t.Load.Running(), Others: d.peers.Running(t.Instance.ID),
-		taken: time.Now(), dispatcher: d, prompt: atomicOnce{tokens: prompt}}
+	p := &Place{Target: t, Own: t.Load.Running(), Others: d.peers.Running(t.Instance.ID),
+		taken: time.Now(), dispatcher: d}
+	p.prompt.Store(int64(prompt))
+	return p
 }
 
 // enqueue adds a waiter; the caller holds the lock.
 func (d *Dispatcher) enqueue(p Pool, w *waiter) {
 	d.waiting[p] = append(d.waiting[p], w)
-	if len(d.waiting[p]) == 1 && !d.pumping[p] {
+	if !d.pumping[p] {
 		d.pumping[p] = true
 		go d.pump(p)
 	}
@@ -254,8 +255,8 @@
 	return <-w.found
 }
 
-// serve gives free places to waiting requests and reports whether any are left.
-func (d *Dispatcher) serve(p Pool) bool {
+// serve gives free places to waiting requests.
+func (d *Dispatcher) serve(p Pool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queue := d.waiting[p]
@@ -270,13 +271,9 @@
 		}
 	}
 	clear(queue[len(left):])
-	if len(left) == 0 {
+	if d.waiting[p] = left; len(left) == 0 {
 		delete(d.waiting, p)
-		delete(d.pumping, p)
-		return false
 	}
-	d.waiting[p] = left
-	return true
 }
 
 // pick chooses a target and counts the request there; the caller holds the lock.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -160,6 +161,33 @@
 		}
 		tables.Load().Each(func(t *Target) { Expect(t.Load.Running()).To(BeZero()) })
 		Eventually(d.Waiting).Should(BeEmpty())
+		Eventually(func() int {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return len(d.pumping)
+		}).Should(BeZero())
+	})
+
+	It("runs one goroutine for a pool, however often its queue empties", func() {
+		// Guards against goroutines that pile up under load.
+		tables, pool := table(1, 1)
+		d := NewDispatcher(tables, &peers{}, "n", "")
+		held, err := d.Acquire(context.Background(), want(pool, time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		before := runtime.NumGoroutine()
+		for range 50 {
+			next := make(chan *Place)
+			go func() {
+				place, err := d.Acquire(context.Background(), want(pool, time.Second))
+				if err == nil {
+					next <- place
+				}
+			}()
+			Eventually(d.Waiting, time.Second, time.Millisecond).Should(HaveLen(1))
+			held.Release()
+			held = <-next
+		}
+		Expect(runtime.NumGoroutine()).To(BeNumerically("<", before+5))
 	})
 })
 
