--- a/entry/module.go
+++ b/entry/module.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -155,7 +158,9 @@
 }
 
 func newReloader(s Settings, file SettingsFile, st *status, h *forward.Handler, logger log.Logger) *reloader {
-	return &reloader{path: file, current: s, mesh: st.mesh, handler: h, logger: logger}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return &reloader{path: file, current: s, mesh: st.mesh, handler: h, logger: logger, signals: signals}
 }
 
 func newInspector(st *status, h *forward.Handler, f followers, pool *upstream.Pool, registry metrics.Registry) *inspector {
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -30,13 +29,14 @@
 	mesh    *mesh.Mesh
 	handler *forward.Handler
 	logger  log.Logger
+	// signals receives SIGHUP from before the start on: its default action would end
+	// the process.
+	signals chan os.Signal
 }
 
 // run reloads on SIGHUP and when the file changes, until ctx ends.
 func (r *reloader) run(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	defer signal.Stop(r.signals)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	modified := r.modified()
@@ -44,7 +44,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-r.signals:
 			modified = r.modified()
 			r.reload("signal")
 		case <-ticker.C:
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -197,6 +197,12 @@
 	if c.request.ContentLength > limit {
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the body has more than %d bytes", limit)
 	}
+	// A caller that sends its body slowly holds the connection for as long as it
+	// would wait for the answer, at most.
+	control := http.NewResponseController(c.writer)
+	if err := control.SetReadDeadline(c.deadline); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "no deadline for the body").WithCause(err)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -206,6 +212,10 @@
 		return verdict.BadField("body", "not readable").WithCause(err)
 	}
 	c.body = body
+	// Beyond the body, the server watches for the caller's leaving without an end.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "the deadline of the body stays").WithCause(err)
+	}
 	return nil
 }
 
