Share suspicion of silent groups between nodes; use failed plain servers as a last resort

Cause: a node without a stream on a dead group sent new requests there until it found out itself, up to 0.9 s after others. And a plain server that failed one request was left out for three seconds, all three of them if each failed once.

--- a/entry/module.go
+++ b/entry/module.go
@@ -150,7 +150,7 @@
 				return formation.Term{}, false
 			}
 			held, ok := shards.Held[formationShard]
-			return formation.Term{Number: held.Epoch, Until: held.GoodUntil}, ok && time.Now().Before(held.GoodUntil)
+			return formation.Term{Number: held.Epoch}, ok && time.Now().Before(held.GoodUntil)
 		},
 		Configuration: &w.Configuration, Roster: &w.Roster, Demand: st.demand,
 		Commander: commander, Prober: commander, Suspects: st.suspects, Progress: st.progress, Logger: logger, Registry: registry,
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -38,8 +38,6 @@
 type Term struct {
 	// Number grows with each holder.
 	Number uint64
-	// Until is the end of the lease on this process's clock.
-	Until time.Time
 }
 
 // Ports are what the controller works with.
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -13,8 +13,10 @@
 	Ahead int
 	// Near tells that the target is in this node's failure domain.
 	Near bool
-	// Avoid tells that the target was tried before or is suspected.
+	// Avoid tells that the target was tried before or can't work.
 	Avoid bool
+	// Doubtful targets failed lately. They are used if there is no other place.
+	Doubtful bool
 }
 
 const (
@@ -40,6 +42,14 @@
 	return s
 }
 
+// isBetter reports whether c comes before another candidate.
+func (c *Candidate) isBetter(other *Candidate, slots int) bool {
+	if c.Doubtful != other.Doubtful {
+		return other.Doubtful
+	}
+	return c.score(slots) < other.score(slots)
+}
+
 // hasPlace reports whether another request of this node can start at the
 // candidate. Free places belong to the nodes with waiting requests in an order
 // that they all know, so that one free place doesn't draw a request from each. It
@@ -49,8 +59,8 @@
 	return c.Requests+float64(c.Ahead) < float64(limit)
 }
 
-// Choose returns the index of the least loaded candidate that has a place, or
-// -1. It answers to the load of all nodes as known here: requests in progress,
+// Choose returns the index of the least loaded candidate that has a place, or -1;
+// doubtful ones come last. It answers to the load of all nodes as known here: requests in progress,
 // and prompts that this node has sent. Ties go to the candidate that start names,
 // so that nodes with the same news don't choose alike.
 func Choose(candidates []Candidate, start int) int {
@@ -65,7 +75,7 @@
 		if c.Avoid || !c.hasPlace() {
 			continue
 		}
-		if best < 0 || c.score(largest) < candidates[best].score(largest) {
+		if best < 0 || c.isBetter(&candidates[best], largest) {
 			best = at
 		}
 	}
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -18,10 +18,8 @@
 	// Patience is how long the caller will wait.
 	Patience    time.Duration
 	HasPatience bool
-	// PromptTokens, MaxOutputTokens and ExpectedOutputTokens are 0 if unknown.
-	PromptTokens         int
-	MaxOutputTokens      int
-	ExpectedOutputTokens int
+	// PromptTokens is the length of the prompt, 0 if unknown.
+	PromptTokens int
 }
 
 // Attempt is what a backend server is told beside the caller's own headers.
@@ -42,8 +40,6 @@
 	RequestID string
 	// NotRun tells that the backend server did not and will not run the request.
 	NotRun bool
-	// Signed tells that a backend server made the answer.
-	Signed bool
 }
 
 // Codec translates headers. Header values that it doesn't know pass unchanged.
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -21,6 +21,8 @@
 	Running(instance string) int
 	// Progress reports whether an instance sends events to other nodes.
 	Progress(instance string) bool
+	// Suspected reports whether several other nodes found an instance silent.
+	Suspected(instance string) bool
 	// Demand returns the places that the requests of other nodes for a model would
 	// occupy.
 	Demand(model string) float64
@@ -292,7 +294,8 @@
 			Slots:        t.Slots,
 			Ahead:        d.ahead(t.Instance.ID, waiting),
 			Near:         t.Instance.FailureDomain == d.failureDomain,
-			Avoid:        w.avoid[t.Instance.ID] || t.Load.Suspected(now) || !d.isWhole(t, now),
+			Avoid:        w.avoid[t.Instance.ID] || !d.works(t, now),
+			Doubtful:     t.Load.Suspected(now),
 		}
 	}
 	best := Choose(candidates, rand.IntN(len(candidates)))
@@ -305,6 +308,16 @@
 	return targets[best]
 }
 
+// works reports whether a target may be sent requests at all. A silent group holds
+// up whatever it is sent, while a plain server that failed one request may well serve
+// the next.
+func (d *Dispatcher) works(t *Target, now time.Time) bool {
+	if t.Pool.Model == "" {
+		return true
+	}
+	return !t.Load.Suspected(now) && !d.peers.Suspected(t.Instance.ID) && d.isWhole(t, now)
+}
+
 // isWhole reports whether a target has all its members. A member that the list has
 // dropped is there as long as the group's events arrive: without it nothing moves.
 // It answers to members that are cut off from the store alone.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -28,10 +28,13 @@
 	waiting []string
 	nodes   int
 	moving  bool
+	// silent is the instance that other nodes suspect.
+	silent string
 }
 
 func (p *peers) Running(instance string) int  { return p.running[instance] }
 func (p *peers) Progress(string) bool         { return p.moving }
+func (p *peers) Suspected(i string) bool      { return p.silent == i }
 func (p *peers) WaitingNodes(string) []string { return p.waiting }
 func (p *peers) Demand(string) float64        { return 0 }
 func (p *peers) Nodes() int                   { return max(p.nodes, 1) }
@@ -53,6 +56,14 @@
 		Expect(Choose(nil, 0)).To(Equal(-1))
 	})
 
+	It("uses a target that failed lately only for lack of another", func() {
+		// Guards against a refusal while a place is free.
+		targets := []Candidate{{Requests: 1, Slots: 6, Doubtful: true}, {Requests: 5, Slots: 6}}
+		Expect(Choose(targets, 0)).To(Equal(1))
+		targets[1].Requests = 6
+		Expect(Choose(targets, 0)).To(Equal(0))
+	})
+
 	It("keeps off long prompts", func() {
 		// Guards against a first event behind a queue of prompts.
 		Expect(Choose([]Candidate{{Requests: 2, Slots: 17, PromptTokens: 12_000}, {Requests: 5, Slots: 17}}, 0)).To(Equal(1))
@@ -138,6 +149,21 @@
 		Expect(err).To(MatchError(ErrFull))
 	})
 
+	It("shares other nodes' suspicion of groups, not of plain servers", func() {
+		// Guards against requests to a group that others found silent, and against
+		// refusals because each plain server failed once.
+		now := time.Now()
+		d := NewDispatcher(NewTables(), &peers{silent: "a"}, "n", "")
+		group := &Target{Instance: &engine.Instance{ID: "a"}, Pool: Pool{"llm", "m"}, Load: &Load{}}
+		Expect(d.works(group, now)).To(BeFalse())
+		group.Instance = &engine.Instance{ID: "b"}
+		Expect(d.works(group, now)).To(BeTrue())
+		group.Load.Suspect(now.Add(time.Second))
+		Expect(d.works(group, now)).To(BeFalse())
+		plain := &Target{Instance: &engine.Instance{ID: "a"}, Pool: Pool{Service: "desk"}, Load: group.Load}
+		Expect(d.works(plain, now)).To(BeTrue())
+	})
+
 	It("loses no place under concurrent use", func() {
 		// Guards against places that leak when waiting ends as one is given.
 		tables, pool := table(3, 2)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -284,8 +284,12 @@
 // WaitingNodes implements forward.Peers.
 func (m *Mesh) WaitingNodes(model string) []string { return m.View().waiting[model] }
 
-// Suspected reports whether another node found the instance silent.
-func (m *Mesh) Suspected(instance string) bool { return m.View().suspects[instance] > 0 }
+// minSuspecting is the number of nodes whose suspicion others share: one alone may
+// be cut off itself.
+const minSuspecting = 2
+
+// Suspected implements forward.Peers.
+func (m *Mesh) Suspected(instance string) bool { return m.View().suspects[instance] >= minSuspecting }
 
 // Nodes implements forward.Peers.
 func (m *Mesh) Nodes() int {
