Count a join as unanswered from when it is sent

Found by reading: between the send and its time-out, a member with a newer join under way could complete an older group that was then opened.

--- a/formation/orders.go
+++ b/formation/orders.go
@@ -82,7 +82,11 @@
 
 // send sends a command while the lease holds. The caller holds the lock.
 func (c *Controller) send(ctx context.Context, command engine.Command) {
-	c.ordered[command.Instance] = order{command, time.Now().Add(orderLifetime)}
+	now := time.Now()
+	c.ordered[command.Instance] = order{command, now.Add(orderLifetime)}
+	if command.Operation == engine.Join {
+		c.unanswered[command.Instance] = unansweredJoin{command.Group.Epoch, now.Add(lateOrderTime)}
+	}
 	c.dispatch(ctx, command)
 }
 
@@ -110,9 +114,10 @@
 		_ = level.Warn(c.Logger).Log("msg", "order failed", "operation", command.Operation,
 			"group", command.Group.Name, "instance", command.Instance, "err", err)
 	}
+	answered := err == nil || errors.Is(err, engine.ErrRefused)
 	switch {
-	case command.Operation == engine.Join && err != nil && !errors.Is(err, engine.ErrRefused):
-		c.unanswered[command.Instance] = unansweredJoin{command.Group.Epoch, time.Now().Add(lateOrderTime)}
+	case command.Operation == engine.Join && answered && c.unanswered[command.Instance].epoch == command.Group.Epoch:
+		delete(c.unanswered, command.Instance)
 	case command.Operation == engine.Stage && err != nil:
 		c.staging[command.Instance] = staging{command.Model, time.Now().Add(failedPause)}
 	case errors.Is(err, engine.ErrRefused) && command.Operation != engine.Join:
@@ -144,8 +149,7 @@
 }
 
 const (
-	// lateOrderTime is how long an order without an answer may still be carried
-	// out; the platform's pages name seconds, their days up to twelve.
+	// lateOrderTime is how long an order without an answer may still be carried out.
 	lateOrderTime = 15 * time.Second
 	// refusedPause is the time before a refused order is considered again.
 	refusedPause = 400 * time.Millisecond
--- a/formation/report.go
+++ b/formation/report.go
@@ -39,7 +39,8 @@
 		_ = level.Info(c.Logger).Log("msg", "groups", "model", m.Name, "size", m.Size, "serving", n.serving,
 			"across", n.across, "forming", n.forming, "broken", n.broken,
 			"needed", fmt.Sprintf("%.1f", need.target[m.Name]), "demand", fmt.Sprintf("%.1f", s.Demand[m.Name]),
-			"broken_groups", strings.Join(n.brokenGroups, ","), "instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads)
+			"broken_groups", strings.Join(n.brokenGroups, ","),
+			"instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads)
 	}
 }
 
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -31,9 +31,7 @@
 			}
 			model := s.stageModel(free[domain], need)
 			need.coming[model.Name]++
-			s.Staging[in.ID] = model.Name
-			commands = append(commands, engine.Command{Operation: engine.Stage, Instance: in.ID,
-				Address: in.Address, Model: model.Name})
+			commands = append(commands, s.stage(in, model.Name))
 		}
 	}
 	if spare := s.Loads - len(commands) - reservedLoads; spare > 0 {
@@ -42,6 +40,12 @@
 	return commands
 }
 
+// stage returns the command that loads a model's weights onto an instance's host.
+func (s *Situation) stage(in *engine.Instance, model string) engine.Command {
+	s.Staging[in.ID] = model
+	return engine.Command{Operation: engine.Stage, Instance: in.ID, Address: in.Address, Model: model}
+}
+
 // spareStages uses loads that no free instance needs: members of serving groups
 // that have the weights of one model only get those of another, the shortest one
 // first. Survivors of a broken group can then join groups of either.
@@ -56,8 +60,7 @@
 		if len(commands) == spare {
 			break
 		}
-		s.Staging[in.ID] = model
-		commands = append(commands, engine.Command{Operation: engine.Stage, Instance: in.ID, Address: in.Address, Model: model})
+		commands = append(commands, s.stage(in, model))
 	}
 	return commands
 }
@@ -73,9 +76,7 @@
 			continue
 		}
 		if model := s.otherModel(in); model != "" && s.Staging[in.ID] == "" {
-			s.Staging[in.ID] = model
-			commands = append(commands, engine.Command{Operation: engine.Stage, Instance: in.ID,
-				Address: in.Address, Model: model})
+			commands = append(commands, s.stage(in, model))
 		}
 	}
 	return commands
