Ask the store at once when the node whose copy is followed is turned away

The others asked the store only after the guide had heard nothing for 2.6 s. Now a guide refuses its followers as soon as a call fails, and a watch lasts 0.7 s with 0.45 s for its answer, so that silence is noticed in 1.2 s. Ruled out: the nodes' own pull of newer documents, as no node had the version.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -25,7 +25,7 @@
 	catchUpInterval = 200 * time.Millisecond
 	// silenceLimit is how long the store may say nothing, while other nodes hold
 	// newer documents, before these are taken from a node.
-	silenceLimit = 600 * time.Millisecond
+	silenceLimit = 1200 * time.Millisecond
 	// fetchTimeout bounds one request to a node.
 	fetchTimeout = 700 * time.Millisecond
 	// maxDocument bounds a document in bytes.
@@ -87,7 +87,7 @@
 // catchUp takes documents from the node with the newest ones.
 func (d *Documents) catchUp(ctx context.Context) {
 	view := d.mesh.View()
-	if d.configurations.SilentFor() > silenceLimit {
+	if isCutOff(d.configurations) {
 		var version uint64
 		if c := d.world.Configuration.Load(); c != nil {
 			version = c.Version
@@ -95,12 +95,15 @@
 		best := newest(view, version, func(s *mesh.State) uint64 { return s.ConfigurationVersion })
 		d.fetch(ctx, best, pathConfiguration, d.configurations)
 	}
-	if d.instances.SilentFor() > silenceLimit {
+	if isCutOff(d.instances) {
 		best := newest(view, d.listCursor(), func(s *mesh.State) object.Version { return s.ListCursor })
 		d.fetch(ctx, best, pathInstances, d.instances)
 	}
 }
 
+// isCutOff reports whether a copy may be out of date.
+func isCutOff(f *follow.Follower) bool { return f.Lost() || f.SilentFor() > silenceLimit }
+
 // listCursor returns the revision of the newest change of the list known here.
 func (d *Documents) listCursor() object.Version {
 	if s := d.instances.Current.Load(); s != nil {
--- a/entry/module.go
+++ b/entry/module.go
@@ -30,8 +30,9 @@
 	// store answers in milliseconds, and in a quarter of a second when it is slow.
 	storeTimeout = 900 * time.Millisecond
 	// watchWait is how long the store holds a watch back. A connection that went
-	// silent is noticed after watchWait and storeTimeout.
-	watchWait = 1500 * time.Millisecond
+	// silent is noticed 0.45 s after that, well within the two seconds in which a
+	// change has to be in force on the nodes that follow this one's copy.
+	watchWait = 700 * time.Millisecond
 	// leaseDuration and leaseRenewal are those of the lease for forming groups.
 	leaseDuration = 2 * time.Second
 	leaseRenewal  = 600 * time.Millisecond
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -21,24 +21,19 @@
 )
 
 const (
-	// relayTimeout bounds a call to another node beside its wait.
-	relayTimeout = 500 * time.Millisecond
-	// relayStaleAfter is the silence of the store at the node that is followed from
-	// which the store itself is asked: a watch without a change and the time of a
-	// call.
-	relayStaleAfter = watchWait + storeTimeout + 200*time.Millisecond
+	// relayTimeout bounds a call to another node beside its wait. It leaves time to
+	// ask the store within the same call.
+	relayTimeout = 250 * time.Millisecond
+	// relayCheck is the time between two looks at whether the store still answers this
+	// node, while another one waits for changes.
+	relayCheck = 100 * time.Millisecond
 	// relayPause is how long the store is asked after a node failed.
 	relayPause = 2 * time.Second
 )
 
-// relayedChanges are the changes that a node passes on.
-type relayedChanges struct {
-	Delta follow.Delta
-	// SilentMs is the time since the store answered the node.
-	SilentMs int64
-}
-
-// writeChanges answers another node that follows this node's copy.
+// writeChanges answers another node that follows this node's copy. It refuses as
+// soon as the store doesn't answer this node, so that the other one asks the store
+// itself.
 func writeChanges(c *gin.Context, f *follow.Follower) {
 	after, err := strconv.ParseUint(c.Query("after"), 10, 64)
 	waitMs, waitErr := strconv.Atoi(c.Query("waitMs"))
@@ -46,16 +41,16 @@
 		c.Status(http.StatusBadRequest)
 		return
 	}
-	delta, err := f.Since(c.Request.Context(), object.Version(after), time.Duration(waitMs)*time.Millisecond)
-	if errors.Is(err, follow.ErrHistoryGone) {
+	delta, err := sinceWhileReachable(c.Request.Context(), f, object.Version(after), time.Duration(waitMs)*time.Millisecond)
+	switch {
+	case errors.Is(err, follow.ErrHistoryGone):
 		c.Status(http.StatusGone)
 		return
-	}
-	if err != nil {
-		// The other node is gone.
+	case err != nil:
+		c.Status(http.StatusServiceUnavailable)
 		return
 	}
-	data, err := msgpack.Marshal(relayedChanges{delta, f.SilentFor().Milliseconds()})
+	data, err := msgpack.Marshal(delta)
 	if err != nil {
 		c.Status(http.StatusInternalServerError)
 		return
@@ -63,9 +58,24 @@
 	c.Data(http.StatusOK, "application/msgpack", data)
 }
 
+// sinceWhileReachable waits for changes until the store fails to answer this node.
+func sinceWhileReachable(ctx context.Context, f *follow.Follower, cursor object.Version, wait time.Duration) (follow.Delta, error) {
+	end := time.Now().Add(wait)
+	for {
+		if f.Lost() {
+			return follow.Delta{}, object.ErrUnavailable
+		}
+		left := time.Until(end)
+		delta, err := f.Since(ctx, cursor, min(left, relayCheck))
+		if err != nil || len(delta.Events) > 0 || left <= relayCheck {
+			return delta, err
+		}
+	}
+}
+
 // relay is the source of the documents. One node of each failure domain watches the
 // store; the others follow its copy, since every call to the store is paid for. A
-// node whose guide fails or hears nothing asks the store itself.
+// node whose guide fails, or isn't answered by the store, asks the store itself.
 type relay struct {
 	store    *platform.Store
 	settings Settings
@@ -114,7 +124,8 @@
 		return delta, err
 	}
 	r.askStoreUntil.Store(time.Now().Add(relayPause).UnixNano())
-	return r.store.Changes(ctx, kind, cursor, wait)
+	// The changes since the cursor are wanted at once; the next call waits.
+	return r.store.Changes(ctx, kind, cursor, 0)
 }
 
 // follow asks the guide for its changes.
@@ -142,12 +153,7 @@
 	if err != nil {
 		return follow.Delta{}, err
 	}
-	var changes relayedChanges
-	if err := msgpack.Unmarshal(data, &changes); err != nil {
-		return follow.Delta{}, err
-	}
-	if changes.SilentMs > relayStaleAfter.Milliseconds() {
-		return follow.Delta{}, fmt.Errorf("node %s has not heard the store for %d ms", guide.Node, changes.SilentMs)
-	}
-	return changes.Delta, nil
+	var delta follow.Delta
+	err = msgpack.Unmarshal(data, &delta)
+	return delta, err
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -44,6 +44,9 @@
 const (
 	// retryDelay is the pause after a failed call.
 	retryDelay = 250 * time.Millisecond
+	// answerTime bounds the answer to a watch beside its wait. The store answers in
+	// milliseconds, and in a quarter of a second when it is slow.
+	answerTime = 450 * time.Millisecond
 	// maxHistory is the number of deltas that followers of a copy may lag behind.
 	maxHistory = 200
 	// settleDelay gathers changes that follow each other closely into one call.
@@ -155,7 +158,9 @@
 	f.mu.Lock()
 	cursor := f.cursor
 	f.mu.Unlock()
-	delta, err := f.source.Changes(ctx, f.cfg.Kind, cursor, f.cfg.Wait)
+	limited, cancel := context.WithTimeout(ctx, f.cfg.Wait+answerTime)
+	defer cancel()
+	delta, err := f.source.Changes(limited, f.cfg.Kind, cursor, f.cfg.Wait)
 	if err != nil {
 		return false, err
 	}
@@ -257,6 +262,13 @@
 	return f.cursor
 }
 
+// Lost reports whether the newest call to the store failed.
+func (f *Follower) Lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
 // SilentFor returns the time since the store's newest answer.
 func (f *Follower) SilentFor() time.Duration {
 	f.mu.Lock()
