Call what the project has: one hop-by-hop filter, one retry rule, one address check, one peer request

Found by reading the whole change. gateway.endToEnd and upstream.EndToEnd were the same filter; forward decided repeats beside retry.Allowed; settings and entry each checked addresses (entry now refuses port 0 and wildcards, too); two places asked other nodes for msgpack. The holder built this node's whole state twice a look for sums that the view has. Removed what nothing read: Conn.Reused, Route.GapGoal, Kind.String, a comparison of names. Parts.Pool, beside the type Pool, is Connections.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -16,17 +16,6 @@
 	Streaming
 )
 
-// String returns the name used in logs.
-func (k Kind) String() string {
-	switch k {
-	case Safe:
-		return "safe"
-	case Streaming:
-		return "streaming"
-	}
-	return "unsafe"
-}
-
 // Route maps the requests below one path of a host to services.
 type Route struct {
 	Name string
@@ -38,8 +27,6 @@
 	Timeout time.Duration
 	// LatencyGoal is the time to a whole answer, or to the first event.
 	LatencyGoal time.Duration
-	// GapGoal is the longest pause between the events of a stream.
-	GapGoal time.Duration
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
 	// Targets are the services, with the share of requests each receives.
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -3,16 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/internal/wait"
@@ -47,7 +43,6 @@
 	instances      *follow.Follower
 	world          *World
 	mesh           *mesh.Mesh
-	client         *http.Client
 	logger         log.Logger
 }
 
@@ -68,12 +63,7 @@
 		c.Status(http.StatusNotFound)
 		return
 	}
-	data, err := msgpack.Marshal(s)
-	if err != nil {
-		c.Status(http.StatusInternalServerError)
-		return
-	}
-	c.Data(http.StatusOK, "application/msgpack", data)
+	writeMsgpack(c, s)
 }
 
 // Run catches up with other nodes until ctx ends.
@@ -128,37 +118,11 @@
 	if from == nil {
 		return
 	}
-	s, err := d.get(ctx, "http://"+from.PeerAddress+path)
-	if err != nil {
+	var s follow.Snapshot
+	if err := getFromPeer(ctx, from.PeerAddress, path, fetchTimeout, &s); err != nil {
 		_ = level.Warn(d.logger).Log("msg", "document not taken from a node", "peer", from.Node, "path", path, "err", err)
 		return
 	}
-	f.Adopt(*s)
+	f.Adopt(s)
 	_ = level.Info(d.logger).Log("msg", "document taken from a node", "peer", from.Node, "path", path, "cursor", s.Cursor)
 }
-
-func (d *Documents) get(ctx context.Context, url string) (*follow.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := d.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("node answered %d", response.StatusCode)
-	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxDocument))
-	if err != nil {
-		return nil, err
-	}
-	s := &follow.Snapshot{}
-	if err := msgpack.Unmarshal(data, s); err != nil {
-		return nil, errors.Join(errors.New("document not readable"), err)
-	}
-	return s, nil
-}
--- a/entry/module.go
+++ b/entry/module.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -95,7 +94,7 @@
 }
 
 func newRelay(s Settings, store *platform.Store) *relay {
-	return &relay{store: store, settings: s, client: &http.Client{}}
+	return &relay{store: store, settings: s}
 }
 
 func newFollowers(r *relay, logger log.Logger) followers {
@@ -125,14 +124,14 @@
 	return forward.NewHandler(
 		forward.Config{RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance},
 		forward.Parts{
-			Configuration: &w.Configuration, Dispatcher: st.dispatcher, Pool: pool, Peers: st.mesh,
+			Configuration: &w.Configuration, Dispatcher: st.dispatcher, Connections: pool, Peers: st.mesh,
 			Codec: platform.Codec{}, Logger: log.With(logger, "component", "forward"), Registry: registry,
 		})
 }
 
 func newDocuments(f followers, w *World, st *status, logger log.Logger) *Documents {
 	return &Documents{configurations: f.configurations, instances: f.instances, world: w, mesh: st.mesh,
-		client: &http.Client{}, logger: log.With(logger, "component", "documents")}
+		logger: log.With(logger, "component", "documents")}
 }
 
 func newLeases(s Settings, store *platform.Store, board *blackboard.Board, st *status, logger log.Logger, registry metrics.Registry) *lease.Manager {
@@ -154,7 +153,7 @@
 			return formation.Term{Number: held.Epoch}, ok && time.Now().Before(held.GoodUntil)
 		},
 		Configuration: &w.Configuration, Roster: &w.Roster, Demand: st.demand,
-		Commander: commander, Prober: commander, Suspects: st.suspects, Progress: st.progress, Logger: logger, Registry: registry,
+		Commander: commander, Prober: commander, Suspecting: st.suspecting, Progress: st.progress, Logger: logger, Registry: registry,
 	})
 }
 
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// peerClient keeps connections to the peer addresses of other nodes.
+var peerClient = &http.Client{}
+
+// writeMsgpack answers another node.
+func writeMsgpack(c *gin.Context, value any) {
+	data, err := msgpack.Marshal(value)
+	if err != nil {
+		c.Status(http.StatusInternalServerError)
+		return
+	}
+	c.Data(http.StatusOK, "application/msgpack", data)
+}
+
+// getFromPeer reads an answer of another node into target, within a time.
+func getFromPeer(ctx context.Context, address, path string, timeout time.Duration, target any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := peerClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("node at %s answered %d", address, response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxDocument))
+	if err != nil {
+		return err
+	}
+	if err := msgpack.Unmarshal(data, target); err != nil {
+		return fmt.Errorf("answer of the node at %s: %w", address, err)
+	}
+	return nil
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/mesh"
@@ -50,12 +48,7 @@
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
-	data, err := msgpack.Marshal(delta)
-	if err != nil {
-		c.Status(http.StatusInternalServerError)
-		return
-	}
-	c.Data(http.StatusOK, "application/msgpack", data)
+	writeMsgpack(c, delta)
 }
 
 // sinceWhileReachable waits for changes until the store fails to answer this node.
@@ -79,7 +72,6 @@
 type relay struct {
 	store    *platform.Store
 	settings Settings
-	client   *http.Client
 	// mesh is set once it exists; it is made of parts that need the documents.
 	mesh atomic.Pointer[mesh.Mesh]
 	// askStoreUntil is the end of the pause after a failure, in Unix nanoseconds.
@@ -134,26 +126,8 @@
 	if kind == platform.ConfigurationKind {
 		path = pathConfiguration
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s%s?after=%d&waitMs=%d",
-		guide.PeerAddress, path, pathChanges, cursor, wait.Milliseconds()), nil)
-	if err != nil {
-		return follow.Delta{}, err
-	}
-	response, err := r.client.Do(request)
-	if err != nil {
-		return follow.Delta{}, err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return follow.Delta{}, fmt.Errorf("node %s answered %d", guide.Node, response.StatusCode)
-	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxDocument))
-	if err != nil {
-		return follow.Delta{}, err
-	}
+	path += fmt.Sprintf("%s?after=%d&waitMs=%d", pathChanges, cursor, wait.Milliseconds())
 	var delta follow.Delta
-	err = msgpack.Unmarshal(data, &delta)
+	err := getFromPeer(ctx, guide.PeerAddress, path, wait+relayTimeout, &delta)
 	return delta, err
 }
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -53,7 +52,7 @@
 			server := httptest.NewServer(d.Handler())
 			defer server.Close()
 			guide := &mesh.State{Node: "guide", PeerAddress: strings.TrimPrefix(server.URL, "http://")}
-			r := &relay{client: &http.Client{}}
+			r := &relay{}
 			time.Sleep(100 * time.Millisecond)
 			delta, err := r.follow(ctx, guide, platform.ConfigurationKind, 5, 50*time.Millisecond)
 			g.Expect(err).NotTo(HaveOccurred())
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -93,22 +93,17 @@
 		{"readinessAddress", s.ReadinessAddress}, {"peerAddress", s.PeerAddress},
 		{"platformAddress", s.PlatformAddress},
 	} {
-		if _, err := netip.ParseAddrPort(a.address); err != nil {
-			p.Add(a.field, `must be "IP:port" with a literal IP address`)
-		} else if other, taken := listeners[a.address]; taken {
+		p.CheckAddress(a.field, a.address)
+		if other, taken := listeners[a.address]; taken && a.address != "" {
 			p.Add(a.field, "must differ from %s", other)
 		}
 		listeners[a.address] = a.field
 	}
 	if s.MetricsAddress != "" {
-		if _, err := netip.ParseAddrPort(s.MetricsAddress); err != nil {
-			p.Add("metricsAddress", `must be "IP:port" with a literal IP address`)
-		}
+		p.CheckAddress("metricsAddress", s.MetricsAddress)
 	}
 	for i, seed := range s.Seeds {
-		if _, err := netip.ParseAddrPort(seed); err != nil {
-			p.Add(fmt.Sprintf("seeds[%d]", i), `must be "IP:port" with a literal IP address`)
-		}
+		p.CheckAddress(fmt.Sprintf("seeds[%d]", i), seed)
 	}
 	p.CheckRange("memoryBytes", float64(s.MemoryBytes), 32<<20, 1<<40)
 	p.CheckRange("stopTime", s.StopTime.Seconds(), 1, 3600)
--- a/entry/state.go
+++ b/entry/state.go
@@ -53,7 +53,7 @@
 	state := mesh.State{
 		Node: s.settings.Node, CallerAddress: s.settings.CallerAddress, PeerAddress: s.settings.PeerAddress,
 		FailureDomain: s.settings.FailureDomain, Serving: s.Ready(), Leaving: s.leaving.Load(),
-		Use: map[uint32]mesh.Use{}, Demand: map[string]float32{}, Waiting: map[string]uint16{},
+		Use: map[uint32]mesh.Use{}, Demand: s.ownDemand(), Waiting: map[string]uint16{},
 	}
 	if c := s.world.Configuration.Load(); c != nil {
 		state.ConfigurationVersion = c.Version
@@ -70,11 +70,6 @@
 			state.Suspects = append(state.Suspects, t.Instance.ID)
 		}
 	})
-	for pool, places := range s.dispatcher.Demand() {
-		if pool.Model != "" && places > 0 {
-			state.Demand[pool.Model] += float32(places)
-		}
-	}
 	for pool, n := range s.dispatcher.Waiting() {
 		if pool.Model != "" {
 			state.Waiting[pool.Model] = uint16(n)
@@ -83,28 +78,39 @@
 	return state
 }
 
-// demand sums the requests of all nodes by model.
+// ownDemand returns the places that this node's requests would occupy, by model.
+func (s *status) ownDemand() map[string]float32 {
+	demand := map[string]float32{}
+	for pool, places := range s.dispatcher.Demand() {
+		if pool.Model != "" && places > 0 {
+			demand[pool.Model] += float32(places)
+		}
+	}
+	return demand
+}
+
+// demand sums the demand of all nodes by model.
 func (s *status) demand() map[string]float64 {
 	total := map[string]float64{}
-	own := s.state()
-	for _, state := range append(s.mesh.View().Live, &own) {
-		for model, n := range state.Demand {
-			total[model] += float64(n)
+	for model, places := range s.ownDemand() {
+		total[model] += float64(places)
+	}
+	for _, other := range s.mesh.View().Live {
+		for model, places := range other.Demand {
+			total[model] += float64(places)
 		}
 	}
 	return total
 }
 
-// suspects counts, by instance, the nodes that found it silent.
-func (s *status) suspects() map[string]int {
-	counts := map[string]int{}
-	own := s.state()
-	for _, state := range append(s.mesh.View().Live, &own) {
-		for _, instance := range state.Suspects {
-			counts[instance]++
-		}
+// suspecting returns the number of nodes, this one among them, that found an
+// instance silent.
+func (s *status) suspecting(instance string) int {
+	n := s.mesh.Suspecting(instance)
+	if t := s.tables.Load().Target(instance); t != nil && t.Load.Suspected(time.Now()) {
+		n++
 	}
-	return counts
+	return n
 }
 
 // progress reports whether a target sends events to any node.
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -49,8 +49,8 @@
 	// Demand returns the requests of all nodes by model.
 	Demand    func() map[string]float64
 	Commander engine.Commander
-	// Suspects counts, by head, the nodes that found a group silent.
-	Suspects func() map[string]int
+	// Suspecting returns the number of nodes that found the group of a head silent.
+	Suspecting func(head string) int
 	// Progress reports whether the group of a head sends events to any node.
 	Progress func(head string) bool
 	Prober   engine.Prober
--- a/formation/examine.go
+++ b/formation/examine.go
@@ -54,18 +54,17 @@
 // answers to members that go dark: the list drops them only after three
 // heartbeats.
 func (c *Controller) examineSuspects(ctx context.Context, s *Situation) {
-	suspects := c.Suspects()
 	for _, g := range s.Groups {
 		head := g.Head()
-		if head == nil || head.Membership.Phase != engine.Open || suspects[head.ID] < minSuspecting {
+		if head == nil || head.Membership.Phase != engine.Open || s.Now.Sub(c.examined[head.ID]) < examineInterval {
 			continue
 		}
-		if s.Now.Sub(c.examined[head.ID]) < examineInterval {
+		suspecting := c.Suspecting(head.ID)
+		if suspecting < minSuspecting {
 			continue
 		}
 		c.examined[head.ID] = s.Now
-		term := c.term
-		go c.examine(ctx, term, g, suspects[head.ID])
+		go c.examine(ctx, c.term, g, suspecting)
 	}
 }
 
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -222,10 +222,10 @@
 			return h.term, h.held
 		},
 		Configuration: &configuration, Roster: &roster,
-		Demand:    func() map[string]float64 { return map[string]float64{"large": 30, "small": 60} },
-		Suspects:  func() map[string]int { return nil },
-		Progress:  func(string) bool { return false },
-		Commander: w, Prober: w, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
+		Demand:     func() map[string]float64 { return map[string]float64{"large": 30, "small": 60} },
+		Suspecting: func(string) int { return 0 },
+		Progress:   func(string) bool { return false },
+		Commander:  w, Prober: w, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
 	})
 	all.Go(func() { _ = c.Run(ctx) })
 	all.Go(func() {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -41,16 +41,22 @@
 // were refused together don't return together.
 func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-// final returns the answer for the last error of a request: what an earlier
-// attempt may have done counts for the verdict.
+// final returns the answer for the last error of a request.
 func (c *call) final(err *verdict.Error) *verdict.Error {
+	final := c.withHistory(err)
+	if !time.Now().Before(c.deadline) {
+		final.Reason = verdict.ReasonDeadline
+	}
+	return final
+}
+
+// withHistory returns a copy of an error whose verdict also tells what earlier
+// attempts may have done.
+func (c *call) withHistory(err *verdict.Error) *verdict.Error {
 	changed := *err
 	if c.mayHaveRun {
 		changed.Verdict = verdict.MayHaveRun
 	}
-	if !time.Now().Before(c.deadline) {
-		changed.Reason = verdict.ReasonDeadline
-	}
 	return &changed
 }
 
@@ -92,10 +98,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// copyHeader sets the end-to-end headers of an answer.
+// copyHeader sets the end-to-end headers of an answer but for its length, which is
+// that of the body delivered.
 func copyHeader(to, from http.Header) {
 	for name, values := range upstream.EndToEnd(from) {
-		to[name] = values
+		if name != "Content-Length" {
+			to[name] = values
+		}
 	}
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -28,7 +28,7 @@
 		"instance", place.Instance.ID, "group", place.Group.Name, "own", place.Own, "others", place.Others,
 		"slots", place.Slots, "after_ms", time.Since(c.started).Milliseconds(), "last_event", lastEventID)
 	fresh := c.route.Kind == catalog.Unsafe
-	conn, err := h.Pool.Get(ctx, place.Instance.Address, fresh, h.connectionLimit(c.service))
+	conn, err := h.Connections.Get(ctx, place.Instance.Address, fresh, h.connectionLimit(c.service))
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "no connection").WithCause(err)
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -40,7 +40,7 @@
 type Parts struct {
 	Configuration *blackboard.Section[catalog.Configuration]
 	Dispatcher    *Dispatcher
-	Pool          *upstream.Pool
+	Connections   *upstream.Pool
 	Peers         Peers
 	Codec         Codec
 	Logger        log.Logger
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -33,8 +34,6 @@
 		return false
 	case c.runs >= c.route.MaxAttempts || c.sends >= c.route.MaxAttempts+maxRefusedSends:
 		return false
-	case c.mayHaveRun:
-		return c.route.Repeatable()
 	}
-	return true
+	return retry.Allowed(c.withHistory(err), c.route.Repeatable())
 }
--- a/gateway/header.go
+++ b/gateway/header.go
@@ -3,11 +3,9 @@
 import (
 	"net/http"
 	"strings"
-)
 
-// hopByHop are headers that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+	"github.com/rattanlanding/rattanlanding/upstream"
+)
 
 // ownPrefix marks headers that only the system sets.
 const ownPrefix = "Rattanlanding-"
@@ -32,19 +30,11 @@
 
 // endToEnd copies header without hop-by-hop headers and those of the system.
 func endToEnd(header http.Header) http.Header {
-	out := make(http.Header, len(header))
-	for name, values := range header {
-		if !strings.HasPrefix(name, ownPrefix) {
-			out[name] = values
-		}
-	}
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			out.Del(strings.TrimSpace(name))
+	out := upstream.EndToEnd(header)
+	for name := range out {
+		if strings.HasPrefix(name, ownPrefix) {
+			delete(out, name)
 		}
 	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
 	return out
 }
--- a/internal/strictjson/check.go
+++ b/internal/strictjson/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"regexp"
 )
 
@@ -32,3 +33,17 @@
 		p.Add(field, "must be from %.10g to %.10g", low, high)
 	}
 }
+
+// CheckAddress refuses host names, because a process has to run without name
+// service, and wildcard addresses, because others are told the address.
+func (p *Problems) CheckAddress(field, text string) {
+	address, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil:
+		p.Add(field, `must be "IP:port" with a literal IP address`)
+	case address.Port() == 0:
+		p.Add(field, "must have a port from 1 to 65535")
+	case address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		p.Add(field, "must be the address of one machine")
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -234,17 +235,10 @@
 		}
 	}
 	m.mu.Unlock()
-	slices.SortFunc(v.Live, func(a, b *State) int { return compareNodes(a, b) })
+	slices.SortFunc(v.Live, func(a, b *State) int { return strings.Compare(a.Node, b.Node) })
 	m.view.Store(v)
 }
 
-func compareNodes(a, b *State) int {
-	if a.Node < b.Node {
-		return -1
-	}
-	return 1
-}
-
 func (v *View) add(s *State) {
 	v.Live = append(v.Live, s)
 	for instance, use := range s.Use {
@@ -284,12 +278,15 @@
 // WaitingNodes implements forward.Peers.
 func (m *Mesh) WaitingNodes(model string) []string { return m.View().waiting[model] }
 
+// Suspecting returns the number of other nodes that found the instance silent.
+func (m *Mesh) Suspecting(instance string) int { return m.View().suspects[instance] }
+
 // minSuspecting is the number of nodes whose suspicion others share: one alone may
 // be cut off itself.
 const minSuspecting = 2
 
 // Suspected implements forward.Peers.
-func (m *Mesh) Suspected(instance string) bool { return m.View().suspects[instance] >= minSuspecting }
+func (m *Mesh) Suspected(instance string) bool { return m.Suspecting(instance) >= minSuspecting }
 
 // Nodes implements forward.Peers.
 func (m *Mesh) Nodes() int {
--- a/settings/check.go
+++ b/settings/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 	"unicode/utf8"
@@ -52,7 +51,7 @@
 func (s *Settings) checkAddresses(p *strictjson.Problems) {
 	listeners := []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress}
 	for i, field := range []string{"callerAddress", "operatorAddress", "peerAddress"} {
-		checkAddress(p, field, listeners[i])
+		p.CheckAddress(field, listeners[i])
 		if slices.Contains(listeners[:i], listeners[i]) {
 			p.Add(field, "must differ from the other listeners")
 		}
@@ -62,7 +61,7 @@
 	}
 	checkAddressList(p, "platformAddresses", s.PlatformAddresses)
 	checkAddressList(p, "peers", s.Peers)
-	checkAddress(p, "peerAdvertiseAddress", s.PeerAdvertiseAddress)
+	p.CheckAddress("peerAdvertiseAddress", s.PeerAdvertiseAddress)
 }
 
 func checkAddressList(p *strictjson.Problems, field string, list []string) {
@@ -72,27 +71,13 @@
 	}
 	for i, address := range list {
 		at := fmt.Sprintf("%s[%d]", field, i)
-		checkAddress(p, at, address)
+		p.CheckAddress(at, address)
 		if slices.Contains(list[:i], address) {
 			p.Add(at, "stands twice")
 		}
 	}
 }
 
-// checkAddress refuses host names, because a process has to run without name
-// service, and wildcard addresses, because others are told the address.
-func checkAddress(p *strictjson.Problems, field, text string) {
-	address, err := netip.ParseAddrPort(text)
-	switch {
-	case err != nil:
-		p.Add(field, `must be "IP:port" with a literal IP address`)
-	case address.Port() == 0:
-		p.Add(field, "must have a port from 1 to 65535")
-	case address.Addr().IsUnspecified() || address.Addr().IsMulticast():
-		p.Add(field, "must be the address of one machine")
-	}
-}
-
 func (s *Settings) checkKeys(p *strictjson.Problems) {
 	if n := utf8.RuneCountInString(s.PeerKey); n < minPeerKeyLength || n > maxPeerKeyLength {
 		p.Add("peerKey", "must have from %d to %d characters", minPeerKeyLength, maxPeerKeyLength)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -23,8 +23,6 @@
 	idle    time.Duration
 	// keepUntil is when the connection, while kept, is too old for use.
 	keepUntil time.Time
-	// Reused tells that the connection has carried a request before.
-	Reused bool
 
 	watch Watch
 	close sync.Once
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -33,6 +33,7 @@
 	// Target is the request target in origin form.
 	Target string
 	Host   string
+	// Header is sent but for what frames the request: its length, Expect and Host.
 	Header http.Header
 	Body   []byte
 	// Mine reports whether an answer belongs to this request.
@@ -121,6 +122,9 @@
 	b.Grow(1024 + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
+		if name == "Content-Length" || name == "Expect" || name == "Host" {
+			continue
+		}
 		for _, value := range values {
 			b.WriteString(name + ": " + value + "\r\n")
 		}
@@ -193,11 +197,9 @@
 	return fallback
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
-}
+// hopByHop are headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
 // EndToEnd returns a copy of header without what concerns one connection only.
 func EndToEnd(header http.Header) http.Header {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -88,7 +88,6 @@
 		p.kept[address] = list[:len(list)-1]
 		p.mu.Unlock()
 		if time.Now().Before(c.keepUntil) && c.reader.Buffered() == 0 && c.quiet() {
-			c.Reused = true
 			return c
 		}
 		c.Close()
