--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -172,6 +172,23 @@
 		Expect(p.Commands[0].Operation).To(Equal(engine.Stage))
 	})
 
+	It("finds the model that lacks groups beside one without traffic or groups", func() {
+		// Guards against a model without demand that hides another's lack.
+		var lists [][]*engine.Instance
+		for i := range 6 {
+			list := group(fmt.Sprintf("g%d", i), "small", "d0", 2, engine.Open)
+			for _, in := range list {
+				in.Staged = []string{"large"}
+			}
+			lists = append(lists, list)
+		}
+		s := situation(lists...)
+		s.Profile = &catalog.EngineProfile{Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7,
+			Models: append([]catalog.Model{{Name: "unused", Size: 2, Pace: 1}}, profile.Models...)}
+		s.Demand = map[string]float64{"large": 60, "small": 10}
+		Expect(formation.Make(s).Reserve.Model).To(Equal("large"))
+	})
+
 	It("gives members of groups another model's weights with loads to spare", func() {
 		// Guards against survivors that can only join groups of a model with enough.
 		s := situation(group("g", "small", "d0", 2, engine.Open), group("h", "small", "d0", 2, engine.Open))
--- a/formation/rebalance.go
+++ b/formation/rebalance.go
@@ -85,13 +85,18 @@
 	return commands, reservation
 }
 
-// shortest returns the model that lacks the greatest part of its groups.
+// shortest returns the model that lacks the greatest part of its groups, or nil if
+// none has demand.
 func (s *Situation) shortest(need *needs) *catalog.Model {
 	var short *catalog.Model
+	part := 0.0
 	for i := range s.Profile.Models {
 		m := &s.Profile.Models[i]
-		if short == nil || need.lacks(m.Name)/need.required[m.Name] > need.lacks(short.Name)/need.required[short.Name] {
-			short = m
+		if need.required[m.Name] <= 0 {
+			continue
+		}
+		if lacking := need.lacks(m.Name) / need.required[m.Name]; short == nil || lacking > part {
+			short, part = m, lacking
 		}
 	}
 	return short
