Sum the states of many nodes in two aggregators of each failure domain

Cause: with each node telling all others, the interval grew with their number (0.88 s at 88 nodes, 3 s at 300, beyond the 1.2 s after which a node counts as silent), and the directory named the first 64 nodes by name, so that most nodes of the last failure domain got no callers.

Up to 12 nodes nothing changes. Above, nodes tell two aggregators, those with the most processor time; callers are named 24 nodes drawn from half of each domain's processor time. The retry budget follows the number of nodes. The order of waiting nodes is computed from hashes, once a round.

--- /dev/null
+++ b/entry/directory_test.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/mesh"
+)
+
+var _ = Describe("Addresses for callers", func() {
+	nodes := func(n int) (list []*mesh.Node) {
+		for i := range n {
+			capacity := uint16(19)
+			if i < 6 {
+				capacity = 80
+			}
+			list = append(list, &mesh.Node{Name: fmt.Sprint("n", i), CallerAddress: fmt.Sprint("a", i),
+				FailureDomain: fmt.Sprint("z", i%3), Capacity: capacity})
+		}
+		return list
+	}
+
+	It("name all of a few nodes", func() {
+		// Guards against callers that load the nodes near them alone.
+		Expect(chooseAddresses(nodes(9), "z0", rand.Float64)).To(HaveLen(9))
+	})
+
+	It("spread the load of many nodes by their processor time", func() {
+		// Guards against nodes that are never named because of the order of names, and
+		// against small nodes that get as much as large ones.
+		rng := rand.New(rand.NewPCG(1, 1))
+		asked, first := map[string]int{}, map[string]int{}
+		for range 3000 {
+			for i, a := range chooseAddresses(nodes(88), fmt.Sprint("z", rng.IntN(3)), rng.Float64) {
+				asked[a]++
+				if i == 0 {
+					first[a]++
+				}
+			}
+		}
+		Expect(len(asked)).To(BeNumerically(">=", 30))
+		for i := range 6 {
+			Expect(first[fmt.Sprint("a", i)]).To(BeNumerically(">", 3000/88))
+		}
+	})
+
+	It("name other nodes once the active ones are gone", func() {
+		// Guards against callers without an address when many nodes die at once.
+		rest := nodes(88)[60:]
+		Expect(chooseAddresses(rest, "z0", rand.Float64)).NotTo(BeEmpty())
+	})
+})
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -82,11 +82,11 @@
 		if c := d.world.Configuration.Load(); c != nil {
 			version = c.Version
 		}
-		best := newest(view, version, func(s *mesh.State) uint64 { return s.ConfigurationVersion })
+		best := newest(view, version, func(n *mesh.Node) uint64 { return n.ConfigurationVersion })
 		d.fetch(ctx, best, pathConfiguration, d.configurations)
 	}
 	if isCutOff(d.instances) {
-		best := newest(view, d.listCursor(), func(s *mesh.State) object.Version { return s.ListCursor })
+		best := newest(view, d.listCursor(), func(n *mesh.Node) object.Version { return n.ListCursor })
 		d.fetch(ctx, best, pathInstances, d.instances)
 	}
 }
@@ -103,8 +103,8 @@
 }
 
 // newest returns the node with the greatest value above own, or nil.
-func newest[T cmp.Ordered](view *mesh.View, own T, value func(*mesh.State) T) *mesh.State {
-	var best *mesh.State
+func newest[T cmp.Ordered](view *mesh.View, own T, value func(*mesh.Node) T) *mesh.Node {
+	var best *mesh.Node
 	for _, s := range view.Live {
 		if value(s) > own && (best == nil || value(s) > value(best)) {
 			best = s
@@ -114,15 +114,15 @@
 }
 
 // fetch takes a document from a node.
-func (d *Documents) fetch(ctx context.Context, from *mesh.State, path string, f *follow.Follower) {
+func (d *Documents) fetch(ctx context.Context, from *mesh.Node, path string, f *follow.Follower) {
 	if from == nil {
 		return
 	}
 	var s follow.Snapshot
 	if err := getFromPeer(ctx, from.PeerAddress, path, fetchTimeout, &s); err != nil {
-		_ = level.Warn(d.logger).Log("msg", "document not taken from a node", "peer", from.Node, "path", path, "err", err)
+		_ = level.Warn(d.logger).Log("msg", "document not taken from a node", "peer", from.Name, "path", path, "err", err)
 		return
 	}
 	f.Adopt(s)
-	_ = level.Info(d.logger).Log("msg", "document taken from a node", "peer", from.Node, "path", path, "cursor", s.Cursor)
+	_ = level.Info(d.logger).Log("msg", "document taken from a node", "peer", from.Name, "path", path, "cursor", s.Cursor)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -20,7 +20,7 @@
 	InFlight      int                   `json:"inFlight"`
 	Waiting       map[string]int        `json:"waiting"`
 	Targets       map[string]targetDump `json:"targets"`
-	Peers         []*mesh.State         `json:"peers"`
+	Peers         []*mesh.Node          `json:"peers"`
 	// SilentMs tells since when the store has not answered, by document.
 	SilentMs map[string]int64 `json:"silentMs"`
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -114,9 +114,9 @@
 // status says, and the status names the nodes that the mesh hears.
 func newStatus(s Settings, w *World, tables *forward.Tables, f followers, r *relay, logger log.Logger, registry metrics.Registry) *status {
 	st := &status{settings: s, world: w, tables: tables, instances: f.instances}
-	st.mesh = mesh.New(mesh.Config{Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, logger, registry)
+	st.mesh = mesh.New(mesh.Config{Node: s.Node, Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, logger, registry)
 	r.mesh.Store(st.mesh)
-	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.Node, s.FailureDomain)
+	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.FailureDomain)
 	return st
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -15,7 +15,6 @@
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
-	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
 const (
@@ -81,22 +80,16 @@
 var _ follow.Source = (*relay)(nil)
 
 // guide returns the node whose copy is followed, or nil if the store is asked.
-func (r *relay) guide() *mesh.State {
+func (r *relay) guide() *mesh.Node {
 	nodes := r.mesh.Load()
 	if nodes == nil || time.Now().UnixNano() < r.askStoreUntil.Load() {
 		return nil
 	}
-	own := rendezvous.Score(r.settings.FailureDomain, r.settings.Node)
-	var best *mesh.State
-	for _, s := range nodes.View().Live {
-		if s.FailureDomain != r.settings.FailureDomain || s.Leaving || !s.Serving {
-			continue
-		}
-		if score := rendezvous.Score(r.settings.FailureDomain, s.Node); score > own {
-			best, own = s, score
-		}
+	own := r.settings.identity()
+	if first := nodes.View().First(&own); first.Name != own.Name {
+		return first
 	}
-	return best
+	return nil
 }
 
 // List implements follow.Source. It always asks the store: a list is needed only at
@@ -121,7 +114,7 @@
 }
 
 // follow asks the guide for its changes.
-func (r *relay) follow(ctx context.Context, guide *mesh.State, kind string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
+func (r *relay) follow(ctx context.Context, guide *mesh.Node, kind string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
 	path := pathInstances
 	if kind == platform.ConfigurationKind {
 		path = pathConfiguration
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -51,7 +51,7 @@
 			d := &Documents{configurations: f, instances: f}
 			server := httptest.NewServer(d.Handler())
 			defer server.Close()
-			guide := &mesh.State{Node: "guide", PeerAddress: strings.TrimPrefix(server.URL, "http://")}
+			guide := &mesh.Node{Name: "guide", PeerAddress: strings.TrimPrefix(server.URL, "http://")}
 			r := &relay{}
 			time.Sleep(100 * time.Millisecond)
 			delta, err := r.follow(ctx, guide, platform.ConfigurationKind, 5, 50*time.Millisecond)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/internal/strictjson"
+	"github.com/rattanlanding/rattanlanding/mesh"
 )
 
 // Settings are the settings of a node on the users' platform. Durations are
@@ -33,6 +34,8 @@
 	FirstStart bool `json:"firstStart"`
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64 `json:"memoryBytes"`
+	// ProcessorShare is the part of a processor that the process may use.
+	ProcessorShare float64 `json:"processorShare"`
 	// StopTime is the time between the signal to stop and the end by force.
 	StopTime time.Duration `json:"stopTime"`
 	// AddressTTL is how long callers may keep addresses.
@@ -47,6 +50,7 @@
 // Defaults of the settings.
 const (
 	defaultMemory     = 256 << 20
+	defaultProcessor  = 1.0
 	defaultStop       = 8 * time.Second
 	defaultAddressTTL = 2 * time.Second
 	defaultRetryRatio = 0.1
@@ -56,7 +60,7 @@
 // DefaultSettings returns settings without names and addresses.
 func DefaultSettings() Settings {
 	return Settings{
-		MemoryBytes: defaultMemory, StopTime: defaultStop,
+		MemoryBytes: defaultMemory, ProcessorShare: defaultProcessor, StopTime: defaultStop,
 		AddressTTL: defaultAddressTTL, RetryRatio: defaultRetryRatio, RetryAllowance: defaultAllowance,
 		LogLevel: "info",
 	}
@@ -106,6 +110,7 @@
 		p.CheckAddress(fmt.Sprintf("seeds[%d]", i), seed)
 	}
 	p.CheckRange("memoryBytes", float64(s.MemoryBytes), 32<<20, 1<<40)
+	p.CheckRange("processorShare", s.ProcessorShare, 0.01, 256)
 	p.CheckRange("stopTime", s.StopTime.Seconds(), 1, 3600)
 	p.CheckRange("addressTtl", s.AddressTTL.Seconds(), 0.1, 300)
 	p.CheckRange("retryRatio", s.RetryRatio, 0, 10)
@@ -117,6 +122,12 @@
 	}
 }
 
+// identity returns what other nodes know of this one from its settings alone.
+func (s *Settings) identity() mesh.Node {
+	return mesh.Node{Name: s.Node, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+		FailureDomain: s.FailureDomain, Capacity: uint16(100 * s.ProcessorShare)}
+}
+
 // seedAddresses returns the peer addresses of the seeds.
 func (s *Settings) seedAddresses() []string {
 	peer := netip.MustParseAddrPort(s.PeerAddress)
--- a/entry/state.go
+++ b/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -27,47 +28,45 @@
 	return !s.leaving.Load() && s.world.Configuration.Load() != nil && s.world.Roster.Load() != nil
 }
 
-// Addresses implements platform.Directory. Callers draw one at random, so all
-// serving nodes are named: those near a caller alone would be loaded unevenly.
-func (s *status) Addresses(_, _ string) ([]string, float64) {
-	var addresses []string
+// Addresses implements platform.Directory.
+func (s *status) Addresses(_, failureDomain string) ([]string, float64) {
+	var nodes []*mesh.Node
 	if s.Ready() {
-		addresses = append(addresses, s.settings.CallerAddress)
+		own := s.node()
+		nodes = append(nodes, &own)
 	}
 	for _, other := range s.mesh.View().Live {
 		if other.Serving && !other.Leaving {
-			addresses = append(addresses, other.CallerAddress)
+			nodes = append(nodes, other)
 		}
 	}
-	if len(addresses) > maxAddresses {
-		addresses = addresses[:maxAddresses]
-	}
-	return addresses, s.settings.AddressTTL.Seconds()
+	return chooseAddresses(nodes, failureDomain, rand.Float64), s.settings.AddressTTL.Seconds()
 }
 
-// maxAddresses is the number of addresses that a caller reads.
-const maxAddresses = 64
-
-// state returns what other nodes are told.
-func (s *status) state() mesh.State {
-	state := mesh.State{
-		Node: s.settings.Node, CallerAddress: s.settings.CallerAddress, PeerAddress: s.settings.PeerAddress,
-		FailureDomain: s.settings.FailureDomain, Serving: s.Ready(), Leaving: s.leaving.Load(),
-		Use: map[uint32]mesh.Use{}, Demand: s.ownDemand(), Waiting: map[string]uint16{},
-	}
+// node returns what other nodes know of this one.
+func (s *status) node() mesh.Node {
+	node := s.settings.identity()
+	node.Serving, node.Leaving = s.Ready(), s.leaving.Load()
 	if c := s.world.Configuration.Load(); c != nil {
-		state.ConfigurationVersion = c.Version
+		node.ConfigurationVersion = c.Version
 	}
 	if snapshot := s.instances.Current.Load(); snapshot != nil {
-		state.ListCursor = snapshot.Cursor
+		node.ListCursor = snapshot.Cursor
 	}
+	return node
+}
+
+// state returns what other nodes are told.
+func (s *status) state() mesh.State {
+	state := mesh.State{Node: s.node(), Use: map[uint32]mesh.Use{}, Demand: s.ownDemand(), Waiting: map[string]uint16{}}
 	now := time.Now()
 	s.tables.Load().Each(func(t *forward.Target) {
+		key := mesh.Key(t.Instance.ID)
 		if n := t.Load.Running(); n > 0 {
-			state.Use[mesh.Key(t.Instance.ID)] = mesh.NewUse(n, t.Load.Progressed(now))
+			state.Use[key] = mesh.NewUse(n, t.Load.Progressed(now))
 		}
 		if t.Load.Suspected(now) {
-			state.Suspects = append(state.Suspects, t.Instance.ID)
+			state.Suspects = append(state.Suspects, key)
 		}
 	})
 	for pool, n := range s.dispatcher.Waiting() {
@@ -95,10 +94,8 @@
 	for model, places := range s.ownDemand() {
 		total[model] += float64(places)
 	}
-	for _, other := range s.mesh.View().Live {
-		for model, places := range other.Demand {
-			total[model] += float64(places)
-		}
+	for model, places := range s.mesh.View().Others.Demand {
+		total[model] += float64(places)
 	}
 	return total
 }
@@ -134,7 +131,7 @@
 		if other.Leaving {
 			state = fleet.NodeLeaving
 		}
-		m.All = append(m.All, fleet.MemberView{Member: fleet.Member{Node: other.Node, State: state}, HeardAt: now})
+		m.All = append(m.All, fleet.MemberView{Member: fleet.Member{Node: other.Name, State: state}, HeardAt: now})
 	}
 	return m
 }
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
-	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
 // Peers tells what other nodes have sent. Implementations are safe for
@@ -26,9 +24,9 @@
 	// Demand returns the places that the requests of other nodes for a model would
 	// occupy.
 	Demand(model string) float64
-	// WaitingNodes returns the names of other nodes with requests that wait for a
-	// group of a model.
-	WaitingNodes(model string) []string
+	// Ahead returns the number of other nodes with requests that wait for a group of
+	// a model and that come before this one at an instance.
+	Ahead(model, instance string) int
 	// Nodes returns the number of nodes that serve, this one among them.
 	Nodes() int
 }
@@ -49,7 +47,6 @@
 type Dispatcher struct {
 	tables        *Tables
 	peers         Peers
-	node          string
 	failureDomain string
 
 	mu      sync.Mutex
@@ -69,8 +66,8 @@
 }
 
 // NewDispatcher returns a dispatcher over the newest table.
-func NewDispatcher(tables *Tables, peers Peers, node, failureDomain string) *Dispatcher {
-	return &Dispatcher{tables: tables, peers: peers, node: node, failureDomain: failureDomain, waiting: map[Pool][]*waiter{},
+func NewDispatcher(tables *Tables, peers Peers, failureDomain string) *Dispatcher {
+	return &Dispatcher{tables: tables, peers: peers, failureDomain: failureDomain, waiting: map[Pool][]*waiter{},
 		pumping: map[Pool]bool{}, flows: map[Pool]*flow{}}
 }
 
@@ -135,7 +132,7 @@
 		d.mu.Unlock()
 		return nil, ErrNoTarget
 	}
-	if target := d.pick(w.Pool, me); target != nil {
+	if target := d.field(w.Pool).pick(me); target != nil {
 		d.mu.Unlock()
 		return d.place(target, w.PromptTokens), nil
 	}
@@ -262,11 +259,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queue := d.waiting[p]
+	if len(queue) == 0 {
+		return
+	}
 	now := time.Now()
 	slices.SortStableFunc(queue, func(a, b *waiter) int { return a.turn.Compare(b.turn, now) })
 	left := queue[:0]
+	f := d.field(p)
 	for _, w := range queue {
-		if target := d.pick(p, w); target != nil {
+		if target := f.pick(w); target != nil {
 			w.found <- target
 		} else {
 			left = append(left, w)
@@ -278,67 +279,6 @@
 	}
 }
 
-// pick chooses a target and counts the request there; the caller holds the lock.
-func (d *Dispatcher) pick(p Pool, w *waiter) *Target {
-	targets := d.tables.Load().Targets(p)
-	if len(targets) == 0 {
-		return nil
-	}
-	now := time.Now()
-	waiting := d.peers.WaitingNodes(p.Model)
-	candidates := make([]Candidate, len(targets))
-	for i, t := range targets {
-		candidates[i] = Candidate{
-			Requests:     float64(t.Load.Running() + d.peers.Running(t.Instance.ID)),
-			PromptTokens: float64(t.Load.prompts.Load()),
-			Slots:        t.Slots,
-			Ahead:        d.ahead(t.Instance.ID, waiting),
-			Near:         t.Instance.FailureDomain == d.failureDomain,
-			Avoid:        w.avoid[t.Instance.ID] || !d.works(t, now),
-			Doubtful:     t.Load.Suspected(now),
-		}
-	}
-	best := Choose(candidates, rand.IntN(len(candidates)))
-	if best < 0 {
-		return nil
-	}
-	load := targets[best].Load
-	load.running.Add(1)
-	load.prompts.Add(int64(w.prompt))
-	return targets[best]
-}
-
-// works reports whether a target may be sent requests at all. A silent group holds
-// up whatever it is sent, while a plain server that failed one request may well serve
-// the next.
-func (d *Dispatcher) works(t *Target, now time.Time) bool {
-	if t.Pool.Model == "" {
-		return true
-	}
-	return !t.Load.Suspected(now) && !d.peers.Suspected(t.Instance.ID) && d.isWhole(t, now)
-}
-
-// isWhole reports whether a target has all its members. A member that the list has
-// dropped is there as long as the group's events arrive: without it nothing moves.
-// It answers to members that are cut off from the store alone.
-func (d *Dispatcher) isWhole(t *Target, now time.Time) bool {
-	return !t.MemberUnlisted || t.Load.Progressed(now) || d.peers.Progress(t.Instance.ID)
-}
-
-// ahead counts the waiting nodes that come before this one at an instance.
-func (d *Dispatcher) ahead(instance string, waiting []string) int {
-	if len(waiting) == 0 {
-		return 0
-	}
-	n, own := 0, rendezvous.Score(instance, d.node)
-	for _, node := range waiting {
-		if rendezvous.Score(instance, node) > own {
-			n++
-		}
-	}
-	return n
-}
-
 // Demand returns the places that the requests for each pool would occupy, those
 // refused among them.
 func (d *Dispatcher) Demand() map[Pool]float64 {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -25,19 +25,18 @@
 // peers is what other nodes tell.
 type peers struct {
 	running map[string]int
-	waiting []string
 	nodes   int
 	moving  bool
 	// silent is the instance that other nodes suspect.
 	silent string
 }
 
-func (p *peers) Running(instance string) int  { return p.running[instance] }
-func (p *peers) Progress(string) bool         { return p.moving }
-func (p *peers) Suspected(i string) bool      { return p.silent == i }
-func (p *peers) WaitingNodes(string) []string { return p.waiting }
-func (p *peers) Demand(string) float64        { return 0 }
-func (p *peers) Nodes() int                   { return max(p.nodes, 1) }
+func (p *peers) Running(instance string) int { return p.running[instance] }
+func (p *peers) Progress(string) bool        { return p.moving }
+func (p *peers) Suspected(i string) bool     { return p.silent == i }
+func (p *peers) Ahead(string, string) int    { return 0 }
+func (p *peers) Demand(string) float64       { return 0 }
+func (p *peers) Nodes() int                  { return max(p.nodes, 1) }
 
 var _ = Describe("Choose", func() {
 	It("takes the least loaded target with a place", func() {
@@ -100,7 +99,7 @@
 		// Guards against serving every request late once there are more than
 		// places.
 		tables, pool := table(1, 1)
-		d := NewDispatcher(tables, &peers{}, "n", "")
+		d := NewDispatcher(tables, &peers{}, "")
 		first, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		served := make(chan string, 2)
@@ -123,11 +122,11 @@
 	It("refuses at once without a target, and when waiting has no use", func() {
 		// Guards against a request that is held for nothing.
 		tables, pool := table(0, 1)
-		d := NewDispatcher(tables, &peers{}, "n", "")
+		d := NewDispatcher(tables, &peers{}, "")
 		_, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).To(MatchError(ErrNoTarget))
 		tables, pool = table(1, 1)
-		d = NewDispatcher(tables, &peers{}, "n", "")
+		d = NewDispatcher(tables, &peers{}, "")
 		_, err = d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		w := want(pool, time.Second)
@@ -139,7 +138,7 @@
 	It("counts the requests of other nodes", func() {
 		// Guards against nodes that overfill a target together.
 		tables, pool := table(2, 4)
-		d := NewDispatcher(tables, &peers{running: map[string]int{"a": 4, "b": 3}}, "n", "")
+		d := NewDispatcher(tables, &peers{running: map[string]int{"a": 4, "b": 3}}, "")
 		place, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(place.Instance.ID).To(Equal("b"))
@@ -153,7 +152,7 @@
 		// Guards against requests to a group that others found silent, and against
 		// refusals because each plain server failed once.
 		now := time.Now()
-		d := NewDispatcher(NewTables(), &peers{silent: "a"}, "n", "")
+		d := NewDispatcher(NewTables(), &peers{silent: "a"}, "")
 		group := &Target{Instance: &engine.Instance{ID: "a"}, Pool: Pool{"llm", "m"}, Load: &Load{}}
 		Expect(d.works(group, now)).To(BeFalse())
 		group.Instance = &engine.Instance{ID: "b"}
@@ -167,7 +166,7 @@
 	It("loses no place under concurrent use", func() {
 		// Guards against places that leak when waiting ends as one is given.
 		tables, pool := table(3, 2)
-		d := NewDispatcher(tables, &peers{}, "n", "")
+		d := NewDispatcher(tables, &peers{}, "")
 		done := make(chan bool)
 		for range 40 {
 			go func() {
@@ -197,7 +196,7 @@
 	It("runs one goroutine for a pool, however often its queue empties", func() {
 		// Guards against goroutines that pile up under load.
 		tables, pool := table(1, 1)
-		d := NewDispatcher(tables, &peers{}, "n", "")
+		d := NewDispatcher(tables, &peers{}, "")
 		held, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		before := runtime.NumGoroutine()
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -223,13 +223,15 @@
 func (h *Handler) budget(service string) *retry.Budget {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	nodes := max(h.Peers.Nodes(), minBudgetNodes)
+	burst := max(int(h.cfg.RetryAllowance*budgetShare/float64(nodes)), 1)
 	b := h.budgets[service]
 	if b == nil {
-		nodes := max(h.Peers.Nodes(), minBudgetNodes)
-		burst := int(h.cfg.RetryAllowance * budgetShare / float64(nodes))
-		b = retry.NewBudget(int(h.cfg.RetryRatio*budgetShare*100), max(burst, 1))
+		b = retry.NewBudget(int(h.cfg.RetryRatio*budgetShare*100), burst)
 		h.budgets[service] = b
 	}
+	// Nodes come and go, and a new one knows few others.
+	b.SetBurst(burst)
 	return b
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,9 +20,9 @@
 // node starts a mesh that knows only the first node.
 func node(i int) (*Mesh, context.CancelFunc) {
 	address := fmt.Sprintf("127.0.92.%d:18501", i)
-	m := New(Config{Address: address, Seeds: []string{"127.0.92.1:18501"}}, func() State {
-		return State{Node: fmt.Sprint("n", i), PeerAddress: address, Serving: true,
-			Use: map[uint32]Use{Key("i-1"): NewUse(i, i == 2)}, Suspects: []string{"i-9"}}
+	m := New(Config{Node: fmt.Sprint("n", i), Address: address, Seeds: []string{"127.0.92.1:18501"}}, func() State {
+		return State{Node: Node{Name: fmt.Sprint("n", i), PeerAddress: address, Serving: true},
+			Use: map[uint32]Use{Key("i-1"): NewUse(i, i == 2)}, Suspects: []uint32{Key("i-9")}}
 	}, log.NewNopLogger(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
@@ -52,8 +51,11 @@
 		m := New(Config{Address: "127.0.92.9:1"}, nil, log.NewNopLogger(), metrics.NewRegistry())
 		now := time.Now()
 		told := func(boot int64, count uint64, at time.Time) uint64 {
-			m.accept(&State{Node: "n", PeerAddress: "127.0.92.8:1", Boot: boot, Count: count}, at)
-			return m.members["127.0.92.8:1"].state.Count
+			m.acceptState(&State{Node: Node{Name: "n", PeerAddress: "127.0.92.8:1", Boot: boot, Count: count}}, at)
+			for _, other := range m.byAddress {
+				return other.state.Node.Count
+			}
+			return 0
 		}
 		Expect(told(10, 5, now)).To(BeEquivalentTo(5))
 		Expect(told(10, 4, now)).To(BeEquivalentTo(5))
@@ -61,22 +63,31 @@
 		Expect(told(9, 8, now.Add(2*silentAfter))).To(BeEquivalentTo(8))
 	})
 
-	It("keeps a state of many groups within a datagram", func() {
+	It("keeps a state and a summary of many groups within a datagram", func() {
 		// Guards against datagrams that a large deployment loses.
-		s := State{Node: "edge-port-spain-1", CallerAddress: "10.100.200.40:8227", PeerAddress: "10.100.200.40:7340", Use: map[uint32]Use{}}
-		for i := range 120 {
-			s.Use[Key(strings.Repeat("i", i))] = NewUse(3, true)
+		s := State{Node: Node{Name: "edge-port-spain-1", CallerAddress: "10.100.200.40:8227", PeerAddress: "10.100.200.40:7340",
+			Serving: true}, Use: map[uint32]Use{}, Waiting: map[string]uint16{"m": 3}}
+		for i := range 90 {
+			s.Use[Key(fmt.Sprint("i", i))] = NewUse(3, true)
 		}
 		for i := range sharedAddresses {
 			s.Known = append(s.Known, fmt.Sprintf("10.100.200.%d:7340", 100+i))
 		}
-		data, err := encode(&s)
+		data, err := encodeState(&s)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(data)).To(BeNumerically("<=", maxDatagram))
 		back, err := decode(data)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(back.Use[Key("iii")].Requests()).To(Equal(3))
-		Expect(back.Use[Key("iii")].Progress()).To(BeTrue())
+		Expect(back.State.Use[Key("i3")].Requests()).To(Equal(3))
+		Expect(back.State.Use[Key("i3")].Progress()).To(BeTrue())
+		sum := newSum()
+		for i := range 300 {
+			s.Node.Name = fmt.Sprint("edge-", i)
+			sum.addState(&s)
+		}
+		data, _, err = encodeSummary(Summary{From: s.Node, Sum: sum, Members: make([]Member, maxReported)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(data)).To(BeNumerically("<=", maxDatagram))
 		_, err = decode([]byte("x"))
 		Expect(err).To(HaveOccurred())
 	})
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -2,17 +2,13 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanlanding/rattanlanding/object"
 )
 
-// maxDatagram bounds a datagram in bytes; a larger one may be split on its way.
-const maxDatagram = 1400
-
-// State is what a node tells the others about itself.
-type State struct {
-	Node string `msgpack:"n"`
+// Node is what all nodes know of one.
+type Node struct {
+	Name string `msgpack:"n"`
 	// Boot is the start of the process in Unix milliseconds.
 	Boot int64 `msgpack:"b"`
 	// Count grows with each state of one boot.
@@ -21,22 +17,44 @@
 	CallerAddress string `msgpack:"a"`
 	PeerAddress   string `msgpack:"p"`
 	FailureDomain string `msgpack:"z"`
+	// Capacity is the processor share in percent of a core.
+	Capacity uint16 `msgpack:"y"`
 	// Serving nodes take requests; Leaving ones are about to stop.
 	Serving bool `msgpack:"s"`
 	Leaving bool `msgpack:"l"`
 	// ConfigurationVersion and ListCursor tell which documents the node holds.
 	ConfigurationVersion uint64         `msgpack:"v"`
 	ListCursor           object.Version `msgpack:"r"`
-	// Use maps instances, by the hash of their ID, to what the node does there.
+}
+
+// takesWork reports whether the node is counted among those that serve.
+func (n *Node) takesWork() bool { return n.Serving && !n.Leaving }
+
+// follows reports whether n is newer than what was known of the same address. The
+// clock may have been set back before a restart, so another boot also counts as
+// newer once the old one has been silent.
+func (n *Node) follows(old *Node, silent bool) bool {
+	if n.Boot == old.Boot {
+		return n.Count > old.Count
+	}
+	return n.Boot > old.Boot || silent
+}
+
+// State is what a node tells about itself.
+type State struct {
+	Node Node `msgpack:"n"`
+	// Use maps instances, by Key, to what the node does there.
 	Use map[uint32]Use `msgpack:"q"`
 	// Demand maps models to the places that the node's requests would occupy.
 	Demand map[string]float32 `msgpack:"d"`
 	// Waiting maps models to the node's requests that wait for a place.
 	Waiting map[string]uint16 `msgpack:"w"`
-	// Suspects are the instances that the node found silent.
-	Suspects []string `msgpack:"x"`
+	// Suspects are the instances, by Key, that the node found silent.
+	Suspects []uint32 `msgpack:"x"`
 	// Known are peer addresses of some other nodes.
 	Known []string `msgpack:"k"`
+	// Ask tells that the receiver is one of the sender's aggregators.
+	Ask bool `msgpack:"?"`
 }
 
 // Use packs a number of requests and whether events arrive.
@@ -60,25 +78,5 @@
 // Progress reports whether an event arrived lately.
 func (u Use) Progress() bool { return u&progressBit != 0 }
 
-// Key returns the hash under which the use of an instance is sent.
-func Key(instance string) uint32 { return uint32(xxhash.Sum64String(instance)) }
-
-// encode returns the datagram of a state. Addresses of other nodes are left out
-// if they don't fit.
-func encode(s *State) ([]byte, error) {
-	data, err := msgpack.Marshal(s)
-	if err == nil && len(data) > maxDatagram && len(s.Known) > 0 {
-		short := *s
-		short.Known = nil
-		return msgpack.Marshal(&short)
-	}
-	return data, err
-}
-
-func decode(data []byte) (*State, error) {
-	s := &State{}
-	if err := msgpack.Unmarshal(data, s); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
+// Key returns the hash by which the name of an instance or a node is sent.
+func Key(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/rendezvous/rank.go
+++ b/rendezvous/rank.go
@@ -65,3 +65,16 @@
 	_, _ = digest.WriteString(node)
 	return digest.Sum64()
 }
+
+// ScoreKeys returns the weight of a node for a key, both given as hashes. It is
+// cheap enough for the request path.
+func ScoreKeys(key, node uint32) uint64 {
+	x := uint64(key)<<32 | uint64(node)
+	// The finalizer of a 64-bit mix: each bit of the input changes half of the
+	// result.
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -18,7 +18,7 @@
 // It takes no lock.
 type Budget struct {
 	percent int64
-	limit   int64
+	limit   atomic.Int64
 	level   atomic.Int64
 }
 
@@ -31,16 +31,21 @@
 	if burst <= 0 {
 		burst = DefaultBurst
 	}
-	b := &Budget{percent: int64(percent), limit: int64(burst) * costOfRetry}
-	b.level.Store(b.limit)
+	b := &Budget{percent: int64(percent)}
+	b.SetBurst(burst)
+	b.level.Store(b.limit.Load())
 	return b
 }
 
+// SetBurst changes the number of retries that may be saved up. What was saved
+// beyond it is lost.
+func (b *Budget) SetBurst(burst int) { b.limit.Store(int64(max(burst, 1)) * costOfRetry) }
+
 // Request adds one request's share to the budget.
 func (b *Budget) Request() {
 	for {
 		level := b.level.Load()
-		next := min(level+b.percent, b.limit)
+		next := min(level+b.percent, b.limit.Load())
 		if next == level || b.level.CompareAndSwap(level, next) {
 			return
 		}
@@ -51,14 +56,15 @@
 func (b *Budget) Take() bool {
 	for {
 		level := b.level.Load()
-		if level < costOfRetry {
+		saved := min(level, b.limit.Load())
+		if saved < costOfRetry {
 			return false
 		}
-		if b.level.CompareAndSwap(level, level-costOfRetry) {
+		if b.level.CompareAndSwap(level, saved-costOfRetry) {
 			return true
 		}
 	}
 }
 
 // Left returns the number of whole retries left.
-func (b *Budget) Left() int { return int(b.level.Load() / costOfRetry) }
+func (b *Budget) Left() int { return int(min(b.level.Load(), b.limit.Load()) / costOfRetry) }
