Draw two groups and take the less loaded one

Cause: every node sent new requests to the least loaded group of its news, which are 0.1 to 0.4 s old, so all chose the same ones. Ruled out: too few groups (37 serve where 21.5 are needed at full batches), long prompts (p10 to p50 of the first event differ by 58 ms). A group over several domains is used only when no usual one has a place, since its answers are always late (first event p50 831 ms).

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -1,5 +1,10 @@
 package forward
 
+import (
+	"math"
+	"slices"
+)
+
 // Candidate is what the choice of a target reads.
 type Candidate struct {
 	// Requests is the estimated number of requests there, from all nodes.
@@ -15,6 +20,8 @@
 	Near bool
 	// Avoid tells that the target was tried before or can't work.
 	Avoid bool
+	// Slow targets are late even when they are idle.
+	Slow bool
 	// Doubtful targets failed lately. They are used if there is no other place.
 	Doubtful bool
 }
@@ -42,12 +49,16 @@
 	return s
 }
 
-// isBetter reports whether c comes before another candidate.
-func (c *Candidate) isBetter(other *Candidate, slots int) bool {
-	if c.Doubtful != other.Doubtful {
-		return other.Doubtful
+// tier orders candidates whatever their load: usual ones, those whose answers are
+// late even when they are idle, and those that failed lately.
+func (c *Candidate) tier() int {
+	switch {
+	case c.Doubtful:
+		return 2
+	case c.Slow:
+		return 1
 	}
-	return c.score(slots) < other.score(slots)
+	return 0
 }
 
 // hasPlace reports whether another request of this node can start at the
@@ -59,24 +70,35 @@
 	return c.Requests+float64(c.Ahead) < float64(limit)
 }
 
-// Choose returns the index of the least loaded candidate that has a place, or -1;
-// doubtful ones come last. It answers to the load of all nodes as known here: requests in progress,
-// and prompts that this node has sent. Ties go to the candidate that start names,
-// so that nodes with the same news don't choose alike.
-func Choose(candidates []Candidate, start int) int {
-	largest := 1
-	for i := range candidates {
-		largest = max(largest, candidates[i].Slots)
-	}
-	best := -1
+// choices is the number of candidates that are drawn for each request.
+const choices = 2
+
+// Choose returns the index of the less loaded one of two candidates that are drawn
+// from those of the lowest tier that have a place, or -1. The draw returns a number
+// below n. It answers to the load of all nodes as known here, which is some hundred
+// milliseconds old: the least loaded candidate of all would be chosen by every node
+// until the news of its load arrive, and be overfilled meanwhile.
+func Choose(candidates []Candidate, draw func(n int) int) int {
+	largest, lowest := 1, math.MaxInt
+	eligible := make([]int, 0, len(candidates))
 	for i := range candidates {
-		at := (i + start) % len(candidates)
-		c := &candidates[at]
-		if c.Avoid || !c.hasPlace() {
+		c := &candidates[i]
+		largest = max(largest, c.Slots)
+		if c.Avoid || c.tier() > lowest || !c.hasPlace() {
 			continue
 		}
-		if best < 0 || c.isBetter(&candidates[best], largest) {
-			best = at
+		if c.tier() < lowest {
+			lowest, eligible = c.tier(), eligible[:0]
+		}
+		eligible = append(eligible, i)
+	}
+	best := -1
+	for range min(choices, len(eligible)) {
+		at := draw(len(eligible))
+		drawn := eligible[at]
+		eligible = slices.Delete(eligible, at, at+1)
+		if best < 0 || candidates[drawn].score(largest) < candidates[best].score(largest) {
+			best = drawn
 		}
 	}
 	return best
--- a/forward/field.go
+++ b/forward/field.go
@@ -25,6 +25,7 @@
 			Ahead:        d.peers.Ahead(p.Model, t.Instance.ID),
 			Near:         t.Instance.FailureDomain == d.failureDomain,
 			Avoid:        !d.works(t, now),
+			Slow:         t.Slowness > 1,
 			Doubtful:     t.Load.Suspected(now),
 		}
 	}
@@ -43,7 +44,7 @@
 			candidates[i].Avoid = candidates[i].Avoid || w.avoid[t.Instance.ID]
 		}
 	}
-	best := Choose(candidates, rand.IntN(len(candidates)))
+	best := Choose(candidates, rand.IntN)
 	if best < 0 {
 		return nil
 	}
