Complete large groups from the survivors; leave loads to new instances

Ruled out: too few instances (140 to 160, 100 needed).

Survivors are now kept where a few members of a model with groups to spare make them whole, and spare weights take under half of the loads at once.

--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -186,7 +186,7 @@
 		s.Profile = &catalog.EngineProfile{Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7,
 			Models: append([]catalog.Model{{Name: "unused", Size: 2, Pace: 1}}, profile.Models...)}
 		s.Demand = map[string]float64{"large": 60, "small": 10}
-		Expect(formation.Make(s).Reserve.Model).To(Equal("large"))
+		Expect(formation.Make(s).Reserve).To(ContainElement(HaveField("Model", "large")))
 	})
 
 	It("gives members of groups another model's weights with loads to spare", func() {
@@ -201,6 +201,52 @@
 		Expect(operations(formation.Make(s))).To(BeEmpty())
 	})
 
+	Describe("survivors of a large group", func() {
+		// others returns groups of the small model, all of whose members have the
+		// weights of the large one.
+		others := func(n int, domain string) (list []*engine.Instance) {
+			for i := range n {
+				for _, in := range group(fmt.Sprintf("%s-s%d", domain, i), "small", domain, 2, engine.Open) {
+					in.Staged = []string{"large"}
+					list = append(list, in)
+				}
+			}
+			return list
+		}
+		survivors := func() []*engine.Instance { return idle("d0", 3, "large", "small") }
+
+		It("are kept whole with members of a model that has groups to spare", func() {
+			// Guards against large groups that vanish with each loss, since their
+			// survivors are a member short of another one.
+			s := situation(survivors(), others(1, "d0"), others(4, "d1"), group("l", "large", "d2", 4, engine.Open))
+			s.Demand = map[string]float64{"large": 10, "small": 10}
+			p := formation.Make(s)
+			Expect(p.Groups).To(BeEmpty())
+			Expect(operations(p)).To(ContainElement("close d0-s0-0"))
+			Expect(p.Reserve).To(ConsistOf(And(HaveField("Model", "large"), HaveField("Domain", "d0"))))
+		})
+
+		It("are used at once if no model has groups to spare", func() {
+			// Guards against idle instances, and against taking groups that are needed.
+			s := situation(survivors(), others(1, "d0"), group("l", "large", "d2", 4, engine.Open))
+			s.Demand = map[string]float64{"large": 10, "small": 60}
+			p := formation.Make(s)
+			Expect(models(p)).To(Equal([]string{"small"}))
+			Expect(p.Reserve).To(BeEmpty())
+		})
+	})
+
+	It("leaves most loads to new instances while members of groups load spare weights", func() {
+		// Guards against new instances that wait behind loads nobody is waiting for.
+		var lists [][]*engine.Instance
+		for i := range 10 {
+			lists = append(lists, group(fmt.Sprintf("g%d", i), "small", "d0", 2, engine.Open))
+		}
+		s := situation(lists...)
+		s.Loads = 7
+		Expect(formation.Make(s).Commands).To(HaveLen(3))
+	})
+
 	It("starts no more loads than allowed", func() {
 		// Guards against more loads than the weight store serves.
 		s := situation(idle("d0", 9))
@@ -235,14 +281,15 @@
 		s.Demand = map[string]float64{"large": 60, "small": 10}
 		p := formation.Make(s)
 		Expect(operations(p)).To(HaveLen(2))
-		Expect(p.Reserve.Model).To(Equal("large"))
+		Expect(p.Reserve).To(HaveLen(1))
+		Expect(p.Reserve[0].Model).To(Equal("large"))
 		Expect(p.Commands[0].CutRunning).To(BeFalse())
 		for _, in := range s.Instances {
-			if slices.Contains(p.Reserve.Closed, engine.GroupID{Name: in.Membership.Group, Epoch: 1}) && in.Membership.Rank == 0 {
+			if slices.Contains(p.Reserve[0].Closed, engine.GroupID{Name: in.Membership.Group, Epoch: 1}) && in.Membership.Rank == 0 {
 				in.Membership.Phase = engine.Ready
 			}
 		}
-		s.Reserved = map[string]formation.Reservation{"d0": p.Reserve}
+		s.Reserved = map[string]formation.Reservation{"d0": p.Reserve[0]}
 		left := map[string]bool{}
 		for _, c := range formation.Make(s).Commands {
 			Expect(c.Operation).To(Equal(engine.Leave))
@@ -262,6 +309,6 @@
 		s.Reserved, s.DemandFor = nil, time.Second
 		s.Groups = engine.GroupsOf(slices.Concat(lists[:8]...))
 		s.Instances = slices.Concat(lists[:8]...)
-		Expect(formation.Make(s).Reserve.Domain).To(BeEmpty())
+		Expect(formation.Make(s).Reserve).To(BeEmpty())
 	})
 })
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -28,9 +28,10 @@
 		}
 		c.send(ctx, command)
 	}
-	if p.Reserve.Domain != "" {
-		c.reserved[p.Reserve.Domain] = p.Reserve
-		_ = level.Info(c.Logger).Log("msg", "instances kept for a model that is short", "model", p.Reserve.Model, "domain", p.Reserve.Domain)
+	for _, r := range p.Reserve {
+		c.reserved[r.Domain] = r
+		_ = level.Info(c.Logger).Log("msg", "instances kept for a model that is short", "model", r.Model, "domain", r.Domain,
+			"closed_groups", len(r.Closed))
 	}
 	for _, d := range p.Groups {
 		if domain := d.Members[0].FabricDomain; c.reserved[domain].Model == d.Model {
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -15,8 +15,8 @@
 	Commands []engine.Command
 	// Groups are new groups.
 	Groups []Draft
-	// Reserve keeps free instances for a model; zero for no change.
-	Reserve Reservation
+	// Reserve keeps free instances of domains for a model.
+	Reserve []Reservation
 }
 
 // Draft is a group to be formed.
@@ -36,10 +36,14 @@
 		}
 	}
 	free, need := s.free(), s.needs()
+	completions, reservations := s.complete(free, need)
 	p.Groups = s.drafts(free, need)
 	p.Commands = append(p.Commands, s.stages(free, need)...)
 	closes, reservation := s.rebalance(free, need)
-	p.Commands, p.Reserve = append(p.Commands, closes...), reservation
+	if reservation.Domain != "" {
+		reservations = append(reservations, reservation)
+	}
+	p.Commands, p.Reserve = append(append(p.Commands, completions...), closes...), reservations
 	return p
 }
 
--- a/formation/rebalance.go
+++ b/formation/rebalance.go
@@ -74,15 +74,7 @@
 	if best == nil {
 		return nil, Reservation{}
 	}
-	var commands []engine.Command
-	domain := best[0].Members[0].FabricDomain
-	reservation := Reservation{Domain: domain, Model: short.Name, Until: s.Now.Add(reservationTime)}
-	for _, g := range best {
-		reservation.Closed = append(reservation.Closed, g.ID)
-		commands = append(commands, engine.Command{Operation: engine.CloseHead, Instance: g.Head().ID,
-			Address: g.Head().Address, Group: g.ID})
-	}
-	return commands, reservation
+	return s.closeFor(short.Name, best[0].Members[0].FabricDomain, best)
 }
 
 // shortest returns the model that lacks the greatest part of its groups, or nil if
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -12,6 +12,10 @@
 // of the groups that a model needs.
 const completionValue = 0.15
 
+// spareLoadShare is the part of the loads that run at once that members of serving
+// groups may take. Such a load takes as long as one that a new instance waits for.
+const spareLoadShare = 0.45
+
 // reservedLoads are kept for instances that are listed next.
 const reservedLoads = 2
 
@@ -34,7 +38,11 @@
 			commands = append(commands, s.stage(in, model.Name))
 		}
 	}
-	if spare := s.Loads - len(commands) - reservedLoads; spare > 0 {
+	spare := s.Loads - len(commands) - reservedLoads
+	if atOnce := s.Profile.LoadsAtOnce; atOnce > 0 {
+		spare = min(spare, int(spareLoadShare*float64(atOnce))-s.spareLoading())
+	}
+	if spare > 0 {
 		commands = append(commands, s.spareStages(need, spare)...)
 	}
 	return commands
@@ -65,6 +73,17 @@
 	return commands
 }
 
+// spareLoading counts the loads of members of groups.
+func (s *Situation) spareLoading() int {
+	n := 0
+	for _, in := range s.Instances {
+		if in.Membership.Group != "" && s.Staging[in.ID] != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // stagesBeforeTraffic loads another model onto the host of each member of a
 // serving group, while loads cost next to nothing. Such an instance can join groups
 // of either model later without a load.
