--- a/formation/complete.go
+++ b/formation/complete.go
@@ -61,7 +61,8 @@
 		if members <= 0 {
 			break
 		}
-		if need.working[g.Model]-closed[g.Model]-1 < need.required[g.Model] {
+		// A group with more members than are missing would serve more than it completes.
+		if len(g.Members) > members+1 || need.working[g.Model]-closed[g.Model]-1 < need.required[g.Model] {
 			continue
 		}
 		closed[g.Model]++
--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -226,6 +226,19 @@
 			Expect(p.Reserve).To(ConsistOf(And(HaveField("Model", "large"), HaveField("Domain", "d0"))))
 		})
 
+		It("don't cost another group that serves more than theirs would", func() {
+			// Guards against a large group that is closed to complete a small one.
+			large := group("l", "large", "d0", 4, engine.Open)
+			for _, in := range large {
+				in.Staged = []string{"small"}
+			}
+			s := situation(idle("d0", 1, "small"), large, group("m", "large", "d1", 4, engine.Open),
+				group("n", "small", "d1", 2, engine.Open), group("o", "small", "d1", 2, engine.Open))
+			s.Demand = map[string]float64{"large": 1, "small": 10}
+			s.Loads = 0
+			Expect(operations(formation.Make(s))).NotTo(ContainElement("close l-0"))
+		})
+
 		It("are used at once if no model has groups to spare", func() {
 			// Guards against idle instances, and against taking groups that are needed.
 			s := situation(survivors(), others(1, "d0"), group("l", "large", "d2", 4, engine.Open))
