Plan with less of the slots of larger groups; trust the demand once it settled

Cause: both models were planned at 0.6 of their slots, so groups of two had places to spare (load 10 of 20) while the groups of eight, which break with any of eight members and take long to replace, were taken as enough at six (load 17 of 20, a third of the first events late). In the first seconds the averaged demand lags, so lost large groups weren't completed.

--- a/formation/complete.go
+++ b/formation/complete.go
@@ -17,7 +17,7 @@
 // few for another one and would go to a model that has enough. Requests of closed
 // groups finish first.
 func (s *Situation) complete(free domains, need *needs) ([]engine.Command, []Reservation) {
-	if s.LoadsAreShort || s.DemandFor < settledDemand {
+	if s.LoadsAreShort {
 		return nil, nil
 	}
 	s.Reserved = maps.Clone(s.Reserved)
@@ -53,7 +53,7 @@
 }
 
 // spareGroups returns groups with the given number of members, at least, whose
-// models have more than they require; nil if there are too few.
+// models have more than their share and than they require; nil if there are too few.
 func (s *Situation) spareGroups(groups []*engine.Group, need *needs, members int) []*engine.Group {
 	var taken []*engine.Group
 	closed := map[string]float64{}
@@ -62,7 +62,7 @@
 			break
 		}
 		// A group with more members than are missing would serve more than it completes.
-		if len(g.Members) > members+1 || need.working[g.Model]-closed[g.Model]-1 < need.required[g.Model] {
+		if len(g.Members) > members+1 || need.working[g.Model]-closed[g.Model]-1 < max(need.required[g.Model], need.target[g.Model]-1) {
 			continue
 		}
 		closed[g.Model]++
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -211,7 +211,12 @@
 	c.settle(s)
 	c.settleStaging(s)
 	c.trackGroups(s)
-	began := !c.cfg.FirstStart || c.term > 1 || len(s.Demand) > 0
+	first := c.cfg.FirstStart && c.term <= 1
+	began := !first || len(s.Demand) > 0
+	if first && s.DemandFor < settledDemand {
+		// The first requests show less than the demand to come.
+		s.Demand = nil
+	}
 	s.LoadsAreShort = !began
 	s.Loads = c.loads.available(service.Engine, c.loading(s), began, now)
 	return s
--- a/formation/need.go
+++ b/formation/need.go
@@ -11,9 +11,12 @@
 	baseDemand = 4
 	// reservePerMember is the reserve for each member of a group.
 	reservePerMember = 0.25
-	// planUse is the part of a group's slots that is planned with. The rest is for
-	// bursts and for the time until a lost group is replaced.
-	planUse = 0.6
+	// fullUse is the part of the slots that is planned with, but for bursts, and
+	// useLostPerMember what is left free besides for each member of a group: it
+	// breaks with any of them, and larger ones take longer to replace.
+	fullUse, useLostPerMember = 0.8, 0.05
+	// leastUse bounds the part of the slots that is planned with.
+	leastUse = 0.3
 	// warmValue is the worth of members that need no load, as a part of the
 	// groups that a model needs.
 	warmValue = 0.25
@@ -49,7 +52,7 @@
 		}
 	}
 	for _, m := range s.Profile.Models {
-		n.required[m.Name] = s.Demand[m.Name] / (float64(max(s.Profile.Slots, 1)) * planUse)
+		n.required[m.Name] = s.Demand[m.Name] / (float64(max(s.Profile.Slots, 1)) * planUse(&m))
 		if total > 0 {
 			n.target[m.Name] = usable * weights[m.Name] / total / float64(m.Size)
 		}
@@ -93,6 +96,11 @@
 // with any of its members, so larger ones need more of a reserve.
 func reserve(m *catalog.Model) float64 { return 1 + reservePerMember*float64(m.Size) }
 
+// planUse is the part of the slots of a model's groups that is planned with.
+func planUse(m *catalog.Model) float64 {
+	return max(fullUse-useLostPerMember*float64(m.Size), leastUse)
+}
+
 // keeps reports whether a group serves or will.
 func (s *Situation) keeps(g *engine.Group) bool {
 	size := s.size(g)
