Let one node watch the store, and the rest of a failing store's callers wait their turn

Now one node watches, the first one of each other domain follows it, and the others follow theirs; up to three further guides are asked in turn, and a node that comes later asks a failing store less often. Tests: entry TestGuides, TestAsksTheStoreAfterItsGuides.

--- a/entry/module.go
+++ b/entry/module.go
@@ -93,8 +93,8 @@
 	configurations, instances *follow.Follower
 }
 
-func newRelay(s Settings, store *platform.Store) *relay {
-	return &relay{store: store, settings: s}
+func newRelay(s Settings, store *platform.Store, logger log.Logger) *relay {
+	return &relay{store: store, settings: s, logger: log.With(logger, "component", "relay")}
 }
 
 func newFollowers(r *relay, logger log.Logger) followers {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -5,11 +5,15 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/mesh"
@@ -24,8 +28,14 @@
 	// relayCheck is the time between two looks at whether the store still answers this
 	// node, while another one waits for changes.
 	relayCheck = 100 * time.Millisecond
-	// relayPause is how long the store is asked after a node failed.
+	// relayPause is how long a guide that failed isn't asked.
 	relayPause = 2 * time.Second
+	// maxGuides is the number of guides that one call asks.
+	maxGuides = 3
+	// storePausePerNode is the time between two calls to a failing store for each node
+	// that comes before this one, maxStorePause the longest one.
+	storePausePerNode = 100 * time.Millisecond
+	maxStorePause     = 1500 * time.Millisecond
 )
 
 // writeChanges answers another node that follows this node's copy. It refuses as
@@ -65,33 +75,26 @@
 	}
 }
 
-// relay is the source of the documents. One node of each failure domain watches the
-// store; the others follow its copy, since every call to the store is paid for. A
-// node whose guide fails, or isn't answered by the store, asks the store itself.
+// relay is the source of the documents. One node watches the store, since every call
+// to it is paid for. The first node of each other failure domain follows its copy, and
+// the rest follow the first one of their domain. A node whose guides fail, or aren't
+// answered by the store, asks the store itself.
 type relay struct {
 	store    *platform.Store
 	settings Settings
+	logger   log.Logger
 	// mesh is set once it exists; it is made of parts that need the documents.
 	mesh atomic.Pointer[mesh.Mesh]
-	// askStoreUntil is the end of the pause after a failure, in Unix nanoseconds.
-	askStoreUntil atomic.Int64
+
+	mu sync.Mutex
+	// failed maps guides that failed to the time until which they aren't asked.
+	failed map[string]time.Time
+	// askStoreAt is the time before which the store isn't asked after a failure.
+	askStoreAt time.Time
 }
 
 var _ follow.Source = (*relay)(nil)
 
-// guide returns the node whose copy is followed, or nil if the store is asked.
-func (r *relay) guide() *mesh.Node {
-	nodes := r.mesh.Load()
-	if nodes == nil || time.Now().UnixNano() < r.askStoreUntil.Load() {
-		return nil
-	}
-	own := r.settings.identity()
-	if first := nodes.View().First(&own); first.Name != own.Name {
-		return first
-	}
-	return nil
-}
-
 // List implements follow.Source. It always asks the store: a list is needed only at
 // the start and after a lost history.
 func (r *relay) List(ctx context.Context, kind string) (object.Listing, error) {
@@ -100,17 +103,105 @@
 
 // Changes implements follow.Source.
 func (r *relay) Changes(ctx context.Context, kind string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
-	guide := r.guide()
-	if guide == nil {
-		return r.store.Changes(ctx, kind, cursor, wait)
+	var guides []*mesh.Node
+	if nodes := r.mesh.Load(); nodes != nil {
+		guides = guidesOf(r.settings.identity(), nodes.View().Live)
+	}
+	usable, own := r.usable(guides, time.Now())
+	for _, guide := range usable {
+		delta, err := r.follow(ctx, guide, kind, cursor, wait)
+		if err == nil || errors.Is(err, context.Canceled) {
+			return delta, err
+		}
+		r.fail(guide, err, time.Now())
+		// The changes since the cursor are wanted at once; the next call waits.
+		wait = 0
+	}
+	if !own || !r.mayAskStore(time.Now()) {
+		return follow.Delta{}, object.ErrUnavailable
+	}
+	delta, err := r.store.Changes(ctx, kind, cursor, wait)
+	if err != nil && ctx.Err() == nil {
+		r.storeFailed(len(guides), time.Now())
+	}
+	return delta, err
+}
+
+// guidesOf returns the nodes whose copies a node may follow, the first choice first:
+// those of its domain that come before it, or, for the first one of a domain, the
+// first ones of other domains that come before it. It answers to the number of calls
+// to the store and of followers at one node.
+func guidesOf(own mesh.Node, live []*mesh.Node) []*mesh.Node {
+	nodes := []*mesh.Node{&own}
+	for _, n := range live {
+		if n.Serving && !n.Leaving && n.Name != own.Name {
+			nodes = append(nodes, n)
+		}
 	}
-	delta, err := r.follow(ctx, guide, kind, cursor, wait)
-	if err == nil || errors.Is(err, context.Canceled) {
-		return delta, err
+	slices.SortFunc(nodes, mesh.CompareByCapacity)
+	seen := map[string]bool{}
+	var firsts, domain []*mesh.Node
+	for _, n := range nodes {
+		first := !seen[n.FailureDomain]
+		seen[n.FailureDomain] = true
+		switch {
+		case n == &own && first:
+			return firsts
+		case n == &own:
+			return domain
+		case n.FailureDomain == own.FailureDomain:
+			domain = append(domain, n)
+		case first:
+			firsts = append(firsts, n)
+		}
+	}
+	return nil
+}
+
+// usable returns the guides to ask, and whether the store may be asked after them.
+func (r *relay) usable(guides []*mesh.Node, now time.Time) (usable []*mesh.Node, own bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range guides {
+		if now.Before(r.failed[g.Name]) {
+			continue
+		}
+		if len(usable) == maxGuides {
+			return usable, false
+		}
+		usable = append(usable, g)
+	}
+	return usable, true
+}
+
+// fail keeps a guide out for a while.
+func (r *relay) fail(guide *mesh.Node, err error, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failed == nil {
+		r.failed = map[string]time.Time{}
+	}
+	for name, until := range r.failed {
+		if now.After(until) {
+			delete(r.failed, name)
+		}
 	}
-	r.askStoreUntil.Store(time.Now().Add(relayPause).UnixNano())
-	// The changes since the cursor are wanted at once; the next call waits.
-	return r.store.Changes(ctx, kind, cursor, 0)
+	r.failed[guide.Name] = now.Add(relayPause)
+	_ = level.Info(r.logger).Log("msg", "copy of a node not followed", "peer", guide.Name, "err", err)
+}
+
+func (r *relay) mayAskStore(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !now.Before(r.askStoreAt)
+}
+
+// storeFailed puts off the next call to a store that fails, the longer the more nodes
+// come before this one: they ask, too, and are followed once one is answered.
+func (r *relay) storeFailed(before int, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.askStoreAt = now.Add(min(time.Duration(before)*storePausePerNode, maxStorePause))
 }
 
 // follow asks the guide for its changes.
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -68,3 +69,56 @@
 		})
 	}
 }
+
+// Guards against calls to the store that grow with the nodes, and against one node
+// that all others follow.
+func TestGuides(t *testing.T) {
+	g := NewWithT(t)
+	var nodes []*mesh.Node
+	for i := range 88 {
+		nodes = append(nodes, &mesh.Node{Name: fmt.Sprint("n", i), FailureDomain: fmt.Sprint("z", i%3), Capacity: 19, Serving: true})
+	}
+	alone := 0
+	followers := map[string]int{}
+	for _, n := range nodes {
+		guides := guidesOf(*n, nodes)
+		if len(guides) == 0 {
+			alone++
+			continue
+		}
+		followers[guides[0].Name]++
+		g.Expect(guides).NotTo(ContainElement(HaveField("Name", n.Name)))
+	}
+	g.Expect(alone).To(Equal(1))
+	g.Expect(followers).To(HaveLen(3))
+	for _, n := range followers {
+		g.Expect(n).To(BeNumerically("<=", 31))
+	}
+}
+
+// Guards against a flood of calls while the store is down, and against nodes that
+// wait for guides that the store turns away.
+func TestAsksTheStoreAfterItsGuides(t *testing.T) {
+	g := NewWithT(t)
+	r := &relay{logger: log.NewNopLogger()}
+	now := time.Now()
+	var guides []*mesh.Node
+	for i := range 5 {
+		guides = append(guides, &mesh.Node{Name: fmt.Sprint("n", i)})
+	}
+	usable, own := r.usable(guides, now)
+	g.Expect(usable).To(HaveLen(maxGuides))
+	g.Expect(own).To(BeFalse())
+	for _, guide := range guides[:4] {
+		r.fail(guide, object.ErrUnavailable, now)
+	}
+	usable, own = r.usable(guides, now)
+	g.Expect(usable).To(HaveLen(1))
+	g.Expect(own).To(BeTrue())
+	g.Expect(r.mayAskStore(now)).To(BeTrue())
+	r.storeFailed(len(guides), now)
+	g.Expect(r.mayAskStore(now.Add(400 * time.Millisecond))).To(BeFalse())
+	g.Expect(r.mayAskStore(now.Add(500 * time.Millisecond))).To(BeTrue())
+	usable, _ = r.usable(guides, now.Add(relayPause))
+	g.Expect(usable[0].Name).To(Equal("n0"))
+}
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -1,10 +1,6 @@
 package mesh
 
-import (
-	"slices"
-
-	"github.com/rattanlanding/rattanlanding/rendezvous"
-)
+import "github.com/rattanlanding/rattanlanding/rendezvous"
 
 // View is what is known of the other nodes. It is immutable.
 type View struct {
@@ -73,15 +69,3 @@
 	}
 	return 1 + v.serving()
 }
-
-// First returns the node of a failure domain, among the live ones and own, that all
-// nodes choose for work that one does for the domain.
-func (v *View) First(own *Node) *Node {
-	nodes := []*Node{own}
-	for _, n := range v.Live {
-		if n.FailureDomain == own.FailureDomain && n.takesWork() {
-			nodes = append(nodes, n)
-		}
-	}
-	return slices.MinFunc(nodes, CompareByCapacity)
-}
