Add a fault soak of the nodes as separate processes

Real nodes run against the stand-in of the users' platform behind loopback links that reset, go silent, pass one way or delay; processes are killed, paused, stopped and signalled; the store is down, forgets or turns nodes away; engines crash, leave, lose answers. Checked: runs of unsafe requests, truth of refusals, whole and own answers, order of events, keys, final answers, whole groups, recovery, processes that end by themselves. rattanbench soak, make soak SEED=n SEEDS=m; a short run in the tests.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 POINT ?=
 BIN := build/bin
 
-.PHONY: build test check demo prove measure generate fuzz clean
+.PHONY: build test check demo prove measure soak generate fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,6 +27,11 @@
 	$(GO) test -c -o build/prove.test ./internal/prove
 	cd internal/prove && ../../build/prove.test -test.timeout 20m -together 2 -seed $(SEED) -point "$(POINT)"
 
+# soak runs nodes under random faults drawn by SEED, SEEDS runs one after the other.
+SEEDS ?= 1
+soak: build
+	$(BIN)/rattanbench soak --seed $(SEED) --seeds $(SEEDS)
+
 # demo shows the whole path on this machine.
 demo: build
 	scripts/demo.sh
--- a/cmd/rattanbench/main.go
+++ b/cmd/rattanbench/main.go
@@ -4,15 +4,19 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/rattanlanding/rattanlanding/internal/bench"
 	"github.com/rattanlanding/rattanlanding/internal/measure"
+	"github.com/rattanlanding/rattanlanding/internal/soak"
 )
 
 // directoryMode is the mode of folders that are made for results.
@@ -23,6 +27,7 @@
 	Demo    demoCommand    `cmd:"" help:"Show the request path against the stand-ins."`
 	Load    loadCommand    `cmd:"" help:"Send completions and report times and failures."`
 	Measure measureCommand `cmd:"" help:"Run the measurements with a fixed seed."`
+	Soak    soakCommand    `cmd:"" help:"Run nodes under random faults and check what callers and engines see."`
 }
 
 // demoCommand runs the demonstration.
@@ -87,6 +92,38 @@
 	return measure.Run(ctx, measure.Options{Only: c.Only, Seed: c.Seed, Lines: file, Table: os.Stdout})
 }
 
+// soakCommand runs the fault soak.
+type soakCommand struct {
+	Program string        `help:"Program of the nodes." default:"build/bin/rattanlanding"`
+	Seed    uint64        `help:"First seed." default:"1"`
+	Seeds   int           `help:"Number of seeds, one after the other." default:"1"`
+	Length  time.Duration `help:"Time in which faults begin." default:"15s"`
+	Nodes   int           `help:"Number of nodes." default:"4"`
+	Between time.Duration `help:"Mean time between two requests." default:"15ms"`
+	Dir     string        `help:"Folder for settings and logs." default:"build/soak"`
+}
+
+// errBroken means that a run of the soak found broken promises.
+var errBroken = errors.New("promises were broken")
+
+// Run implements kong's command interface.
+func (c *soakCommand) Run(ctx context.Context) error {
+	var failed error
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		result, err := soak.Run(ctx, soak.Options{Program: c.Program, Seed: seed, Length: c.Length, Nodes: c.Nodes,
+			Between: c.Between, Dir: filepath.Join(c.Dir, strconv.FormatUint(seed, 10)), Output: os.Stdout})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d of %d requests served, %d promises broken\n", seed, result.Served, result.Calls, len(result.Broken))
+		for _, line := range result.Broken {
+			fmt.Println("broken:", line)
+			failed = errBroken
+		}
+	}
+	return failed
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// regressions are seeds that failed once, with the cause of each.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "none: the seed of the short run"},
+}
+
+func TestSeeds(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(r.cause, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			result, err := Run(context.Background(), Options{Program: filepath.Join("..", "..", "build", "bin", "rattanlanding"),
+				Seed: r.seed, Length: 5 * time.Second, Nodes: 3, Between: 20 * time.Millisecond, Dir: t.TempDir(), Output: io.Discard})
+			g.Expect(err).NotTo(HaveOccurred(), "run make build first")
+			g.Expect(result.Broken).To(BeEmpty())
+			g.Expect(result.Served).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// Guards against a seed that draws other faults the next time.
+func TestPlanFollowsFromTheSeed(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(newPlan(7, 10*time.Second)).To(Equal(newPlan(7, 10*time.Second)))
+	g.Expect(newPlan(7, 10*time.Second)).NotTo(Equal(newPlan(8, 10*time.Second)))
+	for seed := range uint64(50) {
+		for _, f := range newPlan(seed, 10*time.Second) {
+			g.Expect(f.at + f.lasts).To(BeNumerically("<=", 10*time.Second+shortest))
+			g.Expect(f.kind).NotTo(BeEmpty())
+		}
+	}
+}
+
+// Guards against faults that don't do what their names say.
+func TestLink(t *testing.T) {
+	g := NewWithT(t)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer target.Close()
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	l, err := newLink("127.0.0.1:0", target.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.close()
+	echo := func(conn net.Conn) error {
+		g.Expect(conn.SetDeadline(time.Now().Add(400 * time.Millisecond))).To(Succeed())
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", l.address())
+		g.Expect(err).NotTo(HaveOccurred())
+		return conn
+	}
+	conn := dial()
+	g.Expect(echo(conn)).To(Succeed())
+	for _, m := range []mode{silent, deaf, mute} {
+		l.begin(m)
+		var timeout net.Error
+		g.Expect(errors.As(echo(conn), &timeout) && timeout.Timeout()).To(BeTrue())
+		l.end(m)
+		conn = dial()
+		g.Expect(echo(conn)).To(Succeed())
+	}
+	l.begin(slow)
+	started := time.Now()
+	g.Expect(echo(conn)).To(Succeed())
+	g.Expect(time.Since(started)).To(BeNumerically(">=", 2*slowDelay))
+	l.end(slow)
+	l.begin(reset)
+	g.Expect(echo(conn)).NotTo(Succeed())
+	l.end(reset)
+	g.Expect(echo(dial())).To(Succeed())
+}
+
+// Guards against checks that see nothing.
+func TestChecksSeeBrokenPromises(t *testing.T) {
+	g := NewWithT(t)
+	calm := &node{}
+	now := time.Now()
+	ok := func() *call {
+		return &call{id: "r", path: "/pay/x", key: "k1", node: calm, started: now, ended: now.Add(time.Second),
+			status: 200, whole: true, engine: "e", answers: "r"}
+	}
+	for name, spoil := range map[string]func(*call){
+		"another request's answer": func(c *call) { c.answers = "other" },
+		"no engine's answer":       func(c *call) { c.engine = "" },
+		"a missing event":          func(c *call) { c.path, c.events = "/chat/x", []int{1, 3} },
+		"a doubled event":          func(c *call) { c.path, c.events = "/chat/x", []int{1, 1} },
+		"a short whole stream":     func(c *call) { c.path, c.events = "/chat/x", []int{1, 2} },
+		"an event of another":      func(c *call) { c.strange = true },
+	} {
+		c := ok()
+		spoil(c)
+		g.Expect(c.checkAnswer()).NotTo(BeEmpty(), name)
+	}
+	g.Expect(ok().checkAnswer()).To(BeEmpty())
+	g.Expect(ok().checkFinal()).To(BeEmpty())
+	late := ok()
+	late.ended = now.Add(patience + time.Second)
+	g.Expect(late.checkFinal()).NotTo(BeEmpty())
+	lost := ok()
+	lost.status = 0
+	g.Expect(lost.checkFinal()).NotTo(BeEmpty())
+	w := &world{}
+	denied := ok()
+	denied.status = 401
+	g.Expect(w.checkDenied(denied)).NotTo(BeEmpty())
+	w.revokedAt = now.Add(-time.Minute)
+	revoked := ok()
+	revoked.key = "k2"
+	g.Expect(w.checkDenied(revoked)).NotTo(BeEmpty())
+}
