--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -13,10 +13,8 @@
 
 // Modes of a link.
 const (
-	// pass forwards bytes.
-	pass mode = iota
 	// reset refuses connections and ends open ones.
-	reset
+	reset mode = iota
 	// silent accepts connections and forwards nothing either way.
 	silent
 	// deaf forwards what the target sends only.
