Count all groups that closed ones will form; let the next node take a dead holder's lease sooner

The holder was killed at 11.2 s; its lease was taken at 15.1 s, with 67 instances free: the node that came first in the order couldn't claim it, and a restarted holder waited for its own old lease.

A reservation counts the groups it will form, two domains at a time are moved; the second choice claims a lease that the first one leaves, and a restarted node takes over its own. Tests: formation, lease.

--- a/entry/module.go
+++ b/entry/module.go
@@ -38,6 +38,9 @@
 	// leaseStable keeps the lease where it is: nothing is gained by moving it, and
 	// a new holder starts with the list alone.
 	leaseStable = 24 * time.Hour
+	// leaseWatchers is one more than the nodes that may be lost at once beside the
+	// holder for no reason in common.
+	leaseWatchers = 3
 	// formationShard is the lease's name. One holder decides for all domains.
 	formationShard = "formation"
 	// collectorPercent trades processor time for memory: the live heap is small.
@@ -138,6 +141,7 @@
 	return lease.New(lease.Config{
 		Node: s.Node, Boot: strconv.FormatInt(st.mesh.Boot(), 10),
 		Duration: leaseDuration, Renew: leaseRenewal, CallTimeout: storeTimeout, Stable: leaseStable,
+		Watchers: leaseWatchers, SoleBoot: true,
 	}, store, board, func() []string { return []string{formationShard} }, logger, registry)
 }
 
--- a/formation/complete.go
+++ b/formation/complete.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/engine"
 )
 
@@ -40,8 +41,8 @@
 			if taken == nil {
 				continue
 			}
-			closes, reservation := s.closeFor(model.Name, domain, taken)
-			need.working[model.Name]++
+			closes, reservation := s.closeFor(model, free[domain], taken)
+			need.working[model.Name] += float64(reservation.Groups)
 			for _, g := range taken {
 				need.working[g.Model]--
 			}
@@ -77,13 +78,16 @@
 
 // closeFor returns the orders that close groups for the sake of a model, and the
 // reservation of their domain.
-func (s *Situation) closeFor(model, domain string, groups []*engine.Group) ([]engine.Command, Reservation) {
+func (s *Situation) closeFor(model *catalog.Model, free []*engine.Instance, groups []*engine.Group) ([]engine.Command, Reservation) {
 	var commands []engine.Command
-	reservation := Reservation{Domain: domain, Model: model, Until: s.Now.Add(reservationTime)}
+	reservation := Reservation{Domain: groups[0].Members[0].FabricDomain, Model: model.Name, Until: s.Now.Add(reservationTime)}
+	members := len(warmOf(free, model.Name))
 	for _, g := range groups {
+		members += len(g.Members)
 		reservation.Closed = append(reservation.Closed, g.ID)
 		commands = append(commands, engine.Command{Operation: engine.CloseHead, Instance: g.Head().ID,
 			Address: g.Head().Address, Group: g.ID})
 	}
+	reservation.Groups = members / model.Size
 	return commands, reservation
 }
--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -249,6 +249,37 @@
 		})
 	})
 
+	It("moves no more groups at a time than the lack asks for", func() {
+		// Guards against most groups of one model that are closed within a few steps,
+		// before the groups from their members are counted.
+		var lists [][]*engine.Instance
+		for i := range 9 {
+			for _, in := range group(fmt.Sprintf("l%d", i), "large", fmt.Sprint("d", i), 4, engine.Open) {
+				in.Staged = []string{"small"}
+				lists = append(lists, []*engine.Instance{in})
+			}
+		}
+		s := situation(slices.Concat(lists...), group("s", "small", "d9", 2, engine.Open))
+		s.Demand = map[string]float64{"large": 20, "small": 60}
+		s.Loads = 0
+		s.Reserved = map[string]formation.Reservation{}
+		closed := map[string]bool{}
+		for range 10 {
+			p := formation.Make(s)
+			for _, c := range p.Commands {
+				if c.Operation == engine.CloseHead {
+					closed[c.Instance] = true
+					s.Ordered[c.Instance] = true
+				}
+			}
+			for _, r := range p.Reserve {
+				Expect(r.Groups).To(Equal(2))
+				s.Reserved[r.Domain] = r
+			}
+		}
+		Expect(closed).To(HaveLen(2))
+	})
+
 	It("leaves most loads to new instances while members of groups load spare weights", func() {
 		// Guards against new instances that wait behind loads nobody is waiting for.
 		var lists [][]*engine.Instance
--- a/formation/need.go
+++ b/formation/need.go
@@ -63,7 +63,7 @@
 		}
 	}
 	for _, r := range s.Reserved {
-		n.working[r.Model]++
+		n.working[r.Model] += float64(r.Groups)
 	}
 	return n
 }
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -34,13 +34,25 @@
 			"closed_groups", len(r.Closed))
 	}
 	for _, d := range p.Groups {
-		if domain := d.Members[0].FabricDomain; c.reserved[domain].Model == d.Model {
-			delete(c.reserved, domain)
-		}
+		c.useReservation(d)
 		c.form(ctx, d)
 	}
 }
 
+// useReservation counts a new group as one of those that its domain is reserved for.
+func (c *Controller) useReservation(d Draft) {
+	domain := d.Members[0].FabricDomain
+	r := c.reserved[domain]
+	if r.Model != d.Model {
+		return
+	}
+	if r.Groups--; r.Groups > 0 {
+		c.reserved[domain] = r
+	} else {
+		delete(c.reserved, domain)
+	}
+}
+
 // form orders the members of a new group to join.
 func (c *Controller) form(ctx context.Context, d Draft) {
 	id := engine.GroupID{Name: groupName(c.nextEpoch), Epoch: c.nextEpoch}
--- a/formation/rebalance.go
+++ b/formation/rebalance.go
@@ -16,6 +16,9 @@
 	// reservationTime is how long the instances of closed groups are kept for the
 	// model that they were closed for: streams in progress take some seconds.
 	reservationTime = 4500 * time.Millisecond
+	// maxReserved bounds the domains whose groups move to another model at a time, so
+	// that the demand is judged again before more of them do.
+	maxReserved = 2
 )
 
 // Reservation keeps the free instances of a domain for one model.
@@ -24,6 +27,8 @@
 	Until         time.Time
 	// Closed are the groups whose members are to be used.
 	Closed []engine.GroupID
+	// Groups is the number of groups that the instances will form.
+	Groups int
 }
 
 // givesUp reports whether a group was closed for the sake of another model.
@@ -51,7 +56,7 @@
 		return nil, Reservation{}
 	}
 	short := s.shortest(need)
-	if short == nil || need.lacks(short.Name) <= 0 {
+	if short == nil || need.lacks(short.Name) <= 0 || len(s.Reserved) >= maxReserved {
 		return nil, Reservation{}
 	}
 	var best []*engine.Group
@@ -74,7 +79,7 @@
 	if best == nil {
 		return nil, Reservation{}
 	}
-	return s.closeFor(short.Name, best[0].Members[0].FabricDomain, best)
+	return s.closeFor(short, free[best[0].Members[0].FabricDomain], best)
 }
 
 // shortest returns the model that lacks the greatest part of its groups, or nil if
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -104,11 +104,14 @@
 	done  chan struct{}
 }
 
-func start(s *store, name string) *node {
+func start(s *store, name string) *node { return startAs(s, name, lease.Config{}) }
+
+func startAs(s *store, name string, cfg lease.Config) *node {
+	cfg.Node, cfg.Boot = name, name+"-1"
 	n := &node{name: name, gate: gate{store: s}, done: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	m := lease.New(lease.Config{Node: name, Boot: name + "-1"}, &n.gate, &n.board,
+	m := lease.New(cfg, &n.gate, &n.board,
 		func() []string { return []string{shard} }, log.NewNopLogger(), metrics.NewRegistry())
 	go func() {
 		_ = m.Run(ctx)
@@ -274,3 +277,37 @@
 		end(n)
 	})
 }
+
+// Guards against a lease that nobody holds because the first choice, which other
+// nodes hear well, can't reach the platform.
+func TestSecondChoiceClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &store{}
+		first, second := pair(g, s)
+		first.gate.set(true)
+		time.Sleep(lease.DefaultDuration + 2*lease.DefaultRenew + 2*time.Second)
+		_, ok := second.holds()
+		g.Expect(ok).To(BeTrue())
+		_, ok = first.holds()
+		g.Expect(ok).To(BeFalse())
+		end(first, second)
+	})
+}
+
+// Guards against waiting for the lease of a process that has certainly ended.
+func TestRestartedHolderClaimsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &store{}
+		s.current = object.Object{Key: object.Key{Kind: lease.Kind, Name: shard}, Version: 3,
+			Value: []byte(`{"holder":"a","boot":"a-0","epoch":4,"renewal":2,"durationMs":4000}`)}
+		n := startAs(s, "a", lease.Config{SoleBoot: true})
+		n.sees(map[string]fleet.NodeState{"a": fleet.NodeServing})
+		time.Sleep(time.Second)
+		held, ok := n.holds()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(held.Epoch).To(Equal(uint64(5)))
+		end(n)
+	})
+}
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -29,9 +29,9 @@
 	// DefaultCallTimeout limits one call to the platform. It is below the lease
 	// duration less one renewal, so a slow call alone does not lose the lease.
 	DefaultCallTimeout = time.Second
-	// watchers is the number of candidates that read the record of a shard. The
-	// second one knows how long the record is unchanged when the first one dies.
-	watchers = 2
+	// DefaultWatchers is the number of candidates that read the record of a shard.
+	// The second one knows how long the record is unchanged when the first one dies.
+	DefaultWatchers = 2
 )
 
 // Config configures a Manager. Zero durations take the defaults.
@@ -44,6 +44,11 @@
 	Stable      time.Duration
 	Suspect     time.Duration
 	CallTimeout time.Duration
+	// Watchers is the number of candidates that read the record of a shard.
+	Watchers int
+	// SoleBoot tells that a process only starts once the earlier one of its name has
+	// ended, so that it takes over that one's leases at once.
+	SoleBoot bool
 }
 
 // withDefaults returns c with its zero fields set.
@@ -53,6 +58,7 @@
 	c.Stable = cmp.Or(c.Stable, DefaultStable)
 	c.Suspect = cmp.Or(c.Suspect, DefaultSuspect)
 	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.Watchers = cmp.Or(c.Watchers, DefaultWatchers)
 	return c
 }
 
--- a/lease/shard.go
+++ b/lease/shard.go
@@ -70,7 +70,7 @@
 // hold.
 func (s *shard) advance(ctx context.Context, m *Manager, order []string) {
 	rank := slices.Index(order, m.cfg.Node)
-	if rank < 0 || (!s.held && rank >= watchers) {
+	if rank < 0 || (!s.held && rank >= m.cfg.Watchers) {
 		s.known = false
 		return
 	}
@@ -87,7 +87,7 @@
 			next.Renewal++
 			s.write(ctx, m, next)
 		}
-	case rank == 0 && s.claimable(m.cfg):
+	case s.claimable(m.cfg, rank):
 		next := Record{Holder: m.cfg.Node, Boot: m.cfg.Boot, Epoch: s.record.Epoch + 1,
 			DurationMs: m.cfg.Duration.Milliseconds()}
 		if s.write(ctx, m, next) {
@@ -98,9 +98,14 @@
 }
 
 // claimable tells whether the lease is absent, released, or unchanged for its
-// duration by this process's monotonic clock.
-func (s *shard) claimable(cfg Config) bool {
+// duration by this process's monotonic clock. Later choices leave the first one time
+// to read it, each Renew, and to claim it; it may be unable to reach the platform.
+func (s *shard) claimable(cfg Config, rank int) bool {
+	waits := 2 * time.Duration(rank) * cfg.Renew
 	if s.version == 0 || s.record.Released {
+		return time.Since(s.changedAt) >= waits
+	}
+	if cfg.SoleBoot && s.record.Holder == cfg.Node && s.record.Boot != cfg.Boot {
 		return true
 	}
 	if s.record.Holder == cfg.Node && s.record.Boot == cfg.Boot {
@@ -108,7 +113,7 @@
 		return true
 	}
 	lasts := max(cfg.Duration, time.Duration(s.record.DurationMs)*time.Millisecond)
-	return time.Since(s.changedAt) >= lasts
+	return time.Since(s.changedAt) >= lasts+waits
 }
 
 // read fetches the record and settles whether this node holds the lease.
