--- a/lease/shard.go
+++ b/lease/shard.go
@@ -168,6 +168,9 @@
 		s.accept(next, before, m.cfg)
 		return true
 	}
+	if s.held {
+		level.Warn(m.logger).Log("msg", "lease not renewed", "shard", s.name, "good_for_ms", time.Until(s.goodUntil).Milliseconds(), "err", err)
+	}
 	if errors.Is(err, object.ErrUnavailable) {
 		return false
 	}
