--- a/entry/documents.go
+++ b/entry/documents.go
@@ -34,6 +34,8 @@
 	pathInstances     = "/documents/instances"
 	// pathChanges is added for the changes after a cursor.
 	pathChanges = "/changes"
+	// queryConfirmed asks for a document only if the store answers the node.
+	queryConfirmed = "confirmed"
 )
 
 // Documents gives other nodes this node's copies, and takes newer ones from them
@@ -63,6 +65,10 @@
 		c.Status(http.StatusNotFound)
 		return
 	}
+	if c.Query(queryConfirmed) != "" && f.Lost() {
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
 	writeMsgpack(c, s)
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -118,7 +118,7 @@
 func newStatus(s Settings, w *World, tables *forward.Tables, f followers, r *relay, logger log.Logger, registry metrics.Registry) *status {
 	st := &status{settings: s, world: w, tables: tables, instances: f.instances}
 	st.mesh = mesh.New(mesh.Config{Node: s.Node, Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, logger, registry)
-	r.mesh.Store(st.mesh)
+	r.live = func() []*mesh.Node { return st.mesh.View().Live }
 	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.FailureDomain)
 	return st
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -24,6 +24,17 @@
 	c.Data(http.StatusOK, "application/msgpack", data)
 }
 
+// peerStatusError is an answer without a document.
+type peerStatusError struct {
+	address string
+	status  int
+}
+
+// Error implements error.
+func (e *peerStatusError) Error() string {
+	return fmt.Sprintf("node at %s answered %d", e.address, e.status)
+}
+
 // getFromPeer reads an answer of another node into target, within a time.
 func getFromPeer(ctx context.Context, address, path string, timeout time.Duration, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -38,7 +49,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("node at %s answered %d", address, response.StatusCode)
+		return &peerStatusError{address, response.StatusCode}
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxDocument))
 	if err != nil {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -83,8 +82,9 @@
 	store    *platform.Store
 	settings Settings
 	logger   log.Logger
-	// mesh is set once it exists; it is made of parts that need the documents.
-	mesh atomic.Pointer[mesh.Mesh]
+	// live returns the other nodes. It is set before the start, once the mesh exists,
+	// which is made of parts that need the documents.
+	live func() []*mesh.Node
 
 	mu sync.Mutex
 	// failed maps guides that failed to the time until which they aren't asked.
@@ -95,22 +95,31 @@
 
 var _ follow.Source = (*relay)(nil)
 
-// List implements follow.Source. It always asks the store: a list is needed only at
-// the start and after a lost history.
+// List implements follow.Source. A guide's copy is as good as the store's: a history
+// that is lost to all nodes at once is then listed by one of them.
 func (r *relay) List(ctx context.Context, kind string) (object.Listing, error) {
+	usable, own := r.usable(r.guides(), time.Now())
+	for _, guide := range usable {
+		var s follow.Snapshot
+		err := getFromPeer(ctx, guide.PeerAddress, documentPath(kind)+"?"+queryConfirmed+"=1", fetchTimeout, &s)
+		if err == nil {
+			return object.Listing{Cursor: s.Cursor, Changed: true, Objects: s.Objects}, nil
+		}
+		r.fail(guide, err, time.Now())
+	}
+	if !own || !r.mayAskStore(time.Now()) {
+		return object.Listing{}, object.ErrUnavailable
+	}
 	return r.store.List(ctx, kind)
 }
 
 // Changes implements follow.Source.
 func (r *relay) Changes(ctx context.Context, kind string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
-	var guides []*mesh.Node
-	if nodes := r.mesh.Load(); nodes != nil {
-		guides = guidesOf(r.settings.identity(), nodes.View().Live)
-	}
+	guides := r.guides()
 	usable, own := r.usable(guides, time.Now())
 	for _, guide := range usable {
 		delta, err := r.follow(ctx, guide, kind, cursor, wait)
-		if err == nil || errors.Is(err, context.Canceled) {
+		if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, follow.ErrHistoryGone) {
 			return delta, err
 		}
 		r.fail(guide, err, time.Now())
@@ -121,12 +130,25 @@
 		return follow.Delta{}, object.ErrUnavailable
 	}
 	delta, err := r.store.Changes(ctx, kind, cursor, wait)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, follow.ErrHistoryGone) {
 		r.storeFailed(len(guides), time.Now())
 	}
 	return delta, err
 }
 
+// guides returns the nodes whose copies this node may follow.
+func (r *relay) guides() []*mesh.Node {
+	return guidesOf(r.settings.identity(), r.live())
+}
+
+// documentPath returns the path of a kind's copies on the peer address.
+func documentPath(kind string) string {
+	if kind == platform.ConfigurationKind {
+		return pathConfiguration
+	}
+	return pathInstances
+}
+
 // guidesOf returns the nodes whose copies a node may follow, the first choice first:
 // those of its domain that come before it, or, for the first one of a domain, the
 // first ones of other domains that come before it. It answers to the number of calls
@@ -206,12 +228,12 @@
 
 // follow asks the guide for its changes.
 func (r *relay) follow(ctx context.Context, guide *mesh.Node, kind string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
-	path := pathInstances
-	if kind == platform.ConfigurationKind {
-		path = pathConfiguration
-	}
-	path += fmt.Sprintf("%s?after=%d&waitMs=%d", pathChanges, cursor, wait.Milliseconds())
+	path := documentPath(kind) + fmt.Sprintf("%s?after=%d&waitMs=%d", pathChanges, cursor, wait.Milliseconds())
 	var delta follow.Delta
 	err := getFromPeer(ctx, guide.PeerAddress, path, wait+relayTimeout, &delta)
+	var status *peerStatusError
+	if errors.As(err, &status) && status.status == http.StatusGone {
+		return delta, follow.ErrHistoryGone
+	}
 	return delta, err
 }
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -122,3 +122,23 @@
 	usable, _ = r.usable(guides, now.Add(relayPause))
 	g.Expect(usable[0].Name).To(Equal("n0"))
 }
+
+// Guards against nodes that all ask the store again when the one that watches it lost
+// its history, and that wait for each other (scale-2 of maracas-hq-grown).
+func TestTakesTheGuidesCopyWhenItsHistoryIsGone(t *testing.T) {
+	g := NewWithT(t)
+	f := follow.New(follow.Config{Kind: platform.ConfigurationKind, Wait: watchWait}, &turnedAway{}, log.NewNopLogger())
+	f.Adopt(follow.Snapshot{Cursor: 9, Objects: []object.Object{{Key: object.Key{Kind: platform.ConfigurationKind, Name: "main"}, Version: 9}}})
+	server := httptest.NewServer((&Documents{configurations: f, instances: f}).Handler())
+	defer server.Close()
+	settings := DefaultSettings()
+	settings.Node, settings.FailureDomain, settings.PeerAddress = "n", "z", "127.0.94.1:1"
+	guide := mesh.Node{Name: "guide", FailureDomain: "z", Capacity: 200, Serving: true, PeerAddress: strings.TrimPrefix(server.URL, "http://")}
+	r := &relay{settings: settings, logger: log.NewNopLogger(), live: func() []*mesh.Node { return []*mesh.Node{&guide} }}
+	_, err := r.Changes(context.Background(), platform.ConfigurationKind, 5, 0)
+	g.Expect(err).To(MatchError(follow.ErrHistoryGone))
+	listing, err := r.List(context.Background(), platform.ConfigurationKind)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listing.Cursor).To(Equal(object.Version(9)))
+	g.Expect(listing.Objects).To(HaveLen(1))
+}
