Catch up by changes instead of whole copies, from the own failure domain first

Cause: a node that the store doesn't answer took the whole instance list, 1.5 MB for 3,000 instances, from the newest node of any domain, five times a second while others were ahead. Test: entry TestCatchesUpByChanges.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -34,7 +35,8 @@
 	pathInstances     = "/documents/instances"
 	// pathChanges is added for the changes after a cursor.
 	pathChanges = "/changes"
-	// queryConfirmed asks for a document only if the store answers the node.
+	// queryConfirmed asks for a document, or changes, only if the store answers the
+	// node.
 	queryConfirmed = "confirmed"
 )
 
@@ -45,6 +47,7 @@
 	instances      *follow.Follower
 	world          *World
 	mesh           *mesh.Mesh
+	failureDomain  string
 	logger         log.Logger
 }
 
@@ -88,11 +91,11 @@
 		if c := d.world.Configuration.Load(); c != nil {
 			version = c.Version
 		}
-		best := newest(view, version, func(n *mesh.Node) uint64 { return n.ConfigurationVersion })
+		best := newest(view, d.failureDomain, version, func(n *mesh.Node) uint64 { return n.ConfigurationVersion })
 		d.fetch(ctx, best, pathConfiguration, d.configurations)
 	}
 	if isCutOff(d.instances) {
-		best := newest(view, d.listCursor(), func(n *mesh.Node) object.Version { return n.ListCursor })
+		best := newest(view, d.failureDomain, d.listCursor(), func(n *mesh.Node) object.Version { return n.ListCursor })
 		d.fetch(ctx, best, pathInstances, d.instances)
 	}
 }
@@ -108,22 +111,42 @@
 	return 0
 }
 
-// newest returns the node with the greatest value above own, or nil.
-func newest[T cmp.Ordered](view *mesh.View, own T, value func(*mesh.Node) T) *mesh.Node {
-	var best *mesh.Node
-	for _, s := range view.Live {
-		if value(s) > own && (best == nil || value(s) > value(best)) {
-			best = s
+// newest returns the node with the greatest value above own, one of the failure domain
+// if there is any, or nil.
+func newest[T cmp.Ordered](view *mesh.View, domain string, own T, value func(*mesh.Node) T) *mesh.Node {
+	var near, best *mesh.Node
+	for _, n := range view.Live {
+		if value(n) <= own {
+			continue
+		}
+		if best == nil || value(n) > value(best) {
+			best = n
+		}
+		if n.FailureDomain == domain && (near == nil || value(n) > value(near)) {
+			near = n
 		}
 	}
-	return best
+	return cmp.Or(near, best)
 }
 
-// fetch takes a document from a node.
+// fetch takes the changes of a document from a node, or all of it if that node doesn't
+// know what changed since.
 func (d *Documents) fetch(ctx context.Context, from *mesh.Node, path string, f *follow.Follower) {
 	if from == nil {
 		return
 	}
+	cursor := f.Cursor()
+	delta, err := changesOf(ctx, from, path, cursor, 0, "")
+	if err == nil {
+		if f.Apply(cursor, delta) {
+			_ = level.Info(d.logger).Log("msg", "changes taken from a node", "peer", from.Name, "path", path, "cursor", delta.Cursor)
+		}
+		return
+	}
+	if !errors.Is(err, follow.ErrHistoryGone) {
+		_ = level.Warn(d.logger).Log("msg", "changes not taken from a node", "peer", from.Name, "path", path, "err", err)
+		return
+	}
 	var s follow.Snapshot
 	if err := getFromPeer(ctx, from.PeerAddress, path, fetchTimeout, &s); err != nil {
 		_ = level.Warn(d.logger).Log("msg", "document not taken from a node", "peer", from.Name, "path", path, "err", err)
--- a/entry/module.go
+++ b/entry/module.go
@@ -132,8 +132,8 @@
 		})
 }
 
-func newDocuments(f followers, w *World, st *status, logger log.Logger) *Documents {
-	return &Documents{configurations: f.configurations, instances: f.instances, world: w, mesh: st.mesh,
+func newDocuments(s Settings, f followers, w *World, st *status, logger log.Logger) *Documents {
+	return &Documents{configurations: f.configurations, instances: f.instances, world: w, mesh: st.mesh, failureDomain: s.FailureDomain,
 		logger: log.With(logger, "component", "documents")}
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -37,9 +37,9 @@
 	maxStorePause     = 1500 * time.Millisecond
 )
 
-// writeChanges answers another node that follows this node's copy. It refuses as
-// soon as the store doesn't answer this node, so that the other one asks the store
-// itself.
+// writeChanges answers another node with the changes of this node's copy. To one that
+// follows this copy it refuses as soon as the store doesn't answer this node, so that
+// the other one asks the store itself.
 func writeChanges(c *gin.Context, f *follow.Follower) {
 	after, err := strconv.ParseUint(c.Query("after"), 10, 64)
 	waitMs, waitErr := strconv.Atoi(c.Query("waitMs"))
@@ -47,7 +47,14 @@
 		c.Status(http.StatusBadRequest)
 		return
 	}
-	delta, err := sinceWhileReachable(c.Request.Context(), f, object.Version(after), time.Duration(waitMs)*time.Millisecond)
+	cursor, wait := object.Version(after), time.Duration(waitMs)*time.Millisecond
+	since := f.Since
+	if c.Query(queryConfirmed) != "" {
+		since = func(ctx context.Context, cursor object.Version, wait time.Duration) (follow.Delta, error) {
+			return sinceWhileReachable(ctx, f, cursor, wait)
+		}
+	}
+	delta, err := since(c.Request.Context(), cursor, wait)
 	switch {
 	case errors.Is(err, follow.ErrHistoryGone):
 		c.Status(http.StatusGone)
@@ -228,9 +235,14 @@
 
 // follow asks the guide for its changes.
 func (r *relay) follow(ctx context.Context, guide *mesh.Node, kind string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
-	path := documentPath(kind) + fmt.Sprintf("%s?after=%d&waitMs=%d", pathChanges, cursor, wait.Milliseconds())
+	return changesOf(ctx, guide, documentPath(kind), cursor, wait, "&"+queryConfirmed+"=1")
+}
+
+// changesOf asks a node for the changes of its copy.
+func changesOf(ctx context.Context, n *mesh.Node, path string, cursor object.Version, wait time.Duration, query string) (follow.Delta, error) {
+	path += fmt.Sprintf("%s?after=%d&waitMs=%d%s", pathChanges, cursor, wait.Milliseconds(), query)
 	var delta follow.Delta
-	err := getFromPeer(ctx, guide.PeerAddress, path, wait+relayTimeout, &delta)
+	err := getFromPeer(ctx, n.PeerAddress, path, wait+relayTimeout, &delta)
 	var status *peerStatusError
 	if errors.As(err, &status) && status.status == http.StatusGone {
 		return delta, follow.ErrHistoryGone
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -142,3 +143,34 @@
 	g.Expect(listing.Cursor).To(Equal(object.Version(9)))
 	g.Expect(listing.Objects).To(HaveLen(1))
 }
+
+// Guards against whole copies of a large list that each node takes again and again
+// while the store is down.
+func TestCatchesUpByChanges(t *testing.T) {
+	g := NewWithT(t)
+	named := func(name string, version object.Version) object.Object {
+		return object.Object{Key: object.Key{Kind: platform.InstanceKind, Name: name}, Version: version}
+	}
+	source := follow.New(follow.Config{Kind: platform.InstanceKind}, &turnedAway{}, log.NewNopLogger())
+	source.Adopt(follow.Snapshot{Cursor: 5, Objects: []object.Object{named("a", 5)}})
+	g.Expect(source.Apply(5, follow.Delta{Cursor: 7, Events: []follow.Event{{Object: named("b", 7)}}})).To(BeTrue())
+	var asked []string
+	handler := (&Documents{configurations: source, instances: source}).Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.URL.Path)
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	from := &mesh.Node{Name: "from", PeerAddress: strings.TrimPrefix(server.URL, "http://")}
+	d := &Documents{logger: log.NewNopLogger()}
+	behind := follow.New(follow.Config{Kind: platform.InstanceKind}, &turnedAway{}, log.NewNopLogger())
+	behind.Adopt(follow.Snapshot{Cursor: 5, Objects: []object.Object{named("a", 5)}})
+	d.fetch(context.Background(), from, pathInstances, behind)
+	g.Expect(behind.Current.Load().Objects).To(HaveLen(2))
+	g.Expect(asked).To(Equal([]string{pathInstances + pathChanges}))
+	far := follow.New(follow.Config{Kind: platform.InstanceKind}, &turnedAway{}, log.NewNopLogger())
+	far.Adopt(follow.Snapshot{Cursor: 1})
+	d.fetch(context.Background(), from, pathInstances, far)
+	g.Expect(far.Cursor()).To(Equal(object.Version(7)))
+	g.Expect(asked).To(HaveLen(3))
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -164,11 +164,16 @@
 	if err != nil {
 		return false, err
 	}
+	return f.Apply(cursor, delta), nil
+}
+
+// Apply takes changes over that follow a cursor, and reports whether there were any. A
+// copy that is newer by now stays.
+func (f *Follower) Apply(cursor object.Version, delta Delta) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cursor != cursor {
-		// A newer copy came from another node meanwhile.
-		return false, nil
+		return false
 	}
 	for _, e := range delta.Events {
 		if e.Deleted {
@@ -182,7 +187,7 @@
 		f.remember(delta)
 		f.publish()
 	}
-	return len(delta.Events) > 0, nil
+	return len(delta.Events) > 0
 }
 
 // Adopt replaces the copy by a snapshot that is not older.
