--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -101,6 +101,25 @@
 		Expect(models(p)).To(ContainElements("large", "small"))
 	})
 
+	It("divides the instances at the start by the shares of the work", func() {
+		// Guards against a start with twice the large groups that the demand needs,
+		// while every small one is full.
+		var lists [][]*engine.Instance
+		for i := range 9 {
+			lists = append(lists, idle(fmt.Sprint("d", i), 18))
+		}
+		s := situation(lists...)
+		s.Profile = &catalog.EngineProfile{Slots: 20, LoadsPerSecond: 14, LoadsAtOnce: 20, Models: []catalog.Model{
+			{Name: "large", Size: 8, Share: 0.5, Pace: 1}, {Name: "small", Size: 2, Share: 0.5, Pace: 0.6}}}
+		s.LoadsAreShort, s.Loads, s.Demand = true, 1000, nil
+		used := map[string]int{}
+		for _, d := range formation.Make(s).Groups {
+			used[d.Model] += len(d.Members)
+		}
+		Expect(used["large"]).To(BeNumerically("~", 81, 8))
+		Expect(used["small"]).To(BeNumerically("~", 81, 8))
+	})
+
 	It("opens a group only when every member has joined", func() {
 		// Guards against requests in a group that lacks a member.
 		ready := situation(group("g", "small", "d0", 2, engine.Ready))
--- a/formation/need.go
+++ b/formation/need.go
@@ -17,6 +17,8 @@
 	fullUse, useLostPerMember = 0.8, 0.05
 	// leastUse bounds the part of the slots that is planned with.
 	leastUse = 0.3
+	// leastShare keeps groups of a model for which no work is expected.
+	leastShare = 0.01
 	// warmValue is the worth of members that need no load, as a part of the
 	// groups that a model needs.
 	warmValue = 0.25
@@ -79,12 +81,13 @@
 // lacks returns the number of groups that a model misses to serve its demand.
 func (n *needs) lacks(model string) float64 { return n.required[model] - n.working[model] }
 
-// weights returns the instances that each model's demand occupies, in any unit.
+// weights returns the instances that each model's demand occupies, in any unit. Before
+// the demand is known, a model's share of the work is its share of the instances.
 func (s *Situation) weights() map[string]float64 {
 	weights := map[string]float64{}
 	for _, m := range s.Profile.Models {
 		if len(s.Demand) == 0 {
-			weights[m.Name] = max(m.Share, 0.01) * reserve(&m)
+			weights[m.Name] = max(m.Share, leastShare)
 			continue
 		}
 		weights[m.Name] = (s.Demand[m.Name] + baseDemand) * float64(m.Size) * reserve(&m)
