Bound the reserve for larger groups at the start instead of leaving it out

The reserve is bounded at that of groups of four, so that the small deployments start as before and groups of eight take 92 instances, not 108.

--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -101,7 +101,7 @@
 		Expect(models(p)).To(ContainElements("large", "small"))
 	})
 
-	It("divides the instances at the start by the shares of the work", func() {
+	It("divides the instances at the start by the shares of the work and a bounded reserve", func() {
 		// Guards against a start with twice the large groups that the demand needs,
 		// while every small one is full.
 		var lists [][]*engine.Instance
@@ -116,8 +116,9 @@
 		for _, d := range formation.Make(s).Groups {
 			used[d.Model] += len(d.Members)
 		}
-		Expect(used["large"]).To(BeNumerically("~", 81, 8))
-		Expect(used["small"]).To(BeNumerically("~", 81, 8))
+		// 162 instances, 2 to 1.5.
+		Expect(used["large"]).To(BeNumerically("~", 92, 8))
+		Expect(used["small"]).To(BeNumerically("~", 70, 8))
 	})
 
 	It("opens a group only when every member has joined", func() {
--- a/formation/need.go
+++ b/formation/need.go
@@ -19,6 +19,9 @@
 	leastUse = 0.3
 	// leastShare keeps groups of a model for which no work is expected.
 	leastShare = 0.01
+	// maxStartReserve bounds the reserve before the demand is known, so that very large
+	// groups leave enough instances to the other models.
+	maxStartReserve = 2
 	// warmValue is the worth of members that need no load, as a part of the
 	// groups that a model needs.
 	warmValue = 0.25
@@ -82,12 +85,13 @@
 func (n *needs) lacks(model string) float64 { return n.required[model] - n.working[model] }
 
 // weights returns the instances that each model's demand occupies, in any unit. Before
-// the demand is known, a model's share of the work is its share of the instances.
+// the demand is known, a model's share of the work is its share of the instances, but
+// for a bounded reserve.
 func (s *Situation) weights() map[string]float64 {
 	weights := map[string]float64{}
 	for _, m := range s.Profile.Models {
 		if len(s.Demand) == 0 {
-			weights[m.Name] = max(m.Share, leastShare)
+			weights[m.Name] = max(m.Share, leastShare) * min(reserve(&m), maxStartReserve)
 			continue
 		}
 		weights[m.Name] = (s.Demand[m.Name] + baseDemand) * float64(m.Size) * reserve(&m)
