--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,7 @@
 	engineDeaf  kind = "engine-deaf"
 	engineSlow  kind = "engine-slow"
 	engineLost  kind = "engine-lost"
+	ordersLate  kind = "orders-late"
 	keyRevoked  kind = "key-revoked"
 )
 
@@ -41,7 +42,7 @@
 }{
 	{nodeKill, 4}, {nodePause, 3}, {nodeStop, 3}, {nodeHangUp, 1}, {allKill, 1},
 	{storeDown, 2}, {storeForget, 2}, {storeReset, 2}, {storeSilent, 2}, {storeMute, 1}, {storeSlow, 1},
-	{engineCrash, 4}, {engineDrain, 2}, {engineReset, 2}, {engineMute, 2}, {engineDeaf, 1}, {engineSlow, 1}, {engineLost, 2},
+	{engineCrash, 6}, {engineDrain, 2}, {engineReset, 2}, {engineMute, 2}, {engineDeaf, 1}, {engineSlow, 1}, {engineLost, 2}, {ordersLate, 5},
 	{keyRevoked, 1},
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -148,11 +149,25 @@
 	return e
 }
 
-// pick returns the engine that a fault names.
+// alive returns the engines that weren't taken away.
+func (w *world) alive() []*engine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.engines)
+}
+
+// pick returns the engine that a fault names: half of the faults are those of plain
+// servers, which alone run unsafe requests.
 func (w *world) pick(target int) *engine {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.engines[target%len(w.engines)]
+	var some []*engine
+	for _, e := range w.engines {
+		if (e.Events == 0) == (target%2 == 0) {
+			some = append(some, e)
+		}
+	}
+	return some[target/2%len(some)]
 }
 
 // apply begins a fault and returns what ends it.
@@ -220,6 +235,16 @@
 		e.Drain()
 		time.AfterFunc(drainTime, func() { e.Crash(0) })
 		return w.replace(e)
+	case ordersLate:
+		engines := w.alive()
+		for _, e := range engines {
+			e.SetLate(lateShare)
+		}
+		return func() {
+			for _, e := range engines {
+				e.SetLate(0)
+			}
+		}
 	case engineLost:
 		e := w.pick(f.target)
 		e.SetLost(lostShare)
@@ -231,6 +256,9 @@
 	return func() { e.link.end(m) }
 }
 
+// lateShare is the share of the orders that are late while some are.
+const lateShare = 0.4
+
 // lostShare is the share of the answers that an engine loses while it does.
 const lostShare = 0.3
 
