--- a/entry/documents.go
+++ b/entry/documents.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -48,6 +49,7 @@
 	world          *World
 	mesh           *mesh.Mesh
 	failureDomain  string
+	answers        encodedAnswers
 	logger         log.Logger
 }
 
@@ -56,13 +58,13 @@
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	for path, f := range map[string]*follow.Follower{pathConfiguration: d.configurations, pathInstances: d.instances} {
-		router.GET(path, func(c *gin.Context) { writeSnapshot(c, f) })
-		router.GET(path+pathChanges, func(c *gin.Context) { writeChanges(c, f) })
+		router.GET(path, func(c *gin.Context) { d.writeSnapshot(c, path, f) })
+		router.GET(path+pathChanges, func(c *gin.Context) { d.writeChanges(c, path, f) })
 	}
 	return router
 }
 
-func writeSnapshot(c *gin.Context, f *follow.Follower) {
+func (d *Documents) writeSnapshot(c *gin.Context, path string, f *follow.Follower) {
 	s := f.Current.Load()
 	if s == nil {
 		c.Status(http.StatusNotFound)
@@ -72,7 +74,7 @@
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
-	writeMsgpack(c, s)
+	d.answers.write(c, answerKey{path: path, whole: true, upTo: s.Cursor}, s)
 }
 
 // Run catches up with other nodes until ctx ends.
@@ -83,7 +85,7 @@
 	return nil
 }
 
-// catchUp takes documents from the node with the newest ones.
+// catchUp takes documents from a node with newer ones.
 func (d *Documents) catchUp(ctx context.Context) {
 	view := d.mesh.View()
 	if isCutOff(d.configurations) {
@@ -91,12 +93,12 @@
 		if c := d.world.Configuration.Load(); c != nil {
 			version = c.Version
 		}
-		best := newest(view, d.failureDomain, version, func(n *mesh.Node) uint64 { return n.ConfigurationVersion })
-		d.fetch(ctx, best, pathConfiguration, d.configurations)
+		from := newer(view, d.failureDomain, version, func(n *mesh.Node) uint64 { return n.ConfigurationVersion })
+		d.fetch(ctx, from, pathConfiguration, d.configurations)
 	}
 	if isCutOff(d.instances) {
-		best := newest(view, d.failureDomain, d.listCursor(), func(n *mesh.Node) object.Version { return n.ListCursor })
-		d.fetch(ctx, best, pathInstances, d.instances)
+		from := newer(view, d.failureDomain, d.listCursor(), func(n *mesh.Node) object.Version { return n.ListCursor })
+		d.fetch(ctx, from, pathInstances, d.instances)
 	}
 }
 
@@ -111,22 +113,26 @@
 	return 0
 }
 
-// newest returns the node with the greatest value above own, one of the failure domain
-// if there is any, or nil.
-func newest[T cmp.Ordered](view *mesh.View, domain string, own T, value func(*mesh.Node) T) *mesh.Node {
-	var near, best *mesh.Node
+// newer draws a node with a value above own, one of the failure domain if there is any,
+// or returns nil. All nodes that are behind would ask the newest one.
+func newer[T cmp.Ordered](view *mesh.View, domain string, own T, value func(*mesh.Node) T) *mesh.Node {
+	var near, far []*mesh.Node
 	for _, n := range view.Live {
-		if value(n) <= own {
-			continue
-		}
-		if best == nil || value(n) > value(best) {
-			best = n
-		}
-		if n.FailureDomain == domain && (near == nil || value(n) > value(near)) {
-			near = n
+		switch {
+		case value(n) <= own:
+		case n.FailureDomain == domain:
+			near = append(near, n)
+		default:
+			far = append(far, n)
 		}
 	}
-	return cmp.Or(near, best)
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[rand.IntN(len(near))]
 }
 
 // fetch takes the changes of a document from a node, or all of it if that node doesn't
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -7,23 +7,12 @@
 	"net/http"
 	"time"
 
-	"github.com/gin-gonic/gin"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
 // peerClient keeps connections to the peer addresses of other nodes.
 var peerClient = &http.Client{}
 
-// writeMsgpack answers another node.
-func writeMsgpack(c *gin.Context, value any) {
-	data, err := msgpack.Marshal(value)
-	if err != nil {
-		c.Status(http.StatusInternalServerError)
-		return
-	}
-	c.Data(http.StatusOK, "application/msgpack", data)
-}
-
 // peerStatusError is an answer without a document.
 type peerStatusError struct {
 	address string
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -40,7 +40,7 @@
 // writeChanges answers another node with the changes of this node's copy. To one that
 // follows this copy it refuses as soon as the store doesn't answer this node, so that
 // the other one asks the store itself.
-func writeChanges(c *gin.Context, f *follow.Follower) {
+func (d *Documents) writeChanges(c *gin.Context, path string, f *follow.Follower) {
 	after, err := strconv.ParseUint(c.Query("after"), 10, 64)
 	waitMs, waitErr := strconv.Atoi(c.Query("waitMs"))
 	if err != nil || waitErr != nil {
@@ -63,7 +63,7 @@
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
-	writeMsgpack(c, delta)
+	d.answers.write(c, answerKey{path: path, after: cursor, upTo: delta.Cursor}, delta)
 }
 
 // sinceWhileReachable waits for changes until the store fails to answer this node.
