--- a/formation/need.go
+++ b/formation/need.go
@@ -35,6 +35,8 @@
 	// spare, working those that exist or form, where one over several domains counts
 	// as a part.
 	required, working map[string]float64
+	// full is the number of groups by model that serve its demand with no room.
+	full map[string]float64
 	// coming is the number of instances by model that have or load its weights
 	// and belong to no group.
 	coming map[string]float64
@@ -44,7 +46,7 @@
 // needs divides all instances between the models by their demand.
 func (s *Situation) needs() *needs {
 	n := &needs{target: map[string]float64{},
-		coming: map[string]float64{}, required: map[string]float64{}, working: map[string]float64{}, models: s.Profile.Models}
+		coming: map[string]float64{}, required: map[string]float64{}, working: map[string]float64{}, full: map[string]float64{}, models: s.Profile.Models}
 	weights := s.weights()
 	total := 0.0
 	for _, w := range weights {
@@ -57,7 +59,8 @@
 		}
 	}
 	for _, m := range s.Profile.Models {
-		n.required[m.Name] = s.Demand[m.Name] / (float64(max(s.Profile.Slots, 1)) * planUse(&m))
+		n.full[m.Name] = s.Demand[m.Name] / float64(max(s.Profile.Slots, 1))
+		n.required[m.Name] = n.full[m.Name] / planUse(&m)
 		if total > 0 {
 			n.target[m.Name] = usable * weights[m.Name] / total / float64(m.Size)
 		}
--- a/formation/rebalance.go
+++ b/formation/rebalance.go
@@ -82,18 +82,17 @@
 	return s.closeFor(short, free[best[0].Members[0].FabricDomain], best)
 }
 
-// shortest returns the model that lacks the greatest part of its groups, or nil if
-// none has demand.
+// shortest returns the model whose groups are the fullest, or nil if none has demand.
 func (s *Situation) shortest(need *needs) *catalog.Model {
 	var short *catalog.Model
-	part := 0.0
+	least := 0.0
 	for i := range s.Profile.Models {
 		m := &s.Profile.Models[i]
-		if need.required[m.Name] <= 0 {
+		if need.full[m.Name] <= 0 {
 			continue
 		}
-		if lacking := need.lacks(m.Name) / need.required[m.Name]; short == nil || lacking > part {
-			short, part = m, lacking
+		if room := need.working[m.Name] / need.full[m.Name]; short == nil || room < least {
+			short, least = m, room
 		}
 	}
 	return short
@@ -115,12 +114,13 @@
 	return byDomain
 }
 
-// affords reports whether a model would still have a greater part of the groups that
-// it requires than another one with a group more, after a number of its groups are
-// closed. With too few instances for both, both then lack the same part.
+// affords reports whether a model's groups would still be less full than those of
+// another one with a group more, after a number of them are closed. The room that is
+// planned with differs between models; with too few instances for it, the groups of
+// all are equally full.
 func affords(need *needs, model string, closed int, short string) bool {
-	after := (need.working[model] - float64(closed)) / need.required[model]
-	return after >= (need.working[short]+1)/need.required[short]
+	after := (need.working[model] - float64(closed)) / need.full[model]
+	return after >= (need.working[short]+1)/need.full[short]
 }
 
 // warmOf returns the instances that have the weights of a model.
