--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -273,18 +273,21 @@
 		// Guards against small groups, full already, that are closed to give large ones
 		// the room that is planned with (scale-1 of maracas-hq-grown).
 		var lists [][]*engine.Instance
-		for i := range 8 {
+		for i := range 32 {
 			for _, in := range group(fmt.Sprintf("s%d", i), "small", fmt.Sprint("d", i/4), 2, engine.Open) {
 				in.Staged = []string{"large"}
 				lists = append(lists, []*engine.Instance{in})
 			}
 		}
-		s := situation(slices.Concat(lists...), group("l", "large", "d3", 8, engine.Open))
+		for i := range 9 {
+			lists = append(lists, group(fmt.Sprintf("l%d", i), "large", fmt.Sprint("e", i), 8, engine.Open))
+		}
+		s := situation(lists...)
 		s.Profile = &catalog.EngineProfile{Slots: 20, LoadsPerSecond: 14, LoadsAtOnce: 20, Models: []catalog.Model{
 			{Name: "large", Size: 8, Share: 0.5, Pace: 1}, {Name: "small", Size: 2, Share: 0.5, Pace: 0.6}}}
-		// The large group is at 0.6 of its slots, more than is planned with; the small
-		// ones are at 0.9.
-		s.Demand, s.Loads = map[string]float64{"large": 12, "small": 144}, 0
+		// The large groups are at 0.78 of their slots, more than is planned with; the
+		// small ones are at 0.88.
+		s.Demand, s.Loads = map[string]float64{"large": 140, "small": 560}, 0
 		Expect(operations(formation.Make(s))).To(BeEmpty())
 	})
 
