--- a/mesh/members.go
+++ b/mesh/members.go
@@ -20,7 +20,7 @@
 	// reportedFor is how long a node counts that aggregators reported once. They
 	// report each of some hundred nodes again within that time, and tell at once
 	// which are gone.
-	reportedFor = 40 * time.Second
+	reportedFor = forgetAfter
 	// passOnFor is how long the report of another domain's aggregator is passed on.
 	passOnFor = 12 * time.Second
 	// maxReported is the number of members in one summary.
--- a/mesh/prepare.go
+++ b/mesh/prepare.go
@@ -25,6 +25,11 @@
 	defer m.mu.Unlock()
 	m.latest = &state
 	m.forget(now, m.cfg.Seeds)
+	for address := range m.named {
+		if m.byAddress[address] == nil {
+			delete(m.named, address)
+		}
+	}
 	living := m.living(now)
 	local := m.localSum(living, now)
 	m.markGone(living, local, now)
