Tell the capacity of each model's groups, and outcomes by model

The logs counted a group over several fabric domains, which runs three times slower, like any other, and no metric told that one model falls behind. The holder's line groups now tells the capacity, the groups that the demand fills, and the groups within domains that the members of those over several domains and the free instances could form; metrics count first events on time and late, and refusals, by configured model.

--- a/formation/report.go
+++ b/formation/report.go
@@ -35,9 +35,16 @@
 		m := &s.Profile.Models[i]
 		n := s.census(m.Name)
 		warm := len(free.warm(m.Name))
+		capacity := s.capacity(m)
+		gauge := func(name string) metrics.GaugeFloat64 {
+			return metrics.GetOrRegisterGaugeFloat64(fmt.Sprintf("formation.%s.size_%d", name, m.Size), c.Registry)
+		}
 		metrics.GetOrRegisterGauge(fmt.Sprintf("formation.serving_groups.size_%d", m.Size), c.Registry).Update(int64(n.serving))
+		gauge("capacity").Update(capacity)
+		gauge("full_groups").Update(need.full[m.Name])
 		_ = level.Info(c.Logger).Log("msg", "groups", "model", m.Name, "size", m.Size, "serving", n.serving,
-			"across", n.across, "forming", n.forming, "broken", n.broken,
+			"across", n.across, "forming", n.forming, "broken", n.broken, "capacity", fmt.Sprintf("%.1f", capacity),
+			"full", fmt.Sprintf("%.1f", need.full[m.Name]), "local_groups", s.localGroups(free, m),
 			"needed", fmt.Sprintf("%.1f", need.target[m.Name]), "demand", fmt.Sprintf("%.1f", s.Demand[m.Name]),
 			"broken_groups", strings.Join(n.brokenGroups, ","),
 			"instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads)
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -64,6 +64,7 @@
 func (h *Handler) refuse(c *call, err *verdict.Error) {
 	status := statusOf(err)
 	h.metrics.refused(status)
+	h.metrics.outcome(c, "refused")
 	_ = level.Info(h.Logger).Log("msg", "refused", "request", c.ID, "status", status, "verdict", err.Verdict,
 		"reason", err.Reason, "field", err.Field, "sends", c.sends, "waited_ms", time.Since(c.started).Milliseconds(),
 		"retry_after_ms", err.RetryAfter.Milliseconds(), "err", err)
@@ -135,6 +136,11 @@
 func (h *Handler) answered(c *call, status, events int) {
 	h.metrics.duration.UpdateSince(c.started)
 	metrics.GetOrRegisterCounter("forward.answers."+strconv.Itoa(status), h.metrics.registry).Inc(1)
+	if goal := c.goalAt.Sub(c.started); c.firstAfter <= goal {
+		h.metrics.outcome(c, "on_time")
+	} else {
+		h.metrics.outcome(c, "late")
+	}
 	_ = level.Info(h.Logger).Log("msg", "answered", "request", c.ID, "status", status, "sends", c.sends,
 		"first_ms", c.firstAfter.Milliseconds(), "total_ms", time.Since(c.started).Milliseconds(), "events", events)
 }
@@ -142,3 +148,10 @@
 func (m *handlerMetrics) refused(status int) {
 	metrics.GetOrRegisterCounter("forward.refusals."+strconv.Itoa(status), m.registry).Inc(1)
 }
+
+// outcome counts what became of a request to a model.
+func (m *handlerMetrics) outcome(c *call, name string) {
+	if c.service != nil && c.service.Engine != nil && c.service.Engine.Model(c.Model) != nil {
+		metrics.GetOrRegisterCounter("forward."+name+"."+c.Model, m.registry).Inc(1)
+	}
+}
