--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -20,7 +20,7 @@
 }
 
 var profile = &catalog.EngineProfile{
-	Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7,
+	Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7, DistanceFactor: 3,
 	Models: []catalog.Model{
 		{Name: "large", Size: 4, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
 		{Name: "small", Size: 2, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
@@ -203,7 +203,7 @@
 			lists = append(lists, list)
 		}
 		s := situation(lists...)
-		s.Profile = &catalog.EngineProfile{Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7,
+		s.Profile = &catalog.EngineProfile{Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7, DistanceFactor: 3,
 			Models: append([]catalog.Model{{Name: "unused", Size: 2, Pace: 1}}, profile.Models...)}
 		s.Demand = map[string]float64{"large": 60, "small": 10}
 		Expect(formation.Make(s).Reserve).To(ContainElement(HaveField("Model", "large")))
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -35,10 +35,12 @@
 
 // world holds engines and carries out orders, some of them late.
 type world struct {
-	mu         sync.Mutex
-	machines   map[string]*machine
-	random     *rand.Rand
-	lateShare  float64
+	mu        sync.Mutex
+	machines  map[string]*machine
+	random    *rand.Rand
+	lateShare float64
+	// demand is what the nodes measure, by model.
+	demand     map[string]float64
 	violations []string
 	// events is what happened, printed when a check fails.
 	events []string
@@ -50,7 +52,8 @@
 }
 
 func newWorld(seed uint64, domains, each int) *world {
-	w := &world{machines: map[string]*machine{}, random: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{machines: map[string]*machine{}, random: rand.New(rand.NewPCG(seed, 1)),
+		demand: map[string]float64{"large": 30, "small": 60}}
 	for d := range domains {
 		for i := range each {
 			id := fmt.Sprintf("e%d-%d", d, i)
@@ -222,7 +225,7 @@
 			return h.term, h.held
 		},
 		Configuration: &configuration, Roster: &roster,
-		Demand:     func() map[string]float64 { return map[string]float64{"large": 30, "small": 60} },
+		Demand:     func() map[string]float64 { return w.demand },
 		Suspecting: func(string) int { return 0 },
 		Progress:   func(string) bool { return false },
 		Commander:  w, Prober: w, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
