Regroup members of groups over several domains within one

Cause: a group over several domains, three times slower, is formed from survivors when nothing better is possible, and nothing ever took it apart.

Now the holder closes the fewest of these groups that, with free instances, make one within a domain possible, if more serves afterwards. Requests in progress finish first, and the members are kept meanwhile.

--- a/formation/plan.go
+++ b/formation/plan.go
@@ -40,6 +40,9 @@
 	p.Groups = s.drafts(free, need)
 	p.Commands = append(p.Commands, s.stages(free, need)...)
 	closes, reservation := s.rebalance(free, need)
+	if reservation.Domain == "" {
+		closes, reservation = s.regroup(free)
+	}
 	if reservation.Domain != "" {
 		reservations = append(reservations, reservation)
 	}
