Cut streams of groups that are regrouped, where they may go on elsewhere

Cause: closed groups finish their requests first, and a care-plan takes 5.3 s in a group over several domains (155 ms an event). Moved to another group it ends sooner: it comes first for the next free place there, and goes on at its last event.

Requests are cut only if every route of the service allows to send them again; a service with others closes as before. The specifications play both.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -50,6 +50,17 @@
 		Expect(c.KeyHolder("")).To(BeNil())
 	})
 
+	It("finds services with requests that run at most once", func() {
+		// Guards against requests that are cut and can't be sent again.
+		c := (&catalog.Configuration{Routes: []catalog.Route{
+			{Kind: catalog.Streaming, Resumable: true, Targets: []catalog.Target{{Service: "a"}, {Service: "b"}}},
+			{Kind: catalog.Streaming, Targets: []catalog.Target{{Service: "b"}}},
+			{Kind: catalog.Safe, Targets: []catalog.Target{{Service: "a"}}},
+		}}).Index()
+		Expect(c.Repeatable("a")).To(BeTrue())
+		Expect(c.Repeatable("b")).To(BeFalse())
+	})
+
 	It("splits requests by weight", func() {
 		// Guards against a target that gets nothing or everything.
 		r := catalog.Route{Targets: []catalog.Target{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}
--- a/catalog/index.go
+++ b/catalog/index.go
@@ -14,10 +14,14 @@
 	c.byHost = make(map[string][]*Route)
 	c.byService = make(map[string]*Service, len(c.Services))
 	c.byKey = make(map[string]*Organisation)
+	c.unrepeatable = make(map[string]bool)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
+		for _, t := range r.Targets {
+			c.unrepeatable[t.Service] = c.unrepeatable[t.Service] || !r.Repeatable()
+		}
 	}
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int {
@@ -52,6 +56,10 @@
 // Service returns the service with the given name, or nil.
 func (c *Configuration) Service(name string) *Service { return c.byService[name] }
 
+// Repeatable reports whether every request to a service may be sent again after it may
+// have run.
+func (c *Configuration) Repeatable(service string) bool { return !c.unrepeatable[service] }
+
 // KeyHolder returns the organisation that holds a key, or nil.
 func (c *Configuration) KeyHolder(key string) *Organisation { return c.byKey[key] }
 
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -150,4 +150,6 @@
 	byHost    map[string][]*Route
 	byService map[string]*Service
 	byKey     map[string]*Organisation
+	// unrepeatable holds the services with a route whose requests run at most once.
+	unrepeatable map[string]bool
 }
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -171,6 +171,7 @@
 		return
 	}
 	c.examineSuspects(ctx, s)
+	s.Repeatable = configuration.Repeatable(service.Name)
 	c.carryOut(ctx, Make(s))
 	c.report(s)
 	c.freeOrphans(ctx, s)
--- a/formation/regroup.go
+++ b/formation/regroup.go
@@ -10,13 +10,15 @@
 )
 
 // spanningReservationTime is how long the instances of closed groups over several
-// domains are kept for a group within one: the streams in progress there are slow.
+// domains are kept for a group within one: where requests can't go on elsewhere, they
+// take several times longer there.
 const spanningReservationTime = 2 * reservationTime
 
 // regroup closes groups over several domains whose members, with free instances, form
 // a group of the same model within one domain. It answers to losses and arrivals that
 // come one by one: what was the only possible group then runs slower than needed now.
-// Of all domains it takes the one that costs the fewest groups.
+// Of all domains it takes the one that costs the fewest groups. Requests in progress
+// go on elsewhere where they may, and end sooner there than in the slow groups.
 func (s *Situation) regroup(free domains) ([]engine.Command, Reservation) {
 	if s.LoadsAreShort || len(s.Reserved) >= maxReserved {
 		return nil, Reservation{}
@@ -39,6 +41,9 @@
 		return nil, Reservation{}
 	}
 	commands, reservation := s.closeFor(best.model, nil, best.closed)
+	for i := range commands {
+		commands[i].CutRunning = s.Repeatable
+	}
 	reservation.Domain, reservation.Groups = best.domain, 1
 	reservation.Until = s.Now.Add(spanningReservationTime)
 	return commands, reservation
--- a/formation/situation.go
+++ b/formation/situation.go
@@ -35,6 +35,8 @@
 	LoadsAreShort bool
 	// Progress reports whether the group of a head sends events.
 	Progress func(head string) bool
+	// Repeatable tells that every request to the service can go on at another group.
+	Repeatable bool
 	// DemandFor is how long the demand has been measured.
 	DemandFor time.Duration
 	// Reserved keeps the free instances of some domains for one model each.
--- a/formation/spanning_test.go
+++ b/formation/spanning_test.go
@@ -10,7 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/formation"
 )
 
 // Guards against capacity that stays at a third after losses, and against groups closed in turns.
@@ -106,3 +110,38 @@
 	}
 	return domains
 }
+
+var _ = Describe("regroup", func() {
+	spread := func() *formation.Situation {
+		a, b := group("a", "small", "d0", 2, engine.Open), group("b", "small", "d0", 2, engine.Open)
+		a[1].FabricDomain, b[1].FabricDomain = "d1", "d2"
+		s := situation(a, b)
+		s.Loads = -1
+		return s
+	}
+
+	It("closes the groups over several domains that share one, and keeps their members", func() {
+		// Guards against members that are used otherwise meanwhile.
+		p := formation.Make(spread())
+		Expect(operations(p)).To(ConsistOf("close a-0", "close b-0"))
+		Expect(p.Reserve).To(HaveLen(1))
+		Expect(p.Reserve[0].Domain).To(Equal("d0"))
+		Expect(p.Reserve[0].Groups).To(Equal(1))
+	})
+
+	It("cuts requests in progress only if all of them may go on elsewhere", func() {
+		// Guards against a planned change that ends requests for good.
+		s := spread()
+		Expect(formation.Make(s).Commands).To(HaveEach(HaveField("CutRunning", false)))
+		s.Repeatable = true
+		Expect(formation.Make(s).Commands).To(HaveEach(HaveField("CutRunning", true)))
+	})
+
+	It("leaves groups alone whose members make none within a domain", func() {
+		// Guards against capacity lost without a gain.
+		s := spread()
+		s.Instances[2].FabricDomain = "d3"
+		s.Groups = engine.GroupsOf(s.Instances)
+		Expect(operations(formation.Make(s))).To(BeEmpty())
+	})
+})
