Bound what servers that send bytes without end can take

What callers saw: in a test of 16 kinds of such bytes, in heads and bodies, 10 held the request until its deadline, and a 404 whose body had no end was passed on cut at 8 MiB as if it were whole. 32 such answers at once took more than 128 MiB; entry instances have 184 MB and more.

Cause: the head of an answer was read without a bound, so were events of many lines and answers to other requests that are skipped; each byte ended the silence after which a stream moves; each answer that is held until it is whole had a bound of its own only; the body of a failed stream was cut without an error.

Now a head has 64 KiB, a skipped body 1 MiB, an event and what comes between two events with content 256 KiB; only heads and events with an id or data end a silence; held answers share an eighth of the process's memory and one function.

Not covered: a plain server that sends a byte now and then holds a request until the caller's deadline, as a silent one.

--- a/entry/module.go
+++ b/entry/module.go
@@ -25,6 +25,9 @@
 )
 
 const (
+	// answerMemoryPart is the part, one in so many, of the memory that answers may take
+	// until they are whole. They take up to three times their length while they grow.
+	answerMemoryPart = 8
 	// storeTimeout bounds one call to the store beside the time of a watch. The
 	// store answers in milliseconds, and in a quarter of a second when it is slow.
 	storeTimeout = 900 * time.Millisecond
@@ -125,7 +128,7 @@
 
 func newHandler(s Settings, w *World, st *status, pool *upstream.Pool, logger log.Logger, registry metrics.Registry) *forward.Handler {
 	return forward.NewHandler(
-		forward.Config{RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance},
+		forward.Config{RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance, AnswerBytes: s.MemoryBytes / answerMemoryPart},
 		forward.Parts{
 			Configuration: &w.Configuration, Dispatcher: st.dispatcher, Connections: pool, Peers: st.mesh,
 			Codec: platform.Codec{}, Logger: log.With(logger, "component", "forward"), Registry: registry,
--- /dev/null
+++ b/forward/endless_test.go
@@ -0,0 +1,197 @@
+package forward
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/upstream"
+)
+
+// endlessServer answers each request with a start, and then with a part again and again
+// until its caller closes the connection.
+type endlessServer struct {
+	start, part string
+	pause       time.Duration
+	// written counts the bytes that were taken, closed the connections that ended.
+	written, closed atomic.Int64
+}
+
+func (s *endlessServer) listen() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.answer(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (s *endlessServer) answer(conn net.Conn) {
+	defer conn.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	n, err := conn.Write([]byte(s.start))
+	part := []byte(s.part)
+	for err == nil {
+		s.written.Add(int64(n))
+		time.Sleep(s.pause)
+		n, err = conn.Write(part)
+	}
+	s.closed.Add(1)
+}
+
+// headerCodec reads request IDs from a header.
+type headerCodec struct{}
+
+func (headerCodec) DecodeRequest(h http.Header) Meta {
+	return Meta{ID: h.Get("Id"), Model: h.Get("Model")}
+}
+func (headerCodec) EncodeRequest(http.Header, Attempt)  {}
+func (headerCodec) EncodeOwnAnswer(http.Header, string) {}
+func (headerCodec) DecodeAnswer(_ int, h http.Header) AnswerMeta {
+	return AnswerMeta{RequestID: h.Get("Id")}
+}
+
+// endlessPatience is the longest time of the requests to endless servers, far above the
+// silence after which a stream is moved.
+const endlessPatience = 6 * time.Second
+
+// front returns a node before one plain server and one engine at the address.
+func front(address string) *httptest.Server {
+	configuration := (&catalog.Configuration{
+		Services: []catalog.Service{{Name: "desk"}, {Name: "llm", Engine: &catalog.EngineProfile{Slots: 40, Models: []catalog.Model{{Name: "m", Size: 1, Pace: 1}}}}},
+		Routes: []catalog.Route{
+			{Host: "h", PathPrefix: "/plain/", Kind: catalog.Safe, Timeout: endlessPatience, MaxAttempts: 1, Targets: []catalog.Target{{Service: "desk", Weight: 1}}},
+			{Host: "h", PathPrefix: "/stream/", Kind: catalog.Streaming, Resumable: true, LatencyGoal: 300 * time.Millisecond, Timeout: endlessPatience,
+				MaxAttempts: 1, Targets: []catalog.Target{{Service: "llm", Weight: 1}}},
+		},
+	}).Index()
+	roster := engine.NewRoster([]*engine.Instance{
+		{ID: "d", Service: "desk", Address: address, Slots: 40},
+		{ID: "e", Service: "llm", Address: address, Model: "m", Membership: engine.Membership{Group: "g", Epoch: 1, Phase: engine.Open}},
+	})
+	tables := NewTables()
+	tables.Build(configuration, roster)
+	var section blackboard.Section[catalog.Configuration]
+	section.Publish(configuration)
+	others := &peers{}
+	handler := NewHandler(Config{}, Parts{Configuration: &section, Dispatcher: NewDispatcher(tables, others, "z"), Connections: upstream.NewPool(upstream.Config{}),
+		Peers: others, Codec: headerCodec{}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry()})
+	node := httptest.NewServer(handler)
+	DeferCleanup(node.Close)
+	return node
+}
+
+// ask sends a request and returns the status, 0 for a connection that ended early, and
+// the length of the answer.
+func ask(node *httptest.Server, path string) (status, length int) {
+	r, err := http.NewRequest(http.MethodGet, node.URL+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set("Id", "r")
+	r.Header.Set("Model", "m")
+	response, err := node.Client().Do(r)
+	if err != nil {
+		return 0, 0
+	}
+	defer response.Body.Close()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := response.Body.Read(buffer)
+		length += n
+		if err != nil {
+			if err.Error() == "EOF" {
+				return response.StatusCode, length
+			}
+			return 0, length
+		}
+	}
+}
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\nId: r\r\n\r\n"
+	chunkedHead = "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n"
+	foreignHead = "HTTP/1.1 200 OK\r\nId: other\r\n\r\n"
+)
+
+var _ = Describe("Handler before a server that sends bytes without end", func() {
+	// socketBuffers is what the kernel takes of a server's bytes beside what is read.
+	const socketBuffers = 12 << 20
+
+	DescribeTable("ends the request early, closes the connection, and takes a bounded number of bytes",
+		func(path, start, part string, pause time.Duration, bound int64) {
+			server := &endlessServer{start: start, part: part, pause: pause}
+			node := front(server.listen())
+			began := time.Now()
+			status, _ := ask(node, path)
+			Expect(time.Since(began)).To(BeNumerically("<", endlessPatience/2))
+			Expect(status).To(Or(BeZero(), Equal(http.StatusBadGateway)), "an answer that looks complete")
+			Eventually(server.closed.Load).Should(BeNumerically(">=", 1))
+			Expect(server.written.Load()).To(BeNumerically("<", bound+socketBuffers))
+		},
+		Entry("a line of the head", "/plain/", "HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 1<<16), time.Duration(0), int64(1<<20)),
+		Entry("lines of the head", "/plain/", "HTTP/1.1 200 OK\r\n", strings.Repeat("X: y\r\n", 1<<12), time.Duration(0), int64(1<<20)),
+		Entry("interim answers", "/plain/", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1<<10), time.Duration(0), int64(1<<20)),
+		Entry("the body of an answer to another request", "/plain/", foreignHead, strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
+		Entry("a body", "/plain/", okHead, strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
+		Entry("chunks", "/plain/", chunkedHead, "1000\r\n"+strings.Repeat("x", 1<<12)+"\r\n", time.Duration(0), int64(maxBuffered)),
+		Entry("the size of a chunk", "/plain/", chunkedHead, strings.Repeat("0", 1<<12), time.Duration(0), int64(1<<20)),
+		Entry("a line of a stream's head", "/stream/", "HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 1<<16), time.Duration(0), int64(1<<20)),
+		Entry("a stream's head, slowly", "/stream/", "HTTP/1.1 200 OK\r\n", "X: y\r\n", 50*time.Millisecond, int64(1<<20)),
+		Entry("a line of a stream", "/stream/", okHead, strings.Repeat("x", 1<<12), time.Duration(0), int64(2*maxEvent)),
+		Entry("lines of an event", "/stream/", okHead, strings.Repeat("data: x\n", 1<<9), time.Duration(0), int64(2*maxEvent)),
+		Entry("lines of an event, slowly", "/stream/", okHead, "data: x\n", 50*time.Millisecond, int64(1<<20)),
+		Entry("blank lines", "/stream/", okHead, "\n\n", 50*time.Millisecond, int64(1<<20)),
+		Entry("comments", "/stream/", okHead, ": x\n\n", 50*time.Millisecond, int64(1<<20)),
+		Entry("lines that are no fields", "/stream/", okHead, "x\n\n", 50*time.Millisecond, int64(1<<20)),
+		Entry("the body of a failure to stream", "/stream/", "HTTP/1.1 404 Not Found\r\nId: r\r\n\r\n", strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
+	)
+
+	It("bounds the memory of many such answers at once", func() {
+		// Guards against a process that is ended for its memory.
+		server := &endlessServer{start: okHead, part: strings.Repeat("x", 1<<16)}
+		node := front(server.listen())
+		runtime.GC()
+		var before, now runtime.MemStats
+		runtime.ReadMemStats(&before)
+		done := make(chan struct{})
+		var all sync.WaitGroup
+		for range 32 {
+			all.Go(func() { ask(node, "/plain/") })
+		}
+		go func() { all.Wait(); close(done) }()
+		peak := uint64(0)
+		for running := true; running; {
+			select {
+			case <-done:
+				running = false
+			case <-time.After(5 * time.Millisecond):
+				runtime.ReadMemStats(&now)
+				peak = max(peak, now.HeapAlloc-min(before.HeapAlloc, now.HeapAlloc))
+			}
+		}
+		Expect(peak).To(BeNumerically("<", 128<<20))
+	})
+})
--- a/forward/events.go
+++ b/forward/events.go
@@ -11,17 +11,23 @@
 
 const (
 	eventBuffer = 4 << 10
-	// maxEvent bounds one event in bytes.
-	maxEvent = 1 << 20
+	// maxEvent bounds one event in bytes, and what comes between two events with
+	// content. A node holds an event of each of some hundred streams.
+	maxEvent = 256 << 10
 )
 
-var errEventTooLarge = fmt.Errorf("event has more than %d bytes", maxEvent)
+var (
+	errEventTooLarge = fmt.Errorf("event has more than %d bytes", maxEvent)
+	errNoContent     = fmt.Errorf("more than %d bytes without an event that has content", maxEvent)
+)
 
 // event is one event of a stream with the blank line that ends it.
 type event struct {
 	raw []byte
 	// id is empty if the event has none.
 	id string
+	// content tells that the event has an id or data; comments and blank lines don't.
+	content bool
 }
 
 var eventBuffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, eventBuffer) }}
@@ -30,6 +36,8 @@
 type eventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	// empty is the length of the events without content since the last one with it.
+	empty int
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -55,11 +63,11 @@
 		part, err := r.reader.ReadSlice('\n')
 		r.raw = append(r.raw, part...)
 		switch {
+		case len(r.raw) > maxEvent:
+			return event{}, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
+			e.content = e.content || (lineStart && hasContent(part))
 			lineStart = false
-			if len(r.raw) > maxEvent {
-				return event{}, errEventTooLarge
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(r.raw) > 0:
 			return event{}, io.ErrUnexpectedEOF
@@ -69,13 +77,36 @@
 		line := bytes.TrimRight(part, "\r\n")
 		if lineStart && len(line) == 0 {
 			e.raw = r.raw
-			return e, nil
+			return r.whole(e)
 		}
 		if lineStart {
-			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-				e.id = string(bytes.TrimPrefix(id, []byte(" ")))
-			}
+			e.readField(line)
 		}
 		lineStart = true
 	}
 }
+
+// readField reads the field of a line.
+func (e *event) readField(line []byte) {
+	e.content = e.content || hasContent(line)
+	if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		e.id = string(bytes.TrimPrefix(id, []byte(" ")))
+	}
+}
+
+// hasContent reports whether a line has an id or data.
+func hasContent(line []byte) bool {
+	return bytes.HasPrefix(line, []byte("id:")) || bytes.HasPrefix(line, []byte("data:"))
+}
+
+// whole counts what comes without content.
+func (r *eventReader) whole(e event) (event, error) {
+	if e.content {
+		r.empty = 0
+		return e, nil
+	}
+	if r.empty += len(e.raw); r.empty > maxEvent {
+		return event{}, errNoContent
+	}
+	return e, nil
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -34,6 +34,9 @@
 	// RetryAllowance is the number of repeats that all nodes together may make
 	// beyond that, within one window of the platform's accounting.
 	RetryAllowance float64
+	// AnswerBytes bounds the answers that are held until they are whole; 0 for the
+	// default.
+	AnswerBytes int64
 }
 
 // Parts are what a Handler works with.
@@ -53,6 +56,7 @@
 	Parts
 	metrics  handlerMetrics
 	inFlight atomic.Int64
+	memory   *answerMemory
 	// leavingSince is when this node began to stop, in Unix nanoseconds.
 	leavingSince atomic.Int64
 
@@ -63,7 +67,7 @@
 // NewHandler returns a handler.
 func NewHandler(cfg Config, parts Parts) *Handler {
 	return &Handler{cfg: cfg, Parts: parts, metrics: newHandlerMetrics(parts.Registry),
-		budgets: map[string]*retry.Budget{}}
+		memory: newAnswerMemory(cfg.AnswerBytes), budgets: map[string]*retry.Budget{}}
 }
 
 // SetRetryLimits replaces the limits of the configuration.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,10 +12,6 @@
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
-// maxBuffered is the length in bytes up to which an answer is held until it is
-// whole, so that a broken one can be repeated or reported.
-const maxBuffered = 8 << 20
-
 // plain answers a request with one whole answer.
 func (h *Handler) plain(ctx context.Context, c *call) {
 	for {
@@ -49,8 +44,9 @@
 		h.observe(place, failed)
 		return failed
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
-	if err != nil || len(body) > maxBuffered {
+	body, done, err := h.memory.readWhole(answer.Body)
+	defer done()
+	if err != nil {
 		answer.Abort()
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the answer broke off").WithCause(err)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -115,10 +115,12 @@
 		if err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the stream broke off").WithCause(err)
 		}
-		now := time.Now()
-		place.Load.progress(now)
-		if monitor.event() {
-			place.PromptRead()
+		if event.content {
+			answer.Progress()
+			place.Load.progress(time.Now())
+			if monitor.event() {
+				place.PromptRead()
+			}
 		}
 		if err := h.pass(s, answer, event); err != nil {
 			return err
@@ -160,7 +162,8 @@
 // relayFailure passes an engine's own failure on, or returns an error if another
 // engine may be asked.
 func (h *Handler) relayFailure(s *stream, answer *upstream.Answer) *verdict.Error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered))
+	body, done, err := h.memory.readWhole(answer.Body)
+	defer done()
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the answer broke off").WithCause(err)
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -20,8 +20,12 @@
 // writeTimeout bounds the sending of a request to a server that reads nothing.
 const writeTimeout = 5 * time.Second
 
-// maxSkipped bounds the answers to other requests that are skipped.
-const maxSkipped = 2
+// maxSkipped bounds the answers to other requests that are skipped, maxSkippedBody the
+// body of each in bytes: more cost more than a new connection.
+const (
+	maxSkipped     = 2
+	maxSkippedBody = 1 << 20
+)
 
 // ErrForeignAnswer means that the answers on a connection belong to other
 // requests.
@@ -73,6 +77,7 @@
 
 func (c *Conn) do(r *Request) (*Answer, error) {
 	c.watch = r.Watch
+	c.progress()
 	head := r.head()
 	wrote := make(chan error, 1)
 	if len(r.Body) < largeBody {
@@ -86,7 +91,7 @@
 	// ReadResponse needs the method to know whether there is a body.
 	probe := &http.Request{Method: r.Method}
 	for range maxSkipped + 1 {
-		response, err := http.ReadResponse(c.reader, probe)
+		response, err := c.readHead(probe)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
@@ -94,16 +99,27 @@
 			continue
 		}
 		if r.Mine(response.StatusCode, response.Header) {
+			c.progress()
 			return &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 				conn: c, response: response, wrote: wrote}, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		switch _, err := io.CopyN(io.Discard, response.Body, maxSkippedBody+1); {
+		case err == nil:
+			return nil, ErrForeignAnswer
+		case !errors.Is(err, io.EOF):
 			return nil, fmt.Errorf("skip foreign answer: %w", err)
 		}
 	}
 	return nil, ErrForeignAnswer
 }
 
+// readHead reads the head of an answer within its bound.
+func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
+	c.inHead, c.headLeft = true, maxHead
+	defer func() { c.inHead = false }()
+	return http.ReadResponse(c.reader, request)
+}
+
 func (c *Conn) send(parts ...[]byte) error {
 	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -156,6 +172,10 @@
 	return n, err
 }
 
+// Progress tells that a part of the answer has arrived, which ends the silence that
+// the watch judges.
+func (a *Answer) Progress() { a.conn.progress() }
+
 // Abort closes the connection of an answer that wasn't read to its end.
 func (a *Answer) Abort() {
 	if !a.done {
