Count what other nodes hold at plain servers instead of multiplying the own

One waiting request of one of 88 nodes then counted as 88, and late requests would be refused at once. Nodes tell each other what they hold at each server, so it is added up. The specification fails without the change.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -185,19 +185,19 @@
 }
 
 // use returns the slots of a pool's targets that aren't suspected, and the places
-// that the requests of all nodes would occupy. The caller holds the lock.
+// that the requests of all nodes would occupy. Of plain services nodes tell only what
+// they hold. The caller holds the lock.
 func (d *Dispatcher) use(p Pool, now time.Time) (slots int, demand float64) {
+	demand = d.flow(p).demand(now, d.held(p)) + d.peers.Demand(p.Model)
 	for _, t := range d.tables.Load().Targets(p) {
 		if !t.Load.Suspected(now) {
 			slots += t.Slots
 		}
+		if p.Model == "" {
+			demand += float64(d.peers.Running(t.Instance.ID))
+		}
 	}
-	demand = d.flow(p).demand(now, d.held(p))
-	if p.Model != "" {
-		return slots, demand + d.peers.Demand(p.Model)
-	}
-	// Nodes tell no demand for plain services; callers spread over all of them.
-	return slots, demand * float64(max(d.peers.Nodes(), 1))
+	return slots, demand
 }
 
 // held returns the places that requests of this node have or wait for. Requests at slow
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -122,7 +124,7 @@
 		n, err := response.Body.Read(buffer)
 		length += n
 		if err != nil {
-			if err.Error() == "EOF" {
+			if errors.Is(err, io.EOF) {
 				return response.StatusCode, length
 			}
 			return 0, length
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -117,6 +117,19 @@
 		return Want{Pool: p, GoalAt: now.Add(goal), Until: now.Add(2 * time.Second)}
 	}
 
+	It("counts what other nodes hold at plain servers, not its own requests once for each node", func() {
+		// Guards against refusals because one request of one node waits among many nodes.
+		tables, pool := table(2, 6)
+		d := NewDispatcher(tables, &peers{nodes: 88, running: map[string]int{"a": 2, "b": 1}}, "z")
+		_, err := d.Acquire(context.Background(), want(pool, time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		slots, demand := d.use(pool, time.Now())
+		Expect(slots).To(Equal(12))
+		Expect(demand).To(BeNumerically("~", 4, 0.01))
+	})
+
 	It("gives a freed place to a request that can still be on time", func() {
 		// Guards against serving every request late once there are more than
 		// places.
