--- a/entry/module.go
+++ b/entry/module.go
@@ -25,8 +25,8 @@
 )
 
 const (
-	// answerMemoryPart is the part, one in so many, of the memory that answers may take
-	// until they are whole. They take up to three times their length while they grow.
+	// answerMemoryPart divides the process's memory into the part that answers may take
+	// until they are whole. Their buffers take up to three times that while they grow.
 	answerMemoryPart = 8
 	// storeTimeout bounds one call to the store beside the time of a watch. The
 	// store answers in milliseconds, and in a quarter of a second when it is slow.
--- a/formation/regroup.go
+++ b/formation/regroup.go
@@ -16,9 +16,10 @@
 
 // regroup closes groups over several domains whose members, with free instances, form
 // a group of the same model within one domain. It answers to losses and arrivals that
-// come one by one: what was the only possible group then runs slower than needed now.
-// Of all domains it takes the one that costs the fewest groups. Requests in progress
-// go on elsewhere where they may, and end sooner there than in the slow groups.
+// come one by one: a group that was the best possible one when it was formed may be
+// slower than necessary later. Of all domains it takes the one that costs the fewest
+// groups. Requests in progress go on elsewhere where they may, and end sooner there
+// than in the slow groups.
 func (s *Situation) regroup(free domains) ([]engine.Command, Reservation) {
 	if s.LoadsAreShort || len(s.Reserved) >= maxReserved {
 		return nil, Reservation{}
@@ -56,8 +57,8 @@
 	closed []*engine.Group
 }
 
-// regroupIn returns the fewest of the groups over several domains to close for a
-// group within one of them, if what serves afterwards is more.
+// regroupIn returns the groups over several domains to close for a group within one of
+// them, those with the most members there first, if more work is done afterwards.
 func (s *Situation) regroupIn(domain string, m *catalog.Model, spanning []*engine.Group, free domains) (regrouping, bool) {
 	here := func(g *engine.Group) int {
 		return len(slices.DeleteFunc(slices.Clone(g.Members), func(in *engine.Instance) bool { return in.FabricDomain != domain }))
@@ -82,6 +83,7 @@
 	if missing > 0 || len(r.closed) == 0 {
 		return regrouping{}, false
 	}
+	// The members in other domains can form groups over several of them again.
 	part := s.workOf(r.closed[0])
 	before := float64(len(r.closed)) * part
 	after := 1 + float64(rest/m.Size)*part
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -200,8 +200,9 @@
 	return slots, demand
 }
 
-// held returns the places that requests of this node have or wait for. Requests at slow
-// targets would have theirs for a shorter time elsewhere. The caller holds the lock.
+// held returns the places that requests of this node have or wait for. One at a slow
+// target counts as the part of a place that it would take at a usual one. The caller
+// holds the lock.
 func (d *Dispatcher) held(p Pool) float64 {
 	held := float64(len(d.waiting[p]))
 	for _, t := range d.tables.Load().Targets(p) {
--- a/forward/events.go
+++ b/forward/events.go
@@ -77,7 +77,7 @@
 		line := bytes.TrimRight(part, "\r\n")
 		if lineStart && len(line) == 0 {
 			e.raw = r.raw
-			return r.whole(e)
+			return r.checkEmpty(e)
 		}
 		if lineStart {
 			e.readField(line)
@@ -99,8 +99,8 @@
 	return bytes.HasPrefix(line, []byte("id:")) || bytes.HasPrefix(line, []byte("data:"))
 }
 
-// whole counts what comes without content.
-func (r *eventReader) whole(e event) (event, error) {
+// checkEmpty bounds what comes without content.
+func (r *eventReader) checkEmpty(e event) (event, error) {
 	if e.content {
 		r.empty = 0
 		return e, nil
