Hold answers in blocks instead of a growing buffer

Cause: each answer grew in a buffer that doubles, and what it outgrew stays until it is collected, up to as much again; beside load the collector came later.

Answers are now held in blocks of 16 KiB from a pool, so the bound on blocks is the bound on memory, and nothing is copied. A specification checks lengths around the size of a block, bodies that break off, and that all memory is given back.

--- a/entry/module.go
+++ b/entry/module.go
@@ -26,7 +26,7 @@
 
 const (
 	// answerMemoryPart divides the process's memory into the part that answers may take
-	// until they are whole. Their buffers take up to three times that while they grow.
+	// until they are whole.
 	answerMemoryPart = 8
 	// storeTimeout bounds one call to the store beside the time of a watch. The
 	// store answers in milliseconds, and in a quarter of a second when it is slow.
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -171,6 +172,25 @@
 		Entry("the body of a failure to stream", "/stream/", "HTTP/1.1 404 Not Found\r\nId: r\r\n\r\n", strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
 	)
 
+	It("passes long answers on unchanged, and gives their memory back", func() {
+		// Guards against parts of an answer that are lost, doubled or another request's.
+		memory := newAnswerMemory(4 * answerBlock)
+		for _, length := range []int{0, 1, answerBlock - 1, answerBlock, 3*answerBlock - 7} {
+			text := strings.Repeat("0123456789abc", length)[:length]
+			body, err := memory.readWhole(&slowReader{strings.NewReader(text), 4099})
+			Expect(err).NotTo(HaveOccurred())
+			var written strings.Builder
+			Expect(body.writeTo(&written)).To(Succeed())
+			Expect(written.String()).To(Equal(text))
+			body.release()
+		}
+		_, err := memory.readWhole(strings.NewReader(strings.Repeat("x", 5*answerBlock)))
+		Expect(err).To(MatchError(errAnswerMemory))
+		_, err = memory.readWhole(io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(memory.free.TryAcquire(4 * answerBlock)).To(BeTrue())
+	})
+
 	It("bounds the memory of many such answers at once", func() {
 		// Guards against a process that is ended for its memory.
 		server := &endlessServer{start: okHead, part: strings.Repeat("x", 1<<16)}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -44,12 +44,12 @@
 		h.observe(place, failed)
 		return failed
 	}
-	body, done, err := h.memory.readWhole(answer.Body)
-	defer done()
+	body, err := h.memory.readWhole(answer.Body)
 	if err != nil {
 		answer.Abort()
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the answer broke off").WithCause(err)
 	}
+	defer body.release()
 	if answer.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe {
 		// Another backend server may do better; its failure would be the answer.
 		own := verdict.New(verdict.Ran, verdict.ReasonBackendFailed, "backend server answered %d", answer.Status)
@@ -69,13 +69,13 @@
 }
 
 // deliver passes a whole answer on.
-func (h *Handler) deliver(c *call, answer *upstream.Answer, body []byte) {
+func (h *Handler) deliver(c *call, answer *upstream.Answer, body *wholeBody) {
 	copyHeader(c.writer.Header(), answer.Header)
 	if c.request.Method != http.MethodHead {
-		setLength(c.writer.Header(), len(body))
+		setLength(c.writer.Header(), body.length)
 	}
 	c.writer.WriteHeader(answer.Status)
-	if _, err := c.writer.Write(body); err != nil {
+	if err := body.writeTo(c.writer); err != nil {
 		h.abandon(c)
 		return
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,11 +162,11 @@
 // relayFailure passes an engine's own failure on, or returns an error if another
 // engine may be asked.
 func (h *Handler) relayFailure(s *stream, answer *upstream.Answer) *verdict.Error {
-	body, done, err := h.memory.readWhole(answer.Body)
-	defer done()
+	body, err := h.memory.readWhole(answer.Body)
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "the answer broke off").WithCause(err)
 	}
+	defer body.release()
 	if answer.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.runs < s.route.MaxAttempts {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d", answer.Status)
 	}
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -19,7 +19,7 @@
 	defaultAnswerBytes = 2 * maxBuffered
 	// answerBlock is the number of bytes for which memory is taken at a time. Usual
 	// answers are shorter.
-	answerBlock = 64 << 10
+	answerBlock = 16 << 10
 )
 
 var (
@@ -27,6 +27,11 @@
 	errAnswerMemory   = errors.New("other answers take all of the memory for answers")
 )
 
+// block is a part of a held answer.
+type block = [answerBlock]byte
+
+var blocks = sync.Pool{New: func() any { return new(block) }}
+
 // answerMemory bounds the answers that a node holds until they are whole, so that
 // servers that send bytes without end don't take all of its memory.
 type answerMemory struct{ free *semaphore.Weighted }
@@ -35,24 +40,61 @@
 	return &answerMemory{semaphore.NewWeighted(cmp.Or(size, defaultAnswerBytes))}
 }
 
-// readWhole reads a body to its end. The memory is given back by done, which is never
-// nil.
-func (m *answerMemory) readWhole(body io.Reader) (whole []byte, done func(), err error) {
-	var buffer bytes.Buffer
-	taken := int64(0)
-	done = func() { m.free.Release(taken) }
-	for buffer.Len() <= maxBuffered {
-		if !m.free.TryAcquire(answerBlock) {
-			return nil, done, errAnswerMemory
+// readWhole reads a body to its end. The caller releases it.
+func (m *answerMemory) readWhole(source io.Reader) (*wholeBody, error) {
+	body := &wholeBody{memory: m}
+	err := body.fill(source)
+	if err != nil {
+		body.release()
+		return nil, err
+	}
+	return body, nil
+}
+
+// wholeBody is a body that was read to its end. It is held in blocks, since a buffer
+// that grows would leave as much again behind.
+type wholeBody struct {
+	memory *answerMemory
+	blocks []*block
+	length int
+}
+
+// fill reads the source to its end.
+func (b *wholeBody) fill(source io.Reader) error {
+	for b.length <= maxBuffered {
+		if b.length == len(b.blocks)*answerBlock {
+			if !b.memory.free.TryAcquire(answerBlock) {
+				return errAnswerMemory
+			}
+			b.blocks = append(b.blocks, blocks.Get().(*block))
 		}
-		taken += answerBlock
-		_, err := io.CopyN(&buffer, body, answerBlock)
-		if errors.Is(err, io.EOF) {
-			return buffer.Bytes(), done, nil
+		n, err := source.Read(b.blocks[len(b.blocks)-1][b.length%answerBlock:])
+		b.length += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
 		}
-		if err != nil {
-			return nil, done, err
+	}
+	return errAnswerTooLarge
+}
+
+// writeTo writes the body.
+func (b *wholeBody) writeTo(w io.Writer) error {
+	for i, part := range b.blocks {
+		if _, err := w.Write(part[:min(answerBlock, b.length-i*answerBlock)]); err != nil {
+			return err
 		}
 	}
-	return nil, done, errAnswerTooLarge
+	return nil
+}
+
+// release gives the memory back; the body isn't used afterwards.
+func (b *wholeBody) release() {
+	for _, part := range b.blocks {
+		blocks.Put(part)
+	}
+	b.memory.free.Release(int64(len(b.blocks)) * answerBlock)
+	b.blocks = nil
 }
