--- a/formation/formation_test.go
+++ b/formation/formation_test.go
@@ -352,15 +352,6 @@
 		Expect(models(formation.Make(s))).NotTo(ContainElement("large"))
 	})
 
-	It("forms the group that others were closed for, whatever another model lacks by then", func() {
-		// Guards against closed groups whose members wait until their reservation ends.
-		s := situation(idle("d0", 4, "large", "small"))
-		s.Demand = map[string]float64{"large": 300, "small": 20}
-		Expect(models(formation.Make(s))).To(Equal([]string{"large"}))
-		s.Reserved = map[string]formation.Reservation{"d0": {Domain: "d0", Model: "small", Groups: 2, Until: now.Add(time.Second)}}
-		Expect(models(formation.Make(s))).To(Equal([]string{"small", "small"}))
-	})
-
 	It("gives groups of a model with enough to one that is short", func() {
 		// Guards against one model that serves late while another has groups to
 		// spare, and against opening again what was closed for it.
--- a/formation/spanning_test.go
+++ b/formation/regroup_test.go
@@ -145,3 +145,14 @@
 		Expect(operations(formation.Make(s))).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a reservation", func() {
+	It("forms the group that others were closed for, whatever another model lacks by then", func() {
+		// Guards against closed groups whose members wait until their reservation ends.
+		s := situation(idle("d0", 4, "large", "small"))
+		s.Demand = map[string]float64{"large": 300, "small": 20}
+		Expect(models(formation.Make(s))).To(Equal([]string{"large"}))
+		s.Reserved = map[string]formation.Reservation{"d0": {Domain: "d0", Model: "small", Groups: 2, Until: now.Add(time.Second)}}
+		Expect(models(formation.Make(s))).To(Equal([]string{"small", "small"}))
+	})
+})
