forward: fill nearly full groups evenly

Reports are 0.2 to 0.4 s old, within which all nodes send some 100 requests; if only one or two groups are reported with a free slot, these get all of them, and the others empty until the next reports. Ruled out: slow groups (each group's median varied within seconds), the time to read a prompt (26 ms), the processor of the nodes (0.018 of a core).

Choose now compares the free slots with the requests that all nodes are expected to send until reports show them. If there are more of these, it draws its two candidates from all that aren't crowded. Whether a request starts at all is decided as before.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -10,12 +10,16 @@
 type candidateSet struct {
 	targets    []*Target
 	candidates []Candidate
+	// unreported is the expected number of requests of all nodes that the reports don't
+	// show yet.
+	unreported float64
 }
 
 // candidates returns the candidates of a pool. The caller holds the lock.
 func (d *Dispatcher) candidates(p Pool) *candidateSet {
 	f := &candidateSet{targets: d.tables.Load().Targets(p)}
 	now := time.Now()
+	f.unreported = d.unreported(p, now)
 	f.candidates = make([]Candidate, len(f.targets))
 	for i, t := range f.targets {
 		f.candidates[i] = Candidate{
@@ -45,7 +49,7 @@
 			candidates[i].Excluded = candidates[i].Excluded || w.avoid[t.Instance.ID]
 		}
 	}
-	best := Choose(candidates, rand.IntN)
+	best := Choose(candidates, s.unreported, rand.IntN)
 	if best < 0 {
 		return nil
 	}
@@ -74,3 +78,14 @@
 func (d *Dispatcher) hasAllMembers(t *Target, now time.Time) bool {
 	return !t.MemberUnlisted || t.Load.HasRecentProgress(now) || d.peers.Progress(t.Instance.ID)
 }
+
+// unreported returns the number of requests that all nodes are expected to send to a
+// pool within the age of their reports. The caller holds the lock.
+func (d *Dispatcher) unreported(p Pool, now time.Time) float64 {
+	holdTime := d.trafficOf(p).holdTime
+	if holdTime <= 0 {
+		return 0
+	}
+	_, demand := d.slotsAndDemand(p, now)
+	return demand * d.peers.ReportAge().Seconds() / holdTime.Seconds()
+}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"math"
-	"slices"
-)
+import "slices"
 
 // Candidate is the state of a target that Choose uses.
 type Candidate struct {
@@ -38,6 +35,9 @@
 	// overcommit is the fraction of a target's slots that may be assigned in addition
 	// to them, so that a request waits at the target when a slot becomes free.
 	overcommit = 0.06
+	// maxCrowding is the ratio of a target's requests to its limit above which it is
+	// chosen by no means. Reports of a target's load may be that far from its real load.
+	maxCrowding = 1.25
 )
 
 // score returns the load of a candidate in requests, scaled to a target with the given
@@ -66,10 +66,10 @@
 // Free slots go to the nodes with waiting requests in an order that all of them
 // compute, so that one free slot doesn't attract a request from each node. This is
 // needed at full targets, where reports of other nodes' requests arrive too late.
-func (c *Candidate) hasFreeSlot() bool {
-	limit := c.Slots + int(float64(c.Slots)*overcommit)
-	return c.Requests+float64(c.Ahead) < float64(limit)
-}
+func (c *Candidate) hasFreeSlot() bool { return c.Requests+float64(c.Ahead) < c.limit() }
+
+// limit returns the number of requests that may be assigned to the candidate.
+func (c *Candidate) limit() float64 { return float64(c.Slots + int(float64(c.Slots)*overcommit)) }
 
 // drawCount is the number of candidates that are drawn at random for each request.
 const drawCount = 2
@@ -79,19 +79,33 @@
 // random number below n. Choosing the least loaded of all candidates would overload it:
 // the load reported by other nodes is some hundred milliseconds old, and every node
 // would choose the same candidate until updates of its load arrive.
-func Choose(candidates []Candidate, draw func(n int) int) int {
-	largest, lowest := 1, math.MaxInt
-	eligible := make([]int, 0, len(candidates))
+//
+// unreported is the number of requests that all nodes are expected to send until the
+// reports show them. If it exceeds the free slots, all nodes would choose the few
+// candidates with a free slot, and overload them while the others empty. The request is
+// then sent to any candidate of the tier that isn't crowded.
+func Choose(candidates []Candidate, unreported float64, draw func(n int) int) int {
+	tier, found := lowestFreeTier(candidates)
+	if !found {
+		return -1
+	}
+	free, largest := 0.0, 1
 	for i := range candidates {
 		c := &candidates[i]
 		largest = max(largest, c.Slots)
-		if c.Excluded || c.tier() > lowest || !c.hasFreeSlot() {
+		if !c.Excluded && c.tier() == tier {
+			free += max(c.limit()-c.Requests, 0)
+		}
+	}
+	eligible := make([]int, 0, len(candidates))
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Excluded || c.tier() != tier {
 			continue
 		}
-		if c.tier() < lowest {
-			lowest, eligible = c.tier(), eligible[:0]
+		if c.hasFreeSlot() || (unreported > free && c.Requests < maxCrowding*c.limit()) {
+			eligible = append(eligible, i)
 		}
-		eligible = append(eligible, i)
 	}
 	best := -1
 	for range min(drawCount, len(eligible)) {
@@ -104,3 +118,15 @@
 	}
 	return best
 }
+
+// lowestFreeTier returns the lowest tier of the candidates with a free slot, and reports
+// whether there is one.
+func lowestFreeTier(candidates []Candidate) (tier int, found bool) {
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Excluded && c.hasFreeSlot() && (!found || c.tier() < tier) {
+			tier, found = c.tier(), true
+		}
+	}
+	return tier, found
+}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -29,6 +29,8 @@
 	Ahead(model, instance string) int
 	// Nodes returns the number of serving nodes, including this one.
 	Nodes() int
+	// ReportAge returns the usual age of what the other nodes have reported.
+	ReportAge() time.Duration
 }
 
 // Errors of Acquire.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -38,6 +38,7 @@
 func (p *fakePeers) Ahead(string, string) int    { return 0 }
 func (p *fakePeers) Demand(string) float64       { return 0 }
 func (p *fakePeers) Nodes() int                  { return max(p.nodes, 1) }
+func (p *fakePeers) ReportAge() time.Duration    { return 100 * time.Millisecond }
 
 var _ = Describe("Choose", func() {
 	It("chooses the less loaded of two targets with a free slot", func() {
@@ -57,7 +58,7 @@
 				eligible := []int{2, 3, 4}
 				pair := []int{eligible[first]}
 				pair = append(pair, slices.Delete(eligible, first, first+1)[second])
-				best := Choose(targets, func(int) int {
+				best := Choose(targets, 0, func(int) int {
 					next := draws[0]
 					draws = draws[1:]
 					return next
@@ -69,32 +70,32 @@
 				}
 			}
 		}
-		Expect(Choose(targets[:2], rand.IntN)).To(Equal(-1))
-		Expect(Choose(nil, rand.IntN)).To(Equal(-1))
+		Expect(Choose(targets[:2], 0, rand.IntN)).To(Equal(-1))
+		Expect(Choose(nil, 0, rand.IntN)).To(Equal(-1))
 	})
 
 	It("uses a slow or recently failed target only if no other has a free slot", func() {
 		// Guards against a refusal while a slot is free, and against late responses while
 		// usual targets have free slots.
 		targets := []Candidate{{Requests: 1, Slots: 6, RecentlyFailed: true}, {Requests: 5, Slots: 6}, {Requests: 1, Slots: 2, Slow: true}}
-		Expect(Choose(targets, rand.IntN)).To(Equal(1))
+		Expect(Choose(targets, 0, rand.IntN)).To(Equal(1))
 		targets[1].Requests = 6
-		Expect(Choose(targets, rand.IntN)).To(Equal(2))
+		Expect(Choose(targets, 0, rand.IntN)).To(Equal(2))
 		targets[2].Requests = 2
-		Expect(Choose(targets, rand.IntN)).To(Equal(0))
+		Expect(Choose(targets, 0, rand.IntN)).To(Equal(0))
 	})
 
 	It("avoids targets with long unread prompts", func() {
 		// Guards against a first event that is delayed by a queue of prompts.
-		Expect(Choose([]Candidate{{Requests: 2, Slots: 17, PromptTokens: 12_000}, {Requests: 5, Slots: 17}}, rand.IntN)).To(Equal(1))
+		Expect(Choose([]Candidate{{Requests: 2, Slots: 17, PromptTokens: 12_000}, {Requests: 5, Slots: 17}}, 0, rand.IntN)).To(Equal(1))
 	})
 
 	It("leaves the last slots to the nodes with precedence", func() {
 		// Guards against a request from each node for one free slot.
 		c := []Candidate{{Requests: 16, Slots: 17, Ahead: 3}}
-		Expect(Choose(c, rand.IntN)).To(Equal(-1))
+		Expect(Choose(c, 0, rand.IntN)).To(Equal(-1))
 		c[0].Ahead = 1
-		Expect(Choose(c, rand.IntN)).To(Equal(0))
+		Expect(Choose(c, 0, rand.IntN)).To(Equal(0))
 	})
 })
 
--- a/forward/stale_test.go
+++ b/forward/stale_test.go
@@ -120,7 +120,7 @@
 	DescribeTable("overloads no group while half of all slots are free",
 		func(nodes, groups int, delay time.Duration) {
 			// Guards against an overloaded group that all nodes choose at the same time.
-			two := simulateStale(nodes, groups, 0.5, delay, Choose)
+			two := simulateStale(nodes, groups, 0.5, delay, func(c []Candidate, draw func(int) int) int { return Choose(c, 0, draw) })
 			least := simulateStale(nodes, groups, 0.5, delay, leastLoaded)
 			AddReportEntry("sent to full groups", map[string]float64{"two choices": two, "least loaded": least})
 			Expect(two).To(BeNumerically("<", 0.02))
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "github.com/rattanlanding/rattanlanding/rendezvous"
+import (
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/rendezvous"
+)
 
 // View is this node's view of the other nodes. It is immutable.
 type View struct {
@@ -69,3 +73,13 @@
 	}
 	return 1 + v.countServing()
 }
+
+// ReportAge implements forward.Peers. Beyond maxDirectNodes, states pass through an
+// aggregator, which sends them on in its next round.
+func (m *Mesh) ReportAge() time.Duration {
+	interval := m.interval()
+	if 1+len(m.View().Live) > maxDirectNodes {
+		return 2 * interval
+	}
+	return interval
+}
