formation: load weights onto spare instances before the first traffic

Before the first request, loads take a tenth of the time and don't count.

Spare instances now get the weights of the model with the most members of groups in their domain for each spare of it.

--- a/formation/stage.go
+++ b/formation/stage.go
@@ -24,7 +24,7 @@
 // after joining a group would delay the other members.
 func (s *Snapshot) stageCommands(free instancesByDomain, need *needs) []engine.Command {
 	if s.BeforeTraffic {
-		return s.preloadBeforeTraffic()
+		return append(s.preloadBeforeTraffic(), s.preloadSpares(free)...)
 	}
 	s.countUnassigned(free, need)
 	var commands []engine.Command
@@ -103,6 +103,60 @@
 	return commands
 }
 
+// preloadSpares loads weights onto the hosts of the instances that no group uses while
+// loads are short, so that they can replace lost members of the groups in their domain.
+func (s *Snapshot) preloadSpares(free instancesByDomain) []engine.Command {
+	members := s.membersByModel()
+	var commands []engine.Command
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		spares := map[string]int{}
+		for _, in := range free[domain] {
+			if model := s.weightsOf(in); model != "" {
+				spares[model]++
+			}
+		}
+		for _, in := range free[domain] {
+			if s.weightsOf(in) != "" {
+				continue
+			}
+			if model := spareModel(members[domain], spares); model != "" {
+				spares[model]++
+				commands = append(commands, s.stageCommand(in, model))
+			}
+		}
+	}
+	return commands
+}
+
+// spareModel returns the model with the most members of groups for each spare instance
+// that has its weights, counting the next one, or "" if there are no groups.
+func spareModel(members, spares map[string]int) string {
+	best, most := "", 0.0
+	for _, model := range slices.Sorted(maps.Keys(members)) {
+		if perSpare := float64(members[model]) / float64(spares[model]+1); perSpare > most {
+			best, most = model, perSpare
+		}
+	}
+	return best
+}
+
+// membersByModel counts the members of the groups within one domain, by domain and
+// model.
+func (s *Snapshot) membersByModel() map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for _, g := range s.Groups {
+		if g.SpansDomains() {
+			continue
+		}
+		domain := g.Members[0].FabricDomain
+		if counts[domain] == nil {
+			counts[domain] = map[string]int{}
+		}
+		counts[domain][g.Model] += len(g.Members)
+	}
+	return counts
+}
+
 // modelToPreload returns the first model other than the one in the instance's memory,
 // or "" if the weights of another model are already on its host.
 func (s *Snapshot) modelToPreload(in *engine.Instance) string {
