mesh: send sums that exceed a datagram in parts

Cause: the sum of a deployment with 140 groups in use and 30 nodes with waiting requests takes 1,638 bytes, above the limit of a datagram; the message was logged and not sent.

Such a sum is now divided by instance into up to eight datagrams, which the receiver assembles. Smaller sums are sent as before, so nodes of the earlier build understand all that they understood before.

Measured: TestSumsOfManyInstancesReachEveryNode (60 nodes, 200 instances, all nodes waiting) failed before at the size of the first message.

--- a/mesh/accept.go
+++ b/mesh/accept.go
@@ -33,16 +33,20 @@
 	known.state, known.stateAt, known.wantsSummary = s, now, s.WantsSummary
 }
 
-// acceptSummary records an aggregator's summary and the members listed in it. The
-// caller holds m.mu.
-func (m *Mesh) acceptSummary(summary *Summary, now time.Time) {
+// acceptSummary records an aggregator's summary, or a part of it, and the members listed
+// in it. The caller holds m.mu.
+func (m *Mesh) acceptSummary(summary *Summary, part Part, now time.Time) {
 	address, err := netip.ParseAddrPort(summary.From.PeerAddress)
 	if err != nil || address == m.address {
 		return
 	}
 	from := m.getOrCreate(address)
 	m.knownAddresses[address] = now
-	if !from.storeSummary(summary, now) {
+	parts := &from.domainParts
+	if summary.Total {
+		parts = &from.totalParts
+	}
+	if summary = parts.add(summary, part); summary == nil || !from.storeSummary(summary, now) {
 		return
 	}
 	m.acceptMember(Member{Node: summary.From}, &summary.From, now)
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -98,12 +98,12 @@
 				continue
 			}
 			other.received += len(message.data)
-			d, err := decode(message.data)
+			d, part, err := decode(message.data)
 			Expect(err).NotTo(HaveOccurred())
 			if d.State != nil {
 				other.mesh.acceptState(d.State, nw.now)
 			} else {
-				other.mesh.acceptSummary(d.Summary, nw.now)
+				other.mesh.acceptSummary(d.Summary, part, nw.now)
 			}
 		}
 	}
@@ -208,6 +208,30 @@
 	Expect(countNaming()).To(Equal(39))
 }
 
+// Guards against nodes that receive no sums because those of a very large deployment
+// under load don't fit into a datagram.
+func TestSumsOfManyInstancesReachEveryNode(t *testing.T) {
+	RegisterTestingT(t)
+	nw := newNetwork(60, 11)
+	for i, n := range nw.ordered {
+		n.state.Waiting = map[string]uint16{"daka510000": 1, "rada7437b5": 2}
+		n.state.Demand = map[string]float32{"daka510000": 1, "rada7437b5": 2}
+		for j := range 50 {
+			n.state.Load[Key(fmt.Sprint("head-", (50*i+j)%200))] = NewLoad(3, true)
+		}
+	}
+	nw.run(4 * time.Second)
+	Expect(nw.accurate()).To(Equal(1.0))
+	for i, n := range nw.ordered {
+		// Each of the 200 instances has three requests from each of 15 nodes.
+		for j := range 200 {
+			id := fmt.Sprint("head-", j)
+			Expect(n.mesh.Running(id)).To(Equal(45-n.state.Load[Key(id)].Requests()), "node %d, %s", i, id)
+		}
+		Expect(len(n.mesh.View().Live)).To(Equal(59), "nodes listed at node %d", i)
+	}
+}
+
 var _ = Describe("A large mesh", Ordered, func() {
 	// traffic maps numbers of nodes to the bytes per second of each node.
 	traffic := map[int]float64{}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -75,6 +75,8 @@
 	totalSummaryAt time.Time
 	// domainSummaryAt is when domainSummary was received.
 	domainSummaryAt time.Time
+	// totalParts and domainParts collect summaries that arrive in several parts.
+	totalParts, domainParts assembly
 	// wantsSummary is true if the node uses this one as an aggregator.
 	wantsSummary bool
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -193,7 +193,7 @@
 			return
 		}
 		m.receivedBytes.Inc(int64(n))
-		d, err := decode(buffer[:n])
+		d, part, err := decode(buffer[:n])
 		if err != nil {
 			_ = level.Debug(m.logger).Log("msg", "datagram dropped: decoding failed", "err", err)
 			continue
@@ -203,7 +203,7 @@
 		if d.State != nil {
 			m.acceptState(d.State, now)
 		} else {
-			m.acceptSummary(d.Summary, now)
+			m.acceptSummary(d.Summary, part, now)
 		}
 		m.mu.Unlock()
 	}
--- a/mesh/summaries.go
+++ b/mesh/summaries.go
@@ -46,16 +46,19 @@
 	return list
 }
 
-// appendSummary appends the message of a summary. The summary's members are truncated
-// to those that fit into a datagram.
+// appendSummary appends the messages of a summary. The summary's members are truncated
+// to those that fit.
 func (m *Mesh) appendSummary(messages []message, summary *Summary, recipients []netip.AddrPort) []message {
-	data, n, err := encodeSummary(*summary)
+	parts, n, err := encodeSummary(*summary)
 	if err != nil {
 		_ = level.Error(m.logger).Log("msg", "mesh summary not sent: encoding failed", "err", err)
 		return messages
 	}
 	summary.Members = summary.Members[:n]
-	return append(messages, message{data, recipients})
+	for _, data := range parts {
+		messages = append(messages, message{data, recipients})
+	}
+	return messages
 }
 
 // reportTimes maps members to the time when they were last listed to an audience.
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -41,8 +41,26 @@
 	Summary *Summary `msgpack:"r"`
 }
 
+// Part identifies one of the parts of a summary that doesn't fit into a datagram.
+type Part struct {
+	Index uint8 `msgpack:"i"`
+	Count uint8 `msgpack:"c"`
+}
+
+// partDatagram is the encoded form of a part of a summary. It has another number of
+// fields than datagram, by which receivers distinguish them.
+type partDatagram struct {
+	State   *State   `msgpack:"s"`
+	Summary *Summary `msgpack:"r"`
+	Part    Part     `msgpack:"p"`
+}
+
+// partDatagramHeader is the first byte of an encoded partDatagram: an array of three
+// elements.
+const partDatagramHeader = 0x93
+
 // marshal encodes a datagram without field names, which would take half of the space.
-func marshal(d datagram) ([]byte, error) {
+func marshal(d any) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(encoder)
@@ -66,27 +84,77 @@
 }
 
 // encodeSummary encodes a summary with as many members as fit into a datagram, and
-// returns their number.
-func encodeSummary(summary Summary) (data []byte, members int, err error) {
+// returns their number. The sum of a very large deployment leaves no room for members or
+// doesn't fit itself; it is then sent in several parts, each in a datagram of its own.
+func encodeSummary(summary Summary) (parts [][]byte, members int, err error) {
+	whole := summary
 	for {
-		data, err := marshal(datagram{Summary: &summary})
-		if err != nil || len(data) <= maxDatagram || len(summary.Members) == 0 {
-			return data, len(summary.Members), err
+		data, err := marshal(datagram{Summary: &whole})
+		if err != nil {
+			return nil, 0, err
+		}
+		if len(data) <= maxDatagram && (len(whole.Members) > 0 || len(summary.Members) == 0) {
+			return [][]byte{data}, len(whole.Members), nil
+		}
+		if len(whole.Members) == 0 {
+			break
 		}
 		excess := len(data) - maxDatagram
-		summary.Members = summary.Members[:max(len(summary.Members)-1-excess/maxMemberBytes, 0)]
+		whole.Members = whole.Members[:max(len(whole.Members)-1-excess/maxMemberBytes, 0)]
+	}
+	for n := 2; n <= maxParts; n++ {
+		if parts, err := encodeParts(summary, n); parts != nil || err != nil {
+			return parts, len(summary.Members), err
+		}
 	}
+	return nil, 0, errSummaryTooLarge
+}
+
+// maxParts is the largest number of datagrams for one summary.
+const maxParts = 8
+
+// errSummaryTooLarge means that a summary doesn't fit into maxParts datagrams.
+var errSummaryTooLarge = errors.New("summary too large for its datagrams")
+
+// encodeParts encodes a summary in n parts, the members in the last one. It returns nil
+// if a part doesn't fit into a datagram.
+func encodeParts(summary Summary, n int) ([][]byte, error) {
+	var encoded [][]byte
+	for i, sum := range summary.Sum.split(n) {
+		part := Summary{From: summary.From, Total: summary.Total, Sum: sum}
+		if i == n-1 {
+			part.Members = summary.Members
+		}
+		data, err := marshal(partDatagram{Summary: &part, Part: Part{Index: uint8(i), Count: uint8(n)}})
+		if err != nil || len(data) > maxDatagram {
+			return nil, err
+		}
+		encoded = append(encoded, data)
+	}
+	return encoded, nil
 }
 
 // maxMemberBytes is an upper bound on the encoded size of a member.
 const maxMemberBytes = 160
 
-// decode decodes a datagram. It fails if that contains no message.
-func decode(data []byte) (datagram, error) {
+// decode decodes a datagram and, if it holds one of the parts of a summary, which one.
+// It fails if the datagram contains no message.
+func decode(data []byte) (datagram, Part, error) {
+	if len(data) > 0 && data[0] == partDatagramHeader {
+		var p partDatagram
+		err := msgpack.Unmarshal(data, &p)
+		if err == nil && (p.Summary == nil || p.Summary.Sum == nil || p.Part.Count > maxParts || p.Part.Index >= p.Part.Count) {
+			err = errInvalidPart
+		}
+		return datagram{Summary: p.Summary}, p.Part, err
+	}
 	var d datagram
 	err := msgpack.Unmarshal(data, &d)
 	if err == nil && d.State == nil && (d.Summary == nil || d.Summary.Sum == nil) {
 		err = errEmptyDatagram
 	}
-	return d, err
+	return d, Part{Count: 1}, err
 }
+
+// errInvalidPart means that a datagram's part has no sum or an index out of range.
+var errInvalidPart = errors.New("datagram contains an invalid part of a summary")
