forward: bound the writes to callers

Cause: a caller that doesn't read its stream blocks the write of an event; the deadline of the request ends the engine's connection but not the write, so the request, its slot and its buffers stayed for as long as the caller liked. Found by a test over sockets: one request in progress 3 s after its deadline, with an engine that sends events of 64 KiB.

The response may be written until one second after the request's deadline.

Measured: the test, red before, passes; the suite of forward passes.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -209,6 +209,9 @@
 	// A caller that sends its body slowly occupies the connection no longer than it
 	// would wait for the response.
 	control := http.NewResponseController(c.writer)
+	if err := control.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "setting the write deadline of the response failed").WithCause(err)
+	}
 	if err := control.SetReadDeadline(c.deadline); err != nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "setting the read deadline of the body failed").WithCause(err)
 	}
@@ -259,6 +262,9 @@
 	// drainingRetry is the time after which a caller may retry at another node:
 	// almost at once.
 	drainingRetry = 20 * time.Millisecond
+	// writeGrace is how long after a request's deadline its response may still be written.
+	// A caller that doesn't read would otherwise hold a slot and memory for good.
+	writeGrace = time.Second
 	// noConfigurationRetry is the time that a new node takes to receive the
 	// configuration.
 	noConfigurationRetry = 500 * time.Millisecond
