httpdrain: stop servers without losing requests

Cause, found by TestStopAnswersQueuedConnections: a stop closed the listener, which resets the connections in its queue (60 of 60), and then called http.Server.Shutdown, which closes without an answer each connection on which it reads a request afterwards. In entry, a connection accepted in that moment was offered to a stopped server in an endless loop, which also kept the process from ending.

The new package accepts what is queued before it closes the socket, turns keep-alive off, and waits for connections with a request or without one yet (one second at most). entry uses it for callers, run mode too. Errors of accepting and closing are logged.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -8,7 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
 )
 
 // Limits on callers that apply until a configuration sets others.
@@ -24,17 +28,22 @@
 type callerServer struct {
 	handler  http.Handler
 	listener net.Listener
+	logger   log.Logger
+	// accepted is closed when no more connections are accepted.
+	accepted chan struct{}
 
 	mu     sync.Mutex
 	limits catalog.Limits
 	// servers are all servers started so far; older ones keep their connections.
-	servers []*http.Server
+	servers []*httpdrain.Server
 	// current is the listener of the newest server.
 	current *connListener
 }
 
-func newCallerServer(handler http.Handler, listener net.Listener) *callerServer {
-	s := &callerServer{handler: handler, listener: listener}
+// newCallerServer returns a server for the connections of a listener whose Accept fails
+// soon after it was closed.
+func newCallerServer(handler http.Handler, listener net.Listener, logger log.Logger) *callerServer {
+	s := &callerServer{handler: handler, listener: listener, logger: logger, accepted: make(chan struct{})}
 	s.applyLimits(catalog.Limits{})
 	return s
 }
@@ -48,12 +57,12 @@
 		return
 	}
 	s.limits = limits
-	server := &http.Server{
+	server := httpdrain.NewServer(&http.Server{
 		Handler:           s.handler,
 		MaxHeaderBytes:    orDefault(limits.MaxHeaderBytes, defaultMaxHeaderBytes),
 		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
-	}
+	})
 	if s.current != nil {
 		s.current.stop()
 	}
@@ -72,6 +81,7 @@
 
 // run accepts connections until the listener is closed.
 func (s *callerServer) run() error {
+	defer close(s.accepted)
 	for {
 		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -79,6 +89,7 @@
 		}
 		if err != nil {
 			// The process is out of file descriptors, or the connection was aborted.
+			_ = level.Warn(s.logger).Log("msg", "accepting a caller's connection failed", "err", err)
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
@@ -102,17 +113,24 @@
 }
 
 // shutdown stops accepting connections and waits for the requests in flight until ctx
-// is done; then it closes the remaining connections.
+// is done; then it closes the remaining connections. The servers stop only when each
+// accepted connection was passed to one.
 func (s *callerServer) shutdown(ctx context.Context) {
-	_ = s.listener.Close()
+	if err := s.listener.Close(); err != nil {
+		_ = level.Warn(s.logger).Log("msg", "closing the callers' listener failed", "err", err)
+	}
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+	}
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, server := range servers {
 		wg.Go(func() {
-			if server.Shutdown(ctx) != nil {
-				_ = server.Close()
+			if err := server.Stop(ctx); err != nil {
+				_ = level.Warn(s.logger).Log("msg", "closing a server for callers failed", "err", err)
 			}
 		})
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/lease"
 	"github.com/rattanlanding/rattanlanding/platform"
@@ -63,11 +64,11 @@
 
 // start opens the listeners and starts the background loops.
 func (d *daemon) start(context.Context) error {
-	listener, err := net.Listen("tcp4", d.settings.CallerAddress)
+	listener, err := httpdrain.Listen("tcp4", d.settings.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("callerAddress: %w", err)
 	}
-	d.callers = newCallerServer(d.handler, listener)
+	d.callers = newCallerServer(d.handler, listener, d.logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	for _, s := range []struct {
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
 	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/lease"
 	"github.com/rattanlanding/rattanlanding/limit"
@@ -73,7 +74,7 @@
 	logger         log.Logger
 	shutdown       fx.Shutdowner
 
-	callerServer *http.Server
+	callerServer *httpdrain.Server
 	// stop cancels the controllers' context.
 	stop context.CancelFunc
 	// goroutines are those of the controllers and the servers.
@@ -85,7 +86,7 @@
 ) *daemon {
 	return &daemon{
 		settings: s, board: board, peer: node, gateway: g, operatorServer: operators, claims: claims,
-		controllers: controllers, logger: logger, shutdown: shutdown, callerServer: g.Server(),
+		controllers: controllers, logger: logger, shutdown: shutdown, callerServer: httpdrain.NewServer(g.Server()),
 	}
 }
 
@@ -96,7 +97,7 @@
 
 // start opens the listeners and starts the servers and controllers.
 func (d *daemon) start(context.Context) error {
-	callerListener, err := net.Listen("tcp", d.settings.CallerAddress)
+	callerListener, err := httpdrain.Listen("tcp", d.settings.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("settings: callerAddress: %w", err)
 	}
@@ -119,7 +120,7 @@
 }
 
 // serve runs an HTTP server until it is shut down.
-func (d *daemon) serve(name string, server *http.Server, listener net.Listener) {
+func (d *daemon) serve(name string, server interface{ Serve(net.Listener) error }, listener net.Listener) {
 	d.goroutines.Go(func() {
 		err := server.Serve(listener)
 		if err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -177,7 +178,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	d.stop()
-	_ = d.callerServer.Shutdown(ctx)
+	if err := d.callerServer.Stop(ctx); err != nil {
+		_ = level.Warn(d.logger).Log("msg", "closing the server for callers failed", "err", err)
+	}
 	_ = d.operatorServer.Shutdown(ctx)
 	d.goroutines.Wait()
 	d.claims.Close()
