upstream: don't reuse a connection that carried another response

Cause: a response to another request is skipped by its request ID, and the connection was used again once the own response was whole. A server that is one response behind then costs a skip on each request, and bytes that arrive late are only told apart by their ID.

Such a connection is closed after its response. The test of that failed before (one connection instead of two).

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -48,8 +48,11 @@
 	// inHead is true while the head of a response is read.
 	inHead bool
 	// headLeft is the number of bytes that the head may still have.
-	headLeft  int
-	closeOnce sync.Once
+	headLeft int
+	// desynchronised is true once a response to another request was skipped: its server
+	// may send further ones when the next request expects its response.
+	desynchronised bool
+	closeOnce      sync.Once
 }
 
 // Read implements io.Reader for the read buffer. It limits the head of a response.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -105,6 +105,7 @@
 			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 				conn: c, response: response, sent: sent}, nil
 		}
+		c.desynchronised = true
 		switch _, err := io.CopyN(io.Discard, response.Body, maxForeignBody+1); {
 		case err == nil:
 			return nil, ErrForeignResponse
@@ -194,7 +195,7 @@
 	default:
 	}
 	framed := r.Length >= 0 || slices.Contains(r.response.TransferEncoding, "chunked")
-	if !contextActive || !requestSent || !framed || r.response.Close || c.reader.Buffered() > 0 {
+	if !contextActive || !requestSent || !framed || r.response.Close || c.desynchronised || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -65,6 +65,41 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// answerTwice answers each request on a connection, and once more after a pause.
+func answerTwice(conn net.Conn, pause time.Duration) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		response := responseWith(r.Header.Get("Id"), "answer to "+r.Header.Get("Id"))
+		if _, err := io.WriteString(conn, response); err != nil {
+			return
+		}
+		time.AfterFunc(pause, func() { _, _ = io.WriteString(conn, response) })
+	}
+}
+
+// exchangeWithID sends a request and returns the body of the response with its ID.
+func exchangeWithID(p *upstream.Pool, address, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := p.Get(ctx, address, false, 0)
+	if err != nil {
+		return "", err
+	}
+	response, err := conn.Do(ctx, &upstream.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
+		IsOwn: func(_ int, h http.Header) bool { return h.Get("Id") == id }})
+	if err != nil {
+		return "", err
+	}
+	defer response.Abort()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
 // exchange sends a request with the ID "r" and returns the body of its response.
 func exchange(p *upstream.Pool, address string, watch upstream.Watch) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -106,6 +141,44 @@
 		Expect(connections.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("doesn't reuse a connection on which a response to another request arrived", func() {
+		// Guards against a server that answers each request on a connection with the
+		// response to the one before it.
+		address, connections := newServer(responseWith("earlier", "crossed")+responseWith("r", "mine"), responseWith("r", "again"))
+		p := upstream.NewPool(upstream.Config{})
+		Expect(exchange(p, address, nil)).To(Equal("mine"))
+		Expect(exchange(p, address, nil)).To(Equal("mine"))
+		Expect(connections.Load()).To(BeEquivalentTo(2))
+	})
+
+	DescribeTable("never returns a late copy of another response",
+		func(pause time.Duration) {
+			// Guards against a copy that arrives before, with or after the next request on a
+			// kept connection.
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go answerTwice(conn, pause)
+				}
+			}()
+			p := upstream.NewPool(upstream.Config{})
+			for i := range 20 {
+				id := fmt.Sprint("r", i)
+				body, err := exchangeWithID(p, listener.Addr().String(), id)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(body).To(Equal("answer to " + id))
+				time.Sleep(time.Duration(i%4) * time.Millisecond)
+			}
+		},
+		Entry("at once", time.Duration(0)), Entry("after 1 ms", time.Millisecond), Entry("after 3 ms", 3*time.Millisecond),
+	)
+
 	DescribeTable("returns an error for an incomplete response",
 		func(response string) {
 			// Guards against an incomplete response that looks complete.
