logsink: drop lines that are written after Close

Cause: Close closed the channel to which Write sends, so a goroutine that logs during the exit panicked and the process ended with another code. The test panicked before.

--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -26,13 +26,15 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	// done is closed when writeLoop has written the last line.
-	done  chan struct{}
-	close sync.Once
+	done chan struct{}
+	// closed is closed by Close.
+	closed chan struct{}
+	close  sync.Once
 }
 
 // New returns a sink that writes to output.
 func New(output io.Writer) *Sink {
-	s := &Sink{lines: make(chan []byte, queueCapacity), done: make(chan struct{})}
+	s := &Sink{lines: make(chan []byte, queueCapacity), done: make(chan struct{}), closed: make(chan struct{})}
 	go s.writeLoop(output)
 	return s
 }
@@ -50,10 +52,10 @@
 // Dropped returns the number of dropped lines not yet reported in the output.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
-// Close writes the queued lines, waiting for at most closeTimeout. Write must not be
-// called afterwards.
+// Close writes the queued lines, waiting for at most closeTimeout. Lines that are written
+// afterwards are dropped.
 func (s *Sink) Close() {
-	s.close.Do(func() { close(s.lines) })
+	s.close.Do(func() { close(s.closed) })
 	select {
 	case <-s.done:
 	case <-time.After(closeTimeout):
@@ -64,30 +66,34 @@
 // since the last one, until the sink is closed.
 func (s *Sink) writeLoop(output io.Writer) {
 	defer close(s.done)
-	var batch bytes.Buffer
-	for line := range s.lines {
-		batch.Write(line)
-		s.drainInto(&batch)
-		if n := s.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(&batch, "level=warn msg=\"log lines dropped\" lines=%d\n", n)
+	for {
+		select {
+		case line := <-s.lines:
+			s.writeBatch(output, line)
+		case <-s.closed:
+			for len(s.lines) > 0 {
+				s.writeBatch(output, <-s.lines)
+			}
+			return
 		}
-		// An error is ignored because the log itself is the place to report it.
-		_, _ = output.Write(batch.Bytes())
-		batch.Reset()
 	}
 }
 
-// drainInto adds the lines that are already queued to batch, up to batchBytes.
-func (s *Sink) drainInto(batch *bytes.Buffer) {
-	for batch.Len() < batchBytes {
+// writeBatch writes a line and those that are already queued, up to batchBytes.
+func (s *Sink) writeBatch(output io.Writer, line []byte) {
+	var batch bytes.Buffer
+	batch.Write(line)
+	for queued := true; queued && batch.Len() < batchBytes; {
 		select {
-		case line, open := <-s.lines:
-			if !open {
-				return
-			}
+		case line := <-s.lines:
 			batch.Write(line)
 		default:
-			return
+			queued = false
 		}
 	}
+	if n := s.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(&batch, "level=warn msg=\"log lines dropped\" lines=%d\n", n)
+	}
+	// An error is ignored because the log itself is the place to report it.
+	_, _ = output.Write(batch.Bytes())
 }
--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -80,3 +80,15 @@
 	g.Expect(level.Info(logger).Log("msg", "sent")).To(Succeed())
 	g.Expect(out.String()).To(ContainSubstring(`msg="log lines left out" of=sent lines=1750`))
 }
+
+// Guards against a process that panics because something is logged after the sink was
+// closed.
+func TestWriteAfterCloseIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	sink := logsink.New(&out)
+	sink.Close()
+	_, err := io.WriteString(sink, "late\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.String()).To(BeEmpty())
+}
