mesh: survive any datagram

Cause, by reading and fuzzing: a demand that is NaN or infinite was summed into the average that forms groups and stayed there; a panic while a datagram is processed ended the process; a failed read of the socket ended the receiver for good, without a word.

Datagrams with such values are rejected with the field named, counted in mesh.rejected_datagrams and logged; a panic is logged with its stack and only the datagram is lost; a failed read is logged and tried again.

--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 fuzz:
 	$(GO) test ./release -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	$(GO) test ./mesh -run '^$$' -fuzz FuzzAccept -fuzztime $(FUZZTIME)
 	$(GO) test ./gateway -run '^$$' -fuzz FuzzParseCompletion -fuzztime $(FUZZTIME)
 
 # generate generates the Go code of the .proto files with buf, which must be installed
--- /dev/null
+++ b/mesh/fuzz_test.go
@@ -0,0 +1,89 @@
+package mesh
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+)
+
+// newTestMesh returns a mesh of a node without others.
+func newTestMesh() *Mesh {
+	return New(Config{Node: "a", Address: "10.0.0.1:7340"}, func() State { return State{} }, log.NewNopLogger(), metrics.NewRegistry())
+}
+
+// FuzzAccept guards against a datagram that ends the process, when it is received or when
+// the next messages are prepared from it.
+func FuzzAccept(f *testing.F) {
+	now := time.Unix(1e9, 0)
+	node := Node{Name: "b", Boot: 1, Count: 1, PeerAddress: "10.0.0.2:7340", FailureDomain: "z", Serving: true}
+	state := State{Node: node, Load: map[uint32]Load{1: NewLoad(2, true)}, Demand: map[string]float32{"m": 1},
+		Waiting: map[string]uint16{"m": 1}, Suspects: []uint32{1}, KnownPeers: []string{"10.0.0.3:7340", "x"}, WantsSummary: true}
+	sum := newSum()
+	sum.addState(&state)
+	member := Member{Node: Node{Name: "c", Boot: 1, Count: 1, PeerAddress: "10.0.0.3:7340"}, Gone: true}
+	for _, message := range []any{
+		datagram{State: &state},
+		datagram{Summary: &Summary{From: node, Total: true, Sum: sum, Members: []Member{member}}},
+		datagram{Summary: &Summary{From: node, Sum: &Sum{}}},
+		partDatagram{Summary: &Summary{From: node, Sum: sum}, Part: Part{Index: 1, Count: 2}},
+	} {
+		data, err := marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{partDatagramHeader})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := NewWithT(t)
+		m := newTestMesh()
+		for range 2 {
+			if d, part, err := decode(data); err == nil {
+				if d.State != nil {
+					m.acceptState(d.State, now)
+				} else {
+					m.acceptSummary(d.Summary, part, now)
+				}
+			}
+			m.prepare(State{Node: Node{Name: "a", PeerAddress: "10.0.0.1:7340", FailureDomain: "z", Boot: 1, Count: 1}}, now)
+		}
+		for _, slots := range m.View().Others.Demand {
+			g.Expect(math.IsNaN(float64(slots)) || math.IsInf(float64(slots), 0)).To(BeFalse())
+		}
+	})
+}
+
+// Guards against a demand that isn't a number, which would stay in every average that it
+// is added to.
+func TestRejectsInvalidDemand(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh()
+	from := netip.MustParseAddrPort("10.0.0.2:7340")
+	for _, slots := range []float32{float32(math.NaN()), float32(math.Inf(1)), -1} {
+		data, err := marshal(datagram{State: &State{Node: Node{Name: "b", Boot: 1, PeerAddress: from.String()}, Demand: map[string]float32{"m": slots}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		m.accept(data, from, time.Now())
+		g.Expect(m.byAddress).To(BeEmpty())
+	}
+	g.Expect(m.rejected.Count()).To(BeEquivalentTo(3))
+}
+
+// Guards against a process that ends because of an unexpected error in one message.
+func TestSurvivesAPanicInOneMessage(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh()
+	from := netip.MustParseAddrPort("10.0.0.2:7340")
+	data, err := marshal(datagram{State: &State{Node: Node{Name: "b", Boot: 1, PeerAddress: from.String()}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	m.byAddress = nil
+	m.accept(data, from, time.Now())
+	g.Expect(m.rejected.Count()).To(BeEquivalentTo(1))
+	m.members = newMembers()
+	m.accept(data, from, time.Now())
+	g.Expect(m.byAddress).To(HaveLen(1))
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +25,8 @@
 	// intervalPerNode is multiplied by the number of nodes that send to each other to
 	// give the interval, so that none receives more than some 300 states a second.
 	intervalPerNode = 3300 * time.Microsecond
+	// receiveBackoff is the pause after a failed read from the socket.
+	receiveBackoff = 100 * time.Millisecond
 	// maxKnownPeers is the number of addresses of other nodes that a state contains.
 	maxKnownPeers = 6
 )
@@ -46,6 +50,8 @@
 	localState               func() State
 	logger                   log.Logger
 	sentBytes, receivedBytes metrics.Counter
+	// rejected counts the datagrams that couldn't be processed.
+	rejected metrics.Counter
 
 	// mu guards the fields up to view.
 	mu sync.Mutex
@@ -72,7 +78,8 @@
 func New(cfg Config, localState func() State, logger log.Logger, registry metrics.Registry) *Mesh {
 	m := &Mesh{cfg: cfg, key: Key(cfg.Node), localState: localState, logger: log.With(logger, "component", "mesh"),
 		sentBytes: metrics.GetOrRegisterCounter("mesh.sent_bytes", registry), receivedBytes: metrics.GetOrRegisterCounter("mesh.received_bytes", registry),
-		members: newMembers(), reportedToDomains: reportTimes{}, reportedToNodes: reportTimes{}, boot: time.Now().UnixMilli()}
+		rejected: metrics.GetOrRegisterCounter("mesh.rejected_datagrams", registry),
+		members:  newMembers(), reportedToDomains: reportTimes{}, reportedToNodes: reportTimes{}, boot: time.Now().UnixMilli()}
 	m.view.Store(emptyView())
 	if parsed, err := netip.ParseAddrPort(cfg.Address); err == nil {
 		m.address = parsed
@@ -188,23 +195,40 @@
 func (m *Mesh) receive(conn *net.UDPConn) {
 	buffer := make([]byte, 64<<10)
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
-		if err != nil {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		m.receivedBytes.Inc(int64(n))
-		d, part, err := decode(buffer[:n])
 		if err != nil {
-			_ = level.Debug(m.logger).Log("msg", "datagram dropped: decoding failed", "err", err)
+			_ = level.Warn(m.logger).Log("msg", "receiving a datagram failed", "err", err)
+			time.Sleep(receiveBackoff)
 			continue
 		}
-		now := time.Now()
-		m.mu.Lock()
-		if d.State != nil {
-			m.acceptState(d.State, now)
-		} else {
-			m.acceptSummary(d.Summary, part, now)
+		m.receivedBytes.Inc(int64(n))
+		m.accept(buffer[:n], from, time.Now())
+	}
+}
+
+// accept decodes and records a datagram. One that can't be processed is dropped and
+// counted: it must not end the process, whoever sent it.
+func (m *Mesh) accept(data []byte, from netip.AddrPort, now time.Time) {
+	defer func() {
+		if r := recover(); r != nil {
+			m.rejected.Inc(1)
+			_ = level.Error(m.logger).Log("msg", "datagram dropped: processing it panicked", "from", from, "panic", r, "stack", string(debug.Stack()))
 		}
-		m.mu.Unlock()
+	}()
+	d, part, err := decode(data)
+	if err != nil {
+		m.rejected.Inc(1)
+		_ = level.Warn(m.logger).Log("msg", "datagram dropped: decoding failed", "from", from, "err", err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d.State != nil {
+		m.acceptState(d.State, now)
+	} else {
+		m.acceptSummary(d.Summary, part, now)
 	}
 }
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -143,18 +144,46 @@
 	if len(data) > 0 && data[0] == partDatagramHeader {
 		var p partDatagram
 		err := msgpack.Unmarshal(data, &p)
+		d := datagram{Summary: p.Summary}
 		if err == nil && (p.Summary == nil || p.Summary.Sum == nil || p.Part.Count > maxParts || p.Part.Index >= p.Part.Count) {
 			err = errInvalidPart
 		}
-		return datagram{Summary: p.Summary}, p.Part, err
+		if err == nil {
+			err = d.validate()
+		}
+		return d, p.Part, err
 	}
 	var d datagram
 	err := msgpack.Unmarshal(data, &d)
 	if err == nil && d.State == nil && (d.Summary == nil || d.Summary.Sum == nil) {
 		err = errEmptyDatagram
 	}
+	if err == nil {
+		err = d.validate()
+	}
 	return d, Part{Count: 1}, err
 }
 
+// validate checks the values of which a wrong one would spoil sums for longer than the
+// lifetime of the message.
+func (d *datagram) validate() error {
+	demand := map[string]float32(nil)
+	if d.State != nil {
+		demand = d.State.Demand
+	} else {
+		demand = d.Summary.Sum.Demand
+	}
+	for model, slots := range demand {
+		// NaN fails both comparisons.
+		if !(slots >= 0 && slots <= maxDemand) {
+			return fmt.Errorf("demand of model %q: %v is not between 0 and %d", model, slots, maxDemand)
+		}
+	}
+	return nil
+}
+
+// maxDemand is the largest demand of a model, in slots, far above any deployment's.
+const maxDemand = 10_000_000
+
 // errInvalidPart means that a datagram's part has no sum or an index out of range.
 var errInvalidPart = errors.New("datagram contains an invalid part of a summary")
