forward: count the reading of prompts in the demand

A group serves 18.7 of its requests a second with all 48 slots in use and already 14.9 with 24, so at 0.45 of its slots it is at 0.74 of its capacity. The plan saw a demand of 3.3 groups where 4.4 were needed, and gave the instances of broken groups to the smaller model.

The demand of a pool is now at least the part of the groups' time that its requests take, by their rate, the lengths of prompts and responses seen, and the engine's profile.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -105,6 +105,19 @@
 	return time.Duration(float64(tokens) / p.PrefillRate * float64(time.Second))
 }
 
+// RequestTime returns the time of a group with all slots in use and a time factor of 1
+// that a request takes: its share of the token steps, and the reading of its prompt,
+// during which the group writes nothing.
+func (p *EngineProfile) RequestTime(promptTokens, outputTokens float64) time.Duration {
+	slots := float64(max(p.Slots, 1))
+	step := float64(p.StepTime)/slots + float64(p.StepTimePerRequest)
+	read := 0.0
+	if p.PrefillRate > 0 {
+		read = promptTokens / p.PrefillRate * float64(time.Second)
+	}
+	return time.Duration(outputTokens*step + read)
+}
+
 // Model returns the model with the given name, or nil.
 func (p *EngineProfile) Model(name string) *Model {
 	for i := range p.Models {
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -130,7 +130,7 @@
 	}
 	d.mu.Lock()
 	if !r.Begun {
-		d.trafficOf(r.Pool).recordArrival(time.Now())
+		d.trafficOf(r.Pool).recordArrival(time.Now(), r.PromptTokens)
 	}
 	if len(d.tables.Load().Targets(r.Pool)) == 0 {
 		d.trafficOf(r.Pool).recordRefusal(time.Now())
@@ -193,7 +193,7 @@
 // and the number of slots that the requests of all nodes would occupy. For plain
 // services nodes report only the slots that they hold. The caller holds the lock.
 func (d *Dispatcher) slotsAndDemand(p Pool, now time.Time) (slots int, demand float64) {
-	demand = d.trafficOf(p).demand(now, d.ownDemand(p)) + d.peers.Demand(p.Model)
+	demand = d.demand(p, now) + d.peers.Demand(p.Model)
 	for _, t := range d.tables.Load().Targets(p) {
 		if !t.Load.Suspected(now) {
 			slots += t.Slots
@@ -305,12 +305,32 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	demand := make(map[Pool]float64, len(d.traffic))
-	for p, t := range d.traffic {
-		demand[p] = t.demand(now, d.ownDemand(p))
+	for p := range d.traffic {
+		demand[p] = d.demand(p, now)
 	}
 	return demand
 }
 
+// demand returns the number of slots that this node's requests for a pool would occupy.
+// The slots that they hold understate the load of groups that read long prompts: these
+// are busy long before all their slots are taken. So the demand is at least what the
+// requests take of the time of a group. The caller holds the lock.
+func (d *Dispatcher) demand(p Pool, now time.Time) float64 {
+	t := d.trafficOf(p)
+	demand := t.demand(now, d.ownDemand(p))
+	if e, found := d.tables.Load().engines[p]; found && t.events.known {
+		demand = max(demand, e.slots(t.firstArrivalRate(now), t.promptTokens.value, t.events.value))
+	}
+	return demand
+}
+
+// RecordResponse records the number of events of a complete response.
+func (d *Dispatcher) RecordResponse(p Pool, events int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trafficOf(p).events.add(float64(events))
+}
+
 // Waiting returns the number of waiting requests by pool.
 func (d *Dispatcher) Waiting() map[Pool]int {
 	d.mu.Lock()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -271,7 +271,7 @@
 		f.recordHoldTime(time.Second)
 		for i := range 400 {
 			at := now.Add(time.Duration(i) * 10 * time.Millisecond)
-			f.recordArrival(at)
+			f.recordArrival(at, 0)
 			if i%2 == 0 {
 				f.recordRefusal(at)
 			}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -35,6 +35,9 @@
 	for {
 		err := h.streamAttempt(ctx, s)
 		if err == nil {
+			if s.status == http.StatusOK && c.LastEventID == "" {
+				h.Dispatcher.RecordResponse(c.pool(), s.events)
+			}
 			h.recordResponse(c, s.status, s.events)
 			return
 		}
--- a/forward/table.go
+++ b/forward/table.go
@@ -72,6 +72,22 @@
 	pools map[Pool][]*Target
 	// byInstance maps instance IDs to targets.
 	byInstance map[string]*Target
+	// engines maps the pools of models to the properties of their groups.
+	engines map[Pool]engineModel
+}
+
+// engineModel is a model and the engines that run it.
+type engineModel struct {
+	profile *catalog.EngineProfile
+	model   *catalog.Model
+}
+
+// slots returns the number of slots that requests at the given rate per second occupy
+// in groups with all slots in use, for requests with the given mean lengths.
+func (e engineModel) slots(rate, promptTokens, events float64) float64 {
+	output := events * float64(max(e.profile.StepsPerEvent, 1))
+	groups := rate * e.profile.RequestTime(promptTokens, output).Seconds() * e.model.TimeFactor
+	return groups * float64(e.profile.Slots)
 }
 
 // Targets returns the targets of a pool.
@@ -117,7 +133,7 @@
 func (t *Tables) Build(c *catalog.Configuration, r *engine.Roster) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	table := &Table{pools: map[Pool][]*Target{}, byInstance: map[string]*Target{}}
+	table := &Table{pools: map[Pool][]*Target{}, byInstance: map[string]*Target{}, engines: map[Pool]engineModel{}}
 	kept := map[loadKey]*Load{}
 	add := func(target *Target) {
 		key := loadKey{target.Instance.ID, target.Instance.StartedMs, target.Group}
@@ -134,6 +150,10 @@
 			addServers(s, r, add)
 		} else {
 			addGroups(s, r, add)
+			for i := range s.Engine.Models {
+				m := &s.Engine.Models[i]
+				table.engines[Pool{s.Name, m.Name}] = engineModel{s.Engine, m}
+			}
 		}
 	}
 	t.loads = kept
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -10,6 +10,8 @@
 	rateWindow = time.Second
 	// holdTimeSmoothing is the weight of one request in the average hold time.
 	holdTimeSmoothing = 0.05
+	// lengthSmoothing is the weight of one request in the average lengths.
+	lengthSmoothing = 0.05
 	// overloadRatio is the ratio of demand to slots above which short drops in demand
 	// free no slots.
 	overloadRatio = 1.25
@@ -31,12 +33,41 @@
 	updatedAt   time.Time
 	// holdTime is the average time for which a slot is held.
 	holdTime time.Duration
+	// promptTokens is the average length of the prompts.
+	promptTokens average
+	// events is the average number of events of a complete response.
+	events average
 }
 
-// recordArrival counts a request.
-func (t *traffic) recordArrival(now time.Time) {
+// recordArrival counts a request with a prompt of the given length.
+func (t *traffic) recordArrival(now time.Time, promptTokens int) {
 	t.decay(now)
 	t.arrivalRate += 1 / rateWindow.Seconds()
+	t.promptTokens.add(float64(promptTokens))
+}
+
+// firstArrivalRate returns the rate of requests without those of refused callers, who are
+// assumed to retry once.
+func (t *traffic) firstArrivalRate(now time.Time) float64 {
+	t.decay(now)
+	if t.arrivalRate <= 0 {
+		return 0
+	}
+	return t.arrivalRate / (1 + min(t.refusalRate/t.arrivalRate, 1))
+}
+
+// average is a moving average of the lengths of requests.
+type average struct {
+	value float64
+	known bool
+}
+
+func (a *average) add(value float64) {
+	if !a.known {
+		a.value, a.known = value, true
+		return
+	}
+	a.value += lengthSmoothing * (value - a.value)
 }
 
 // recordRefusal counts a refusal.
