--- a/formation/stage.go
+++ b/formation/stage.go
@@ -128,13 +128,15 @@
 	return commands
 }
 
-// spareModel returns the model with the most members of groups for each spare instance
-// that has its weights, counting the next one, or "" if there are no groups.
+// spareModel returns the model whose weights the next spare instance of a domain loads,
+// or "" if there are no groups. Spares are divided in proportion to the members of the
+// groups of each model (the Sainte-Laguë method), since each member is as likely to be
+// lost as any other.
 func spareModel(members, spares map[string]int) string {
 	best, most := "", 0.0
 	for _, model := range slices.Sorted(maps.Keys(members)) {
-		if perSpare := float64(members[model]) / float64(spares[model]+1); perSpare > most {
-			best, most = model, perSpare
+		if quotient := float64(members[model]) / float64(2*spares[model]+1); quotient > most {
+			best, most = model, quotient
 		}
 	}
 	return best
