Report bodies that exceed their limits, and errors that were dropped

Cause, by reading: bodies were read through io.LimitReader, so the beginning of a larger one looked complete: a caller's response above 8 MiB, a store's above 96 MiB, a document of another node above 64 MiB.

readall.Limited returns an error that names the limit. The test of the caller was red before.

--- a/caller/addresses.go
+++ b/caller/addresses.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/rattanlanding/rattanlanding/internal/readall"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -99,7 +99,7 @@
 		return decoded, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxNodeBodyBytes))
+	body, err := readall.Limited(response.Body, maxNodeBodyBytes)
 	if err != nil {
 		return decoded, err
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -83,6 +83,14 @@
 		Expect(string(response.Body)).To(Equal("done"))
 	})
 
+	It("returns an error for a response over its limit", func() {
+		// Guards against the beginning of a large response that looks like all of it.
+		a := newTestNode(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 9<<20)) })
+		_, err := client(a).Do(context.Background(), call)
+		Expect(err).To(MatchError(ContainSubstring("exceeds 8388608 bytes")))
+		Expect(verdict.Of(err).Verdict).NotTo(Equal(verdict.NotRun))
+	})
+
 	It("does not retry a call without an idempotency key that may have run", func() {
 		// Guards against a second charge because the client library retries.
 		a, b := newTestNode(refuse(verdict.MayHaveRun, verdict.ReasonBackendFailed)), newTestNode(respondDone)
--- a/caller/client.go
+++ b/caller/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/rattanlanding/rattanlanding/internal/readall"
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -197,7 +198,7 @@
 		return response, nil
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxNodeBodyBytes))
+	data, err := readall.Limited(response.Body, maxNodeBodyBytes)
 	if err != nil {
 		return nil, transportError(true, address, err)
 	}
--- a/caller/requests.go
+++ b/caller/requests.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/rattanlanding/rattanlanding/internal/readall"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -64,7 +65,7 @@
 
 // readCompletion reads a response that is not streamed.
 func readCompletion(body io.Reader, onText func(string)) (string, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	data, err := readall.Limited(body, maxResponseBytes)
 	if err != nil {
 		return "", incompleteError(err)
 	}
@@ -165,7 +166,7 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := readall.Limited(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, incompleteError(err)
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/rattanlanding/rattanlanding/internal/readall"
 )
 
 // peerClient is the HTTP client for the peer addresses of other nodes.
@@ -41,7 +42,7 @@
 	if response.StatusCode != http.StatusOK {
 		return &peerStatusError{address, response.StatusCode}
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes))
+	data, err := readall.Limited(response.Body, maxDocumentBytes)
 	if err != nil {
 		return err
 	}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -53,8 +53,12 @@
 	if response.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe {
 		// Another backend server may succeed. If it doesn't, this response is delivered.
 		own := verdict.New(verdict.Ran, verdict.ReasonBackendFailed, "backend server answered %d", response.Status)
-		if h.allowRetry(ctx, c, own) && h.plainAttempt(ctx, c) == nil {
-			return nil
+		if h.allowRetry(ctx, c, own) {
+			again := h.plainAttempt(ctx, c)
+			if again == nil {
+				return nil
+			}
+			_ = level.Info(h.Logger).Log("msg", "retry failed; delivering the earlier response", "request", c.ID, "status", response.Status, "err", again)
 		}
 	}
 	h.deliver(c, response, body)
--- a/object/failover_client.go
+++ b/object/failover_client.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/internal/readall"
 )
 
 const (
@@ -179,8 +180,8 @@
 	if httpResponse.StatusCode == http.StatusServiceUnavailable {
 		return Response{}, unavailableError(errors.New("platform answered 503"))
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
-	if err != nil && request.Method == http.MethodGet {
+	body, err := readall.Limited(httpResponse.Body, maxResponseBytes)
+	if err != nil {
 		return fail(err)
 	}
 	return Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body}, nil
