--- a/mesh/accept.go
+++ b/mesh/accept.go
@@ -102,9 +102,14 @@
 	}
 }
 
-// logNewBoot logs a node that is new or was restarted.
+// logNewBoot logs a node that was restarted. New nodes are logged at debug level only:
+// each node of a large deployment meets hundreds of them when it starts.
 func (m *Mesh) logNewBoot(known *member, n *Node) {
-	if known.Node.Boot != n.Boot {
-		_ = level.Info(m.logger).Log("msg", "new or restarted node", "peer", n.Name, "boot", n.Boot)
+	switch known.Node.Boot {
+	case n.Boot:
+	case 0:
+		_ = level.Debug(m.logger).Log("msg", "new node", "peer", n.Name, "boot", n.Boot)
+	default:
+		_ = level.Info(m.logger).Log("msg", "node restarted", "peer", n.Name, "boot", n.Boot, "previous_boot", known.Node.Boot)
 	}
 }
