--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -184,28 +184,41 @@
 	}
 }
 
+// naming returns the number of nodes that list a node as alive.
+func (nw *network) naming(name string) int {
+	n := 0
+	for _, other := range nw.ordered {
+		if slices.ContainsFunc(other.mesh.View().Live, func(listed *Node) bool { return listed.Name == name }) {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a node that stays unlisted after it was silent, because the record of
-// its loss counts as newer than its states.
-func TestNamesANodeAgainAfterItWasSilent(t *testing.T) {
+// its loss counts as newer than its states, and against one that is given up although it
+// was silent for less than the lifetime of a state.
+func TestSilentNodeIsNamedUntilItsStateExpires(t *testing.T) {
 	RegisterTestingT(t)
 	nw := newNetwork(40, 8)
 	nw.run(4 * time.Second)
 	silent := nw.ordered[30]
-	countNaming := func() int {
-		naming := 0
-		for _, n := range nw.ordered {
-			if slices.ContainsFunc(n.mesh.View().Live, func(other *Node) bool { return other.Name == silent.state.Node.Name }) {
-				naming++
-			}
-		}
-		return naming
+	name := silent.state.Node.Name
+	silent.dead = true
+	for since := time.Duration(0); since < stateLifetime-300*time.Millisecond; since += 100 * time.Millisecond {
+		Expect(nw.naming(name)).To(Equal(39), "silent for %v", since)
+		nw.run(100 * time.Millisecond)
 	}
+	silent.dead = false
+	nw.run(time.Second)
+	Expect(nw.naming(name)).To(Equal(39))
+
 	silent.dead = true
 	nw.run(4 * time.Second)
-	Expect(countNaming()).To(BeZero())
+	Expect(nw.naming(name)).To(BeZero())
 	silent.dead = false
 	nw.run(1500 * time.Millisecond)
-	Expect(countNaming()).To(Equal(39))
+	Expect(nw.naming(name)).To(Equal(39))
 }
 
 // Guards against nodes that receive no sums because those of a very large deployment
