lease: count suspensions of the machine against the lease

Cause, by reading: the validity of a held lease was compared with the clock of the process, which stands still while its machine is suspended. A holder that was suspended for longer than the lease counts as holder for the rest of it after it wakes, beside the node that acquired it in the meantime, and sends commands. Engines refuse older epochs only where a newer one has reached them; loads of weights have none.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -125,8 +125,17 @@
 	// Epoch is the lease epoch.
 	Epoch uint64 `json:"epoch"`
 	// ValidUntil is the time, on this process's clock, until which no other node
-	// will acquire the lease.
+	// will acquire the lease, unless the machine is suspended in the meantime.
 	ValidUntil time.Time `json:"goodUntil"`
+	// Suspended is suspend.Total at the time from which ValidUntil was counted.
+	Suspended time.Duration `json:"-"`
+}
+
+// ValidFor returns how much longer no other node will acquire the lease; suspended is the
+// present suspend.Total. The clock stands still while the machine is suspended, but the
+// other nodes' clocks don't.
+func (h HeldShard) ValidFor(now time.Time, suspended time.Duration) time.Duration {
+	return h.ValidUntil.Sub(now) - (suspended - h.Suspended)
 }
 
 // Lifecycle is the state of this node.
--- a/entry/module.go
+++ b/entry/module.go
@@ -17,6 +17,7 @@
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/internal/suspend"
 	"github.com/rattanlanding/rattanlanding/lease"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/object"
@@ -160,7 +161,7 @@
 				return formation.Term{}, false
 			}
 			held, ok := shards.Held[formationShard]
-			return formation.Term{Number: held.Epoch}, ok && time.Now().Before(held.ValidUntil)
+			return formation.Term{Number: held.Epoch}, ok && held.ValidFor(time.Now(), suspend.Total()) > 0
 		},
 		Configuration: &ps.Configuration, Roster: &ps.Roster, Demand: st.demand,
 		Commander: commander, Prober: commander, SuspectingNodes: st.suspecting, Progress: st.progress, Logger: logger, Registry: registry,
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,8 +102,10 @@
 	name  string
 	board blackboard.Board
 	store faultyStore
-	stop  context.CancelFunc
-	done  chan struct{}
+	// suspension is the time for which the node's machine was suspended.
+	suspension atomic.Int64
+	stop       context.CancelFunc
+	done       chan struct{}
 }
 
 func startNode(s *fakeStore, name string) *testNode { return startNodeWith(s, name, lease.Config{}) }
@@ -110,6 +113,7 @@
 func startNodeWith(s *fakeStore, name string, cfg lease.Config) *testNode {
 	cfg.Node, cfg.Boot = name, name+"-1"
 	n := &testNode{name: name, store: faultyStore{fakeStore: s}, done: make(chan struct{})}
+	cfg.Suspended = n.suspended
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	m := lease.New(cfg, &n.store, &n.board,
@@ -130,13 +134,15 @@
 	n.board.Members.Publish(all)
 }
 
+func (n *testNode) suspended() time.Duration { return time.Duration(n.suspension.Load()) }
+
 func (n *testNode) heldShard() (blackboard.HeldShard, bool) {
 	shards := n.board.Shards.Load()
 	if shards == nil {
 		return blackboard.HeldShard{}, false
 	}
 	held, ok := shards.Held[shard]
-	return held, ok && time.Now().Before(held.ValidUntil)
+	return held, ok && held.ValidFor(time.Now(), n.suspended()) > 0
 }
 
 // startPair starts two nodes and returns the holder first.
@@ -202,6 +208,26 @@
 	})
 }
 
+// Guards against a holder that acts under its lease after its machine was suspended for
+// longer than the lease: its clock stood still while another node acquired it.
+func TestSuspendedHolderDoesNotActAfterItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &fakeStore{}
+		holder, other := startPair(g, s)
+		before, held := holder.heldShard()
+		g.Expect(held).To(BeTrue())
+		holder.store.setFailing(true)
+		holder.suspension.Add(int64(lease.DefaultDuration - 100*time.Millisecond))
+		valid := before.ValidFor(time.Now(), holder.suspended())
+		g.Expect(valid).To(BeNumerically("<=", 100*time.Millisecond))
+		holder.suspension.Add(int64(time.Second))
+		_, held = holder.heldShard()
+		g.Expect(held).To(BeFalse(), "the lease counts as held after a suspension of its duration")
+		stopNodes(holder, other)
+	})
+}
+
 // Guards against a planned shutdown that leaves the shard without a holder until the
 // lease expires.
 func TestShutdownReleases(t *testing.T) {
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/internal/suspend"
 	"github.com/rattanlanding/rattanlanding/object"
 )
 
@@ -61,6 +62,9 @@
 	// ExclusiveProcess states that a process only starts after the previous process with
 	// its name has ended, so that it may acquire the leases of that process immediately.
 	ExclusiveProcess bool
+	// Suspended returns the time for which the machine has been suspended; suspend.Total
+	// by default.
+	Suspended func() time.Duration
 }
 
 // withDefaults returns a copy of c in which zero fields have their defaults.
@@ -71,6 +75,9 @@
 	c.SuspectAfter = cmp.Or(c.SuspectAfter, DefaultSuspectAfter)
 	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
 	c.Watchers = cmp.Or(c.Watchers, DefaultWatchers)
+	if c.Suspended == nil {
+		c.Suspended = suspend.Total
+	}
 	return c
 }
 
@@ -195,7 +202,7 @@
 	held := make(map[string]blackboard.HeldShard)
 	for _, s := range m.shards {
 		h, ok := s.snapshot()
-		if ok && now.Before(h.ValidUntil) && !slices.Contains(except, s) {
+		if ok && h.ValidFor(now, m.cfg.Suspended()) > 0 && !slices.Contains(except, s) {
 			held[s.name] = h
 		}
 	}
--- a/lease/shard.go
+++ b/lease/shard.go
@@ -47,13 +47,16 @@
 	epoch uint64
 	// validUntil is the time, by this process's clock, until which the lease is valid.
 	validUntil time.Time
+	// suspended is the time for which the machine had been suspended when validUntil was
+	// set.
+	suspended time.Duration
 }
 
 // snapshot returns the published form of the shard, and whether it is held.
 func (s *shard) snapshot() (blackboard.HeldShard, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return blackboard.HeldShard{Epoch: s.epoch, ValidUntil: s.validUntil}, s.held
+	return blackboard.HeldShard{Epoch: s.epoch, ValidUntil: s.validUntil, Suspended: s.suspended}, s.held
 }
 
 // shouldRelease reports whether this node should release the shard: another member has
@@ -172,11 +175,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt, suspended := time.Now(), m.cfg.Suspended()
 	version, err := m.store.Update(callCtx, s.key, s.version, body)
 	if err == nil {
 		s.version, s.changedAt = version, time.Now()
-		s.setLease(next, sentAt, m.cfg)
+		s.setLease(next, sentAt, suspended, m.cfg)
 		return true
 	}
 	if s.held {
@@ -189,18 +192,19 @@
 	if !s.read(ctx, m) || s.record != next {
 		return false
 	}
-	s.setLease(next, sentAt, m.cfg)
+	s.setLease(next, sentAt, suspended, m.cfg)
 	return true
 }
 
-// setLease sets the state after a successful write of record that was sent at sentAt.
-func (s *shard) setLease(record Record, sentAt time.Time, cfg Config) {
+// setLease sets the state after a successful write of record that was sent at sentAt,
+// when the machine had been suspended for the given time.
+func (s *shard) setLease(record Record, sentAt time.Time, suspended time.Duration, cfg Config) {
 	s.record, s.renewedAt, s.recordKnown = record, sentAt, true
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held = !record.Released
 	s.epoch = record.Epoch
-	s.validUntil = sentAt.Add(cfg.Duration)
+	s.validUntil, s.suspended = sentAt.Add(cfg.Duration), suspended
 }
 
 // clearHeld marks the shard as not held.
--- a/operator/status.go
+++ b/operator/status.go
@@ -11,6 +11,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/suspend"
 )
 
 // Status is the response to GET /v1/status: the state of the system as this node
@@ -99,7 +100,7 @@
 	}
 	if shards := board.Shards.Load(); shards != nil {
 		for name, held := range shards.Held {
-			if now.Before(held.ValidUntil) {
+			if held.ValidFor(now, suspend.Total()) > 0 {
 				s.Shards = append(s.Shards, name)
 			}
 		}
--- a/placement/cluster_test.go
+++ b/placement/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/suspend"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/placement"
 )
@@ -103,7 +104,7 @@
 // grantLease gives the node the lease of the shard for d.
 func (n *clusterNode) grantLease(epoch uint64, d time.Duration) {
 	n.board.Shards.Publish(&blackboard.Shards{Held: map[string]blackboard.HeldShard{
-		"placement/f": {Epoch: epoch, ValidUntil: time.Now().Add(d)}}})
+		"placement/f": {Epoch: epoch, ValidUntil: time.Now().Add(d), Suspended: suspend.Total()}}})
 }
 
 func (c *cluster) Get(context.Context, object.Key) (object.Object, error) {
--- a/placement/reconciler.go
+++ b/placement/reconciler.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/suspend"
 	"github.com/rattanlanding/rattanlanding/object"
 )
 
@@ -211,7 +212,7 @@
 		return false
 	}
 	held, ok := shards.Held[shard]
-	return ok && held.Epoch == epoch && time.Until(held.ValidUntil) >= r.cfg.LeaseMargin
+	return ok && held.Epoch == epoch && held.ValidFor(time.Now(), suspend.Total()) >= r.cfg.LeaseMargin
 }
 
 // boardVersion returns the version of the domain's placement on the blackboard.
