--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -163,6 +163,8 @@
 		Entry("interim responses", "/plain/", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1<<10), time.Duration(0), int64(1<<20)),
 		Entry("the body of a response to another request", "/plain/", foreignHead, strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
 		Entry("a body", "/plain/", okHead, strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
+		Entry("a body, slowly", "/plain/", okHead, "x", 50*time.Millisecond, int64(1<<20)),
+		Entry("chunks, slowly", "/plain/", chunkedHead, "1\r\nx\r\n", 50*time.Millisecond, int64(1<<20)),
 		Entry("chunks", "/plain/", chunkedHead, "1000\r\n"+strings.Repeat("x", 1<<12)+"\r\n", time.Duration(0), int64(maxBuffered)),
 		Entry("the size of a chunk", "/plain/", chunkedHead, strings.Repeat("0", 1<<12), time.Duration(0), int64(1<<20)),
 		Entry("a line of a stream's head", "/stream/", "HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 1<<16), time.Duration(0), int64(1<<20)),
@@ -176,6 +178,30 @@
 		Entry("the body of a failure to stream", "/stream/", "HTTP/1.1 404 Not Found\r\nId: r\r\n\r\n", strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
 	)
 
+	It("delivers a slow but sound response whole", func() {
+		// Guards against a server that is cut because it is slow: 100 bytes each half
+		// second, and a pause before them.
+		const parts = 8
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 800\r\n\r\n")
+			for range parts {
+				time.Sleep(500 * time.Millisecond)
+				_, _ = io.WriteString(conn, strings.Repeat("x", 100))
+			}
+		}()
+		status, length := get(newTestNode(listener.Addr().String()), "/plain/")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(length).To(Equal(100 * parts))
+	})
+
 	It("buffers long responses unchanged and releases their memory", func() {
 		// Guards against parts of a response that are lost, duplicated or from another
 		// request.
