httpdrain: share the callers of its tests

The tests of entry and httpdrain had the same connections and checks; they are in httpdraintest now, and the test of httpdrain uses the interface only.

--- a/internal/httpdrain/listener_test.go
+++ b/internal/httpdrain/listener_test.go
@@ -1,7 +1,6 @@
-package httpdrain
+package httpdrain_test
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -9,46 +8,47 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
+	"github.com/rattanlanding/rattanlanding/internal/httpdrain/httpdraintest"
 )
 
+// servedListener closes serving when its server calls Accept for the first time.
+type servedListener struct {
+	net.Listener
+	serving chan struct{}
+	started bool
+}
+
+func (l *servedListener) Accept() (net.Conn, error) {
+	if !l.started {
+		l.started = true
+		close(l.serving)
+	}
+	return l.Listener.Accept()
+}
+
 // Guards against callers whose connection was established, but not yet accepted by the
-// process, when the server stopped: their requests were reset.
+// process, when the server stopped: their requests were reset. Also guards against
+// requests that http.Server.Shutdown reads and drops.
 func TestStopAnswersQueuedConnections(t *testing.T) {
 	g := NewWithT(t)
-	const callers = 60
 	for range 20 {
-		listener, err := Listen("tcp4", "127.0.0.1:0")
+		listener, err := httpdrain.Listen("tcp4", "127.0.0.1:0")
 		g.Expect(err).NotTo(HaveOccurred())
-		var conns []net.Conn
-		for range callers {
-			conn, err := net.Dial("tcp4", listener.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
-			_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
-			g.Expect(err).NotTo(HaveOccurred())
-			conns = append(conns, conn)
-		}
-		server := NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })})
+		address := listener.Addr().String()
+		callers := httpdraintest.Queue(g, address, 60)
+		server := httpdrain.NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })})
+		served := &servedListener{Listener: listener, serving: make(chan struct{})}
 		ended := make(chan error, 1)
-		go func() { ended <- server.Serve(listener) }()
-		g.Eventually(server.isServing).Should(BeTrue())
+		go func() { ended <- server.Serve(served) }()
+		<-served.serving
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		g.Expect(server.Stop(ctx)).To(Succeed())
 		cancel()
 		g.Expect(<-ended).To(MatchError(http.ErrServerClosed))
-		for i, conn := range conns {
-			g.Expect(conn.SetReadDeadline(time.Now().Add(3 * time.Second))).To(Succeed())
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			g.Expect(err).NotTo(HaveOccurred(), "caller %d", i)
-			g.Expect(response.StatusCode).To(Equal(http.StatusNoContent))
-			g.Expect(conn.Close()).To(Succeed())
-		}
-		_, err = net.Dial("tcp4", listener.Addr().String())
+		callers.ExpectStatus(g, http.StatusNoContent)
+		_, err = net.Dial("tcp4", address)
 		g.Expect(err).To(HaveOccurred(), "the address is still served after the stop")
 	}
 }
-
-func (s *Server) isServing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.listeners) > 0
-}
