mesh: bound the count by which a node refutes its loss

Cause, by reading: a node takes over the count of a record that says it is gone, so an invalid record with the largest count made its own wrap around and its states count as outdated for good. Counts beyond what a record can have are ignored. The test was written with the bound; without it the count is 0 instead of 8.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -35,8 +35,8 @@
 	// overcommit is the fraction of a target's slots that may be assigned in addition
 	// to them, so that a request waits at the target when a slot becomes free.
 	overcommit = 0.06
-	// maxCrowding is the ratio of a target's requests to its limit above which it is
-	// chosen by no means. Reports of a target's load may be that far from its real load.
+	// maxCrowding is the ratio of a target's requests to its limit from which it gets no
+	// requests at all. Below it, the outdated reports may be the reason.
 	maxCrowding = 1.25
 )
 
--- a/mesh/accept.go
+++ b/mesh/accept.go
@@ -79,7 +79,7 @@
 		return
 	}
 	if address == m.address {
-		if other.Gone && other.Node.Boot == m.boot {
+		if other.Gone && other.Node.Boot == m.boot && other.Node.Count <= m.count+maxGoneAdvance {
 			m.count = max(m.count, other.Node.Count)
 		}
 		return
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -87,3 +87,18 @@
 	m.accept(data, from, time.Now())
 	g.Expect(m.byAddress).To(HaveLen(1))
 }
+
+// Guards against a node whose states count as outdated for good, because an invalid
+// record of its loss made its count wrap around.
+func TestIgnoresAnInvalidRecordOfItsLoss(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh()
+	m.count = 7
+	lost := func(count uint64) Member {
+		return Member{Node: Node{Name: "a", PeerAddress: "10.0.0.1:7340", Boot: m.boot, Count: count}, Gone: true}
+	}
+	m.acceptMember(lost(math.MaxUint64), &Node{}, time.Now())
+	g.Expect(m.nextCount()).To(BeEquivalentTo(8))
+	m.acceptMember(lost(20), &Node{}, time.Now())
+	g.Expect(m.nextCount()).To(BeEquivalentTo(21))
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -199,6 +199,10 @@
 	return list[:min(n, len(list))]
 }
 
+// maxGoneAdvance is the most by which the count of a record that a node is gone exceeds
+// the node's own. Larger counts are invalid.
+const maxGoneAdvance = uint64((expireAfter+stateLifetime)/sendInterval) + 1
+
 // membersToReport returns the members to list in a summary: recently changed ones
 // first, then those listed longest ago. An aggregator lists nodes of its own domain
 // from the states that it received and, if includeOtherDomains is true, relays the
