--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -30,6 +30,7 @@
 
 // network delivers datagrams between nodes on a simulated clock.
 type network struct {
+	g       Gomega
 	rng     *rand.Rand
 	now     time.Time
 	nodes   map[netip.AddrPort]*simNode
@@ -39,9 +40,9 @@
 }
 
 // newNetwork returns a network of n nodes in three failure domains, each with three
-// seeds.
-func newNetwork(n int, seed uint64) *network {
-	nw := &network{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), nodes: map[netip.AddrPort]*simNode{}, lossRate: 0.01}
+// seeds. Its own checks fail by g.
+func newNetwork(g Gomega, n int, seed uint64) *network {
+	nw := &network{g: g, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), nodes: map[netip.AddrPort]*simNode{}, lossRate: 0.01}
 	for i := range n {
 		nw.ordered = append(nw.ordered, &simNode{})
 		nw.start(i)
@@ -90,7 +91,7 @@
 	state := n.state
 	state.Node.Boot, state.Node.Count = n.mesh.boot, n.mesh.nextCount()
 	for _, message := range n.mesh.prepare(state, nw.now) {
-		Expect(len(message.data)).To(BeNumerically("<=", maxDatagram))
+		nw.g.Expect(len(message.data)).To(BeNumerically("<=", maxDatagram))
 		for _, to := range message.recipients {
 			n.sent += len(message.data)
 			other := nw.nodes[to]
@@ -99,7 +100,7 @@
 			}
 			other.received += len(message.data)
 			d, part, err := decode(message.data)
-			Expect(err).NotTo(HaveOccurred())
+			nw.g.Expect(err).NotTo(HaveOccurred())
 			if d.State != nil {
 				other.mesh.acceptState(d.State, nw.now)
 			} else {
@@ -158,29 +159,33 @@
 // Guards against callers that are sent to dead nodes: after a few nodes died, their
 // addresses must disappear from every node's view.
 func TestNamesNoNodeThatIsGone(t *testing.T) {
-	RegisterTestingT(t)
-	nw := newNetwork(88, 8)
+	t.Parallel()
+	g := NewWithT(t)
+	nw := newNetwork(g, 88, 8)
 	nw.run(5 * time.Second)
 	for _, i := range []int{20, 40, 60} {
 		nw.ordered[i].dead = true
 	}
 	nw.run(4 * time.Second)
-	Expect(nw.deadNodesNamed()).To(BeEmpty())
+	g.Expect(nw.deadNodesNamed()).To(BeEmpty())
 }
 
 // Guards against callers that are sent to dead nodes after most nodes, and with them
 // many aggregators, died at once. With seed 3, four dead nodes of a domain rank before
 // its live ones, and were tried as aggregators again and again.
 func TestNamesNoDeadNodeAfterAMassLoss(t *testing.T) {
-	RegisterTestingT(t)
 	for _, seed := range []uint64{7, 3} {
-		nw := newNetwork(88, seed)
-		nw.run(5 * time.Second)
-		for i := range 88 {
-			nw.ordered[i].dead = nw.rng.Float64() < 0.66
-		}
-		nw.run(8 * time.Second)
-		Expect(nw.deadNodesNamed()).To(BeEmpty(), "seed %d", seed)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			nw := newNetwork(g, 88, seed)
+			nw.run(5 * time.Second)
+			for i := range 88 {
+				nw.ordered[i].dead = nw.rng.Float64() < 0.66
+			}
+			nw.run(8 * time.Second)
+			g.Expect(nw.deadNodesNamed()).To(BeEmpty())
+		})
 	}
 }
 
@@ -199,33 +204,35 @@
 // its loss counts as newer than its states, and against one that is given up although it
 // was silent for less than the lifetime of a state.
 func TestSilentNodeIsNamedUntilItsStateExpires(t *testing.T) {
-	RegisterTestingT(t)
-	nw := newNetwork(40, 8)
+	t.Parallel()
+	g := NewWithT(t)
+	nw := newNetwork(g, 40, 8)
 	nw.run(4 * time.Second)
 	silent := nw.ordered[30]
 	name := silent.state.Node.Name
 	silent.dead = true
 	for since := time.Duration(0); since < stateLifetime-300*time.Millisecond; since += 100 * time.Millisecond {
-		Expect(nw.naming(name)).To(Equal(39), "silent for %v", since)
+		g.Expect(nw.naming(name)).To(Equal(39), "silent for %v", since)
 		nw.run(100 * time.Millisecond)
 	}
 	silent.dead = false
 	nw.run(time.Second)
-	Expect(nw.naming(name)).To(Equal(39))
+	g.Expect(nw.naming(name)).To(Equal(39))
 
 	silent.dead = true
 	nw.run(4 * time.Second)
-	Expect(nw.naming(name)).To(BeZero())
+	g.Expect(nw.naming(name)).To(BeZero())
 	silent.dead = false
 	nw.run(1500 * time.Millisecond)
-	Expect(nw.naming(name)).To(Equal(39))
+	g.Expect(nw.naming(name)).To(Equal(39))
 }
 
 // Guards against nodes that receive no sums because those of a very large deployment
 // under load don't fit into a datagram.
 func TestSumsOfManyInstancesReachEveryNode(t *testing.T) {
-	RegisterTestingT(t)
-	nw := newNetwork(60, 11)
+	t.Parallel()
+	g := NewWithT(t)
+	nw := newNetwork(g, 60, 11)
 	for i, n := range nw.ordered {
 		n.state.Waiting = map[string]uint16{"daka510000": 1, "rada7437b5": 2}
 		n.state.Demand = map[string]float32{"daka510000": 1, "rada7437b5": 2}
@@ -234,14 +241,14 @@
 		}
 	}
 	nw.run(4 * time.Second)
-	Expect(nw.accurate()).To(Equal(1.0))
+	g.Expect(nw.accurate()).To(Equal(1.0))
 	for i, n := range nw.ordered {
 		// Each of the 200 instances has three requests from each of 15 nodes.
 		for j := range 200 {
 			id := fmt.Sprint("head-", j)
-			Expect(n.mesh.Running(id)).To(Equal(45-n.state.Load[Key(id)].Requests()), "node %d, %s", i, id)
+			g.Expect(n.mesh.Running(id)).To(Equal(45-n.state.Load[Key(id)].Requests()), "node %d, %s", i, id)
 		}
-		Expect(len(n.mesh.View().Live)).To(Equal(59), "nodes listed at node %d", i)
+		g.Expect(len(n.mesh.View().Live)).To(Equal(59), "nodes listed at node %d", i)
 	}
 }
 
@@ -252,7 +259,7 @@
 		func(nodes int) {
 			// Guards against nodes that see only some of the load, and against total traffic
 			// that grows with the square of the number of nodes.
-			nw := newNetwork(nodes, uint64(nodes))
+			nw := newNetwork(NewGomega(Fail), nodes, uint64(nodes))
 			nw.run(3500 * time.Millisecond)
 			Expect(nw.accurate()).To(Equal(1.0))
 			for _, n := range nw.ordered {
@@ -275,7 +282,7 @@
 
 	It("propagates a change of load within 1 s and a shutdown within 1.2 s", func() {
 		// Guards against updates that arrive only after the load has changed again.
-		nw := newNetwork(88, 5)
+		nw := newNetwork(NewGomega(Fail), 88, 5)
 		nw.run(5 * time.Second)
 		nw.ordered[50].state.Load = map[uint32]Load{Key("all"): NewLoad(2, false), Key("new"): NewLoad(100, true)}
 		nw.run(time.Second)
@@ -300,7 +307,7 @@
 	It("keeps its sums accurate when its aggregators die and after they restart", func() {
 		// Guards against a failure domain that receives no sums because the nodes that
 		// rank first as its aggregators died.
-		nw := newNetwork(88, 6)
+		nw := newNetwork(NewGomega(Fail), 88, 6)
 		nw.run(5 * time.Second)
 		for i := range 6 {
 			nw.ordered[i].dead = true
@@ -317,7 +324,7 @@
 	It("recovers when most nodes die at once", func() {
 		// Guards against a slow recovery in which nodes try dead aggregators one after
 		// the other.
-		nw := newNetwork(88, 7)
+		nw := newNetwork(NewGomega(Fail), 88, 7)
 		nw.run(5 * time.Second)
 		for i := range 88 {
 			nw.ordered[i].dead = nw.rng.Float64() < 0.66
