--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestMesh(t *testing.T) {
+	t.Parallel()
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "mesh")
 }
