forward: end the requests of a test before their channel is closed

They had all ended by simulated time, which orders nothing for the detector; the order shows only where goroutines run late. The test now waits for them.

--- a/forward/saturation_test.go
+++ b/forward/saturation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -124,10 +125,11 @@
 	go s.report(ctx)
 	between := float64(service) / (load * float64(slots*len(s.ids)))
 	waits := make(chan time.Duration, 1<<16)
+	var requests sync.WaitGroup
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(time.Duration(s.rng.ExpFloat64() * between)) {
 		n, runs := s.nodes[s.rng.IntN(len(s.nodes))], time.Duration((0.5+s.rng.Float64())*float64(service))
 		settled := time.Until(end) < duration-4*time.Second
-		go func() {
+		requests.Go(func() {
 			arrived := time.Now()
 			slot, err := n.dispatcher.Acquire(ctx, SlotRequest{Pool: s.pool, GoalAt: arrived.Add(300 * time.Millisecond), Until: arrived.Add(1600 * time.Millisecond)})
 			if err != nil {
@@ -143,10 +145,10 @@
 			time.Sleep(runs)
 			<-s.engines[slot.Instance.ID]
 			slot.Release()
-		}()
+		})
 	}
 	cancel()
-	time.Sleep(5 * time.Second)
+	requests.Wait()
 	close(waits)
 	var list []time.Duration
 	for w := range waits {
