entry: fetch documents that followed nodes don't have

Cause: a node fetched a newer configuration from any node only when its own last call had failed or none had succeeded for 1.2 s. A followed node answers "no changes" from a copy of any age while its own calls succeed. With 61 nodes lost, then 17 cut off and 32 turned away by the store, the nodes of one domain followed each other's old copies for three seconds, though the mesh had told them the newer version. Ruled out: time spent on silent nodes alone (each call is limited to 1.15 s, and none failed before 34 s), and a history that was gone.

A node that sees others hold a newer version for 0.6 s now fetches it from one of them. The same holds for the instance list.

The new test failed without the change.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -25,6 +25,10 @@
 	// storeSilenceTimeout is how long the store may leave a follower without a response
 	// before newer documents are fetched from another node.
 	storeSilenceTimeout = 1200 * time.Millisecond
+	// maxLag is how long other nodes may hold a newer version of a document before it is
+	// fetched from one of them. It exceeds the time in which a change passes through all
+	// nodes that follow each other.
+	maxLag = 600 * time.Millisecond
 	// fetchTimeout limits one request for a whole document to another node.
 	fetchTimeout = 700 * time.Millisecond
 	// maxDocumentBytes limits a response with a document.
@@ -45,15 +49,21 @@
 )
 
 // Documents serves this node's copies of the platform's documents to other nodes, and
-// fetches newer ones from them while the store is unreachable.
+// fetches newer ones from them while the store is unreachable, or if the nodes whose
+// copies this node follows are behind.
 type Documents struct {
 	configurations *follow.Follower
 	instances      *follow.Follower
 	platformState  *PlatformState
-	mesh           *mesh.Mesh
-	failureDomain  string
-	responses      responseCache
-	logger         log.Logger
+	// view returns what this node knows of the other nodes.
+	view          func() *mesh.View
+	failureDomain string
+	responses     responseCache
+	logger        log.Logger
+
+	// configurationLag and instancesLag are used by the goroutine of Run only.
+	configurationLag lag[uint64]
+	instancesLag     lag[object.Version]
 }
 
 // Handler returns the HTTP handler for requests of other nodes.
@@ -90,19 +100,49 @@
 
 // catchUp fetches documents that may be out of date from nodes that hold newer ones.
 func (d *Documents) catchUp(ctx context.Context) {
-	view := d.mesh.View()
-	if mayBeStale(d.configurations) {
-		var version uint64
-		if c := d.platformState.Configuration.Load(); c != nil {
-			version = c.Version
-		}
-		from := pickNewer(view, d.failureDomain, version, func(n *mesh.Node) uint64 { return n.ConfigurationVersion })
-		d.fetch(ctx, from, pathConfiguration, d.configurations)
+	view, now := d.view(), time.Now()
+	var version uint64
+	if c := d.platformState.Configuration.Load(); c != nil {
+		version = c.Version
+	}
+	ofConfiguration := func(n *mesh.Node) uint64 { return n.ConfigurationVersion }
+	if d.configurationLag.exceeded(version, newest(view, ofConfiguration), now) || mayBeStale(d.configurations) {
+		d.fetch(ctx, pickNewer(view, d.failureDomain, version, ofConfiguration), pathConfiguration, d.configurations)
+	}
+	cursor := d.listCursor()
+	ofInstances := func(n *mesh.Node) object.Version { return n.ListCursor }
+	if d.instancesLag.exceeded(cursor, newest(view, ofInstances), now) || mayBeStale(d.instances) {
+		d.fetch(ctx, pickNewer(view, d.failureDomain, cursor, ofInstances), pathInstances, d.instances)
 	}
-	if mayBeStale(d.instances) {
-		from := pickNewer(view, d.failureDomain, d.listCursor(), func(n *mesh.Node) object.Version { return n.ListCursor })
-		d.fetch(ctx, from, pathInstances, d.instances)
+}
+
+// lag measures for how long other nodes have held a newer version than this node.
+type lag[T cmp.Ordered] struct {
+	// version is the newer version that was seen first, at the time since; the zero value
+	// if this node has caught up with it.
+	version T
+	since   time.Time
+}
+
+// exceeded reports whether this node hasn't caught up within maxLag with a version that
+// other nodes hold. newest is the newest version that they hold now.
+func (l *lag[T]) exceeded(own, newest T, now time.Time) bool {
+	if l.version > own {
+		return now.Sub(l.since) >= maxLag
+	}
+	*l = lag[T]{}
+	if newest > own {
+		*l = lag[T]{newest, now}
+	}
+	return false
+}
+
+// newest returns the largest version of the live nodes, or the zero value.
+func newest[T cmp.Ordered](view *mesh.View, version func(*mesh.Node) T) (largest T) {
+	for _, n := range view.Live {
+		largest = max(largest, version(n))
 	}
+	return largest
 }
 
 // mayBeStale reports whether a copy may be out of date because the store doesn't
--- a/entry/module.go
+++ b/entry/module.go
@@ -140,7 +140,7 @@
 }
 
 func newDocuments(s Settings, f followers, ps *PlatformState, st *status, logger log.Logger) *Documents {
-	return &Documents{configurations: f.configurations, instances: f.instances, platformState: ps, mesh: st.mesh, failureDomain: s.FailureDomain,
+	return &Documents{configurations: f.configurations, instances: f.instances, platformState: ps, view: st.mesh.View, failureDomain: s.FailureDomain,
 		logger: log.With(logger, "component", "documents")}
 }
 
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -177,3 +177,28 @@
 	g.Expect(far.Cursor()).To(Equal(object.Version(7)))
 	g.Expect(requested).To(HaveLen(3))
 }
+
+// TestFetchesChangesThatParentsDontHave guards against a configuration that is not in force
+// in time because the nodes whose copies are followed are behind (CONFIG).
+func TestFetchesChangesThatParentsDontHave(t *testing.T) {
+	g := NewWithT(t)
+	at := func(version object.Version) follow.Snapshot {
+		return follow.Snapshot{Cursor: version, Objects: []object.Object{{Key: object.Key{Kind: platform.InstanceKind, Name: "e"}, Version: version}}}
+	}
+	other := follow.New(follow.Config{Kind: platform.InstanceKind}, &fakeStore{}, log.NewNopLogger())
+	other.Replace(at(5))
+	g.Expect(other.Apply(5, follow.Delta{Cursor: 9, Events: []follow.Event{{Object: at(9).Objects[0]}}})).To(BeTrue())
+	server := httptest.NewServer((&Documents{configurations: other, instances: other}).Handler())
+	defer server.Close()
+	// The parent responds to each call, but has no changes.
+	f := follow.New(follow.Config{Kind: platform.InstanceKind, Wait: watchWait}, &fakeStore{}, log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() { _ = f.Run(ctx); done <- struct{}{} }()
+	node := &mesh.Node{Name: "other", PeerAddress: strings.TrimPrefix(server.URL, "http://"), ListCursor: 9}
+	d := &Documents{configurations: f, instances: f, platformState: &PlatformState{}, logger: log.NewNopLogger(),
+		view: func() *mesh.View { return &mesh.View{Live: []*mesh.Node{node}} }}
+	go func() { _ = d.Run(ctx); done <- struct{}{} }()
+	defer func() { cancel(); <-done; <-done }()
+	g.Eventually(f.Cursor, 2*time.Second).Should(Equal(object.Version(9)))
+}
