--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -44,6 +44,7 @@
 	platformState *PlatformState
 	leases        *lease.Manager
 	formation     *formation.Controller
+	quarantine    *quarantineKeeper
 	reloader      *reloader
 	inspector     *inspector
 	board         *blackboard.Board
@@ -56,10 +57,10 @@
 }
 
 func newDaemon(s Settings, st *status, h *forward.Handler, d *Documents, f followers, ps *PlatformState, l *lease.Manager,
-	c *formation.Controller, r *reloader, i *inspector, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
+	c *formation.Controller, q *quarantineKeeper, r *reloader, i *inspector, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
 ) *daemon {
 	return &daemon{settings: s, status: st, handler: h, documents: d, followers: f, platformState: ps, leases: l,
-		formation: c, reloader: r, inspector: i, board: board, logger: logger, shutdown: shutdown}
+		formation: c, quarantine: q, reloader: r, inspector: i, board: board, logger: logger, shutdown: shutdown}
 }
 
 // start opens the listeners and starts the background loops.
@@ -95,6 +96,7 @@
 		"documents":     d.documents.Run,
 		"lease":         d.leases.Run,
 		"formation":     d.formation.Run,
+		"quarantine":    d.quarantine.run,
 		"reload":        d.reloader.run,
 		"members":       d.publishMembers,
 		"limits":        d.followLimits,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/rcrowley/go-metrics"
@@ -9,6 +10,7 @@
 	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/operator"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
 
@@ -21,10 +23,21 @@
 	Waiting       map[string]int        `json:"waiting"`
 	Targets       map[string]targetDump `json:"targets"`
 	Peers         []*mesh.Node          `json:"peers"`
+	// Quarantines are the parts of prompts that are refused.
+	Quarantines []quarantineDump `json:"quarantines"`
 	// SilentMs maps documents to the milliseconds since the store last responded.
 	SilentMs map[string]int64 `json:"silentMs"`
 }
 
+// quarantineDump is a quarantine in a stateDump.
+type quarantineDump struct {
+	// Parts are the hashes of the parts; requests with all of them are refused.
+	Parts       []quarantine.Part `json:"parts"`
+	Crashes     uint16            `json:"crashes"`
+	Prompts     uint16            `json:"prompts"`
+	RemainingMs int64             `json:"remainingMs"`
+}
+
 // targetDump is the state of a target in a stateDump.
 type targetDump struct {
 	Group string `json:"group,omitempty"`
@@ -71,6 +84,7 @@
 		waiting += n
 	}
 	gauge("forward.waiting", int64(waiting))
+	gauge("quarantine.in_effect", int64(len(i.status.quarantine.Current())))
 	targets := 0
 	i.status.tables.Load().Each(func(*forward.Target) { targets++ })
 	gauge("forward.targets", int64(targets))
@@ -91,6 +105,10 @@
 	for pool, n := range i.status.dispatcher.Waiting() {
 		d.Waiting[pool.Service+"/"+pool.Model] = n
 	}
+	for _, q := range i.status.quarantine.Current() {
+		d.Quarantines = append(d.Quarantines, quarantineDump{Parts: q.Parts, Crashes: q.Crashes, Prompts: q.Prompts,
+			RemainingMs: time.Until(q.Until).Milliseconds()})
+	}
 	i.status.tables.Load().Each(func(t *forward.Target) {
 		d.Targets[t.Instance.ID] = targetDump{Group: t.Group.Name, Model: t.Pool.Model, Slots: t.Slots, Own: t.Load.Running(),
 			Others: i.status.mesh.Running(t.Instance.ID), Address: t.Instance.Address}
--- a/entry/module.go
+++ b/entry/module.go
@@ -22,6 +22,7 @@
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
 
@@ -79,12 +80,14 @@
 		newRelay,
 		newFollowers,
 		newPool,
+		newLedger,
 		newPlatformState,
 		newStatus,
 		newHandler,
 		newDocuments,
 		newLeaseManager,
 		newFormation,
+		newQuarantineKeeper,
 		newReloader,
 		newInspector,
 		newDaemon,
@@ -116,14 +119,18 @@
 
 func newPool() *upstream.Pool { return upstream.NewPool(upstream.Config{}) }
 
+func newLedger(s Settings, logger log.Logger, registry metrics.Registry) *quarantine.Ledger {
+	return quarantine.NewLedger(quarantine.Config{Duration: s.QuarantineTime}, logger, registry)
+}
+
 func newPlatformState(f followers, tables *forward.Tables, pool *upstream.Pool, logger log.Logger) *PlatformState {
 	return &PlatformState{configurations: f.configurations, instances: f.instances, tables: tables, pool: pool, logger: logger}
 }
 
 // newStatus also creates the components that depend on each other: the mesh sends the
 // state that the status returns, and the status uses the mesh's view of other nodes.
-func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, logger log.Logger, registry metrics.Registry) *status {
-	st := &status{settings: s, platformState: ps, tables: tables, instances: f.instances}
+func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, q *quarantine.Ledger, logger log.Logger, registry metrics.Registry) *status {
+	st := &status{settings: s, platformState: ps, tables: tables, instances: f.instances, quarantine: q}
 	st.mesh = mesh.New(mesh.Config{Node: s.Node, Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, logger, registry)
 	r.liveNodes = func() []*mesh.Node { return st.mesh.View().Live }
 	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.FailureDomain)
@@ -134,7 +141,7 @@
 	return forward.NewHandler(
 		forward.Config{RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance, MaxBufferedBytes: s.MemoryBytes / responseMemoryDivisor},
 		forward.Dependencies{
-			Configuration: &ps.Configuration, Dispatcher: st.dispatcher, Connections: pool, Peers: st.mesh,
+			Configuration: &ps.Configuration, Dispatcher: st.dispatcher, Connections: pool, Peers: st.mesh, Quarantine: st.quarantine,
 			Codec: platform.Codec{}, Logger: log.With(logger, "component", "forward"), Registry: registry,
 		})
 }
@@ -155,19 +162,28 @@
 func newFormation(s Settings, ps *PlatformState, st *status, board *blackboard.Board, logger log.Logger, registry metrics.Registry) *formation.Controller {
 	commander := platform.NewCommander()
 	return formation.NewController(formation.Config{FirstStart: s.FirstStart}, formation.Dependencies{
-		Term: func() (formation.Term, bool) {
-			shards := board.Shards.Load()
-			if shards == nil {
-				return formation.Term{}, false
-			}
-			held, ok := shards.Held[formationShard]
-			return formation.Term{Number: held.Epoch}, ok && held.ValidFor(time.Now(), suspend.Total()) > 0
-		},
+		Term:          func() (formation.Term, bool) { return formationTerm(board) },
 		Configuration: &ps.Configuration, Roster: &ps.Roster, Demand: st.demand,
 		Commander: commander, Prober: commander, SuspectingNodes: st.suspecting, Progress: st.progress, Logger: logger, Registry: registry,
 	})
 }
 
+// formationTerm returns the term of the lease for forming groups, and whether this node
+// holds the lease.
+func formationTerm(board *blackboard.Board) (formation.Term, bool) {
+	shards := board.Shards.Load()
+	if shards == nil {
+		return formation.Term{}, false
+	}
+	held, ok := shards.Held[formationShard]
+	return formation.Term{Number: held.Epoch}, ok && held.ValidFor(time.Now(), suspend.Total()) > 0
+}
+
+func newQuarantineKeeper(store *platform.Store, st *status, board *blackboard.Board, logger log.Logger) *quarantineKeeper {
+	return &quarantineKeeper{ledger: st.quarantine, store: store, logger: log.With(logger, "component", "quarantine"),
+		holds: func() bool { _, holds := formationTerm(board); return holds }}
+}
+
 func newReloader(s Settings, file SettingsFile, st *status, h *forward.Handler, logger log.Logger) *reloader {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
--- /dev/null
+++ b/entry/quarantine.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/rattanlanding/rattanlanding/internal/wait"
+	"github.com/rattanlanding/rattanlanding/object"
+	"github.com/rattanlanding/rattanlanding/quarantine"
+)
+
+// quarantineInterval is the time between two checks whether the stored quarantines are up
+// to date, and between two attempts to read them.
+const quarantineInterval = 500 * time.Millisecond
+
+// quarantineKey is the object that holds the quarantines, from which nodes learn them if
+// all have been restarted.
+var quarantineKey = object.Key{Kind: "quarantine", Name: "prompt-parts"}
+
+// objects reads and writes objects of the platform's store.
+type objects interface {
+	Get(ctx context.Context, key object.Key) (object.Object, error)
+	Update(ctx context.Context, key object.Key, expected object.Version, value []byte) (object.Version, error)
+}
+
+// quarantineKeeper reads the stored quarantines when the node starts. The holder of the
+// lease for forming groups keeps them up to date, so that one node writes.
+type quarantineKeeper struct {
+	ledger *quarantine.Ledger
+	store  objects
+	holds  func() bool
+	logger log.Logger
+
+	// stored are the quarantines in the store and version is their version. known is
+	// false until they have been read, and after a write whose outcome is unknown.
+	stored  *quarantine.Observations
+	version object.Version
+	known   bool
+}
+
+// run reads the stored quarantines and keeps them up to date until ctx is cancelled.
+func (k *quarantineKeeper) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := k.update(ctx); err != nil && ctx.Err() == nil {
+			_ = level.Warn(k.logger).Log("msg", "stored quarantines not read or updated; trying again", "err", err)
+		}
+		wait.For(ctx, quarantineInterval)
+	}
+	return nil
+}
+
+// update reads the stored quarantines if they aren't known, and writes them if this node
+// holds the lease and they have changed.
+func (k *quarantineKeeper) update(ctx context.Context) error {
+	if !k.known {
+		if err := k.read(ctx); err != nil {
+			return err
+		}
+	}
+	current := k.ledger.Current()
+	if !k.holds() || quarantine.SameParts(current, k.stored) {
+		return nil
+	}
+	value, err := quarantine.Encode(current)
+	if err != nil {
+		return err
+	}
+	if k.version, err = k.store.Update(ctx, quarantineKey, k.version, value); err != nil {
+		k.known = false
+		return err
+	}
+	k.stored, err = quarantine.Decode(value, time.Now())
+	return err
+}
+
+// read reads the stored quarantines and adopts them. An object that can't be decoded is
+// replaced by the next write.
+func (k *quarantineKeeper) read(ctx context.Context) error {
+	stored, err := k.store.Get(ctx, quarantineKey)
+	if errors.Is(err, object.ErrNotFound) {
+		k.known, k.stored, k.version = true, nil, 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	k.known, k.version = true, stored.Version
+	if k.stored, err = quarantine.Decode(stored.Value, time.Now()); err != nil {
+		k.stored = nil
+		return err
+	}
+	k.ledger.Absorb(k.stored)
+	return nil
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattanlanding/rattanlanding/internal/strictjson"
 	"github.com/rattanlanding/rattanlanding/mesh"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
 // Settings are the settings of a node on the users' platform. Durations are
@@ -50,6 +51,8 @@
 	// RetryAllowance is the number of retries that all nodes together may make beyond
 	// RetryRatio.
 	RetryAllowance float64 `json:"retryAllowance"`
+	// QuarantineTime is how long prompts with a part that crashed engines are refused.
+	QuarantineTime time.Duration `json:"quarantineTime"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
 }
@@ -68,7 +71,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryBytes: defaultMemory, ProcessorShare: defaultProcessor, StopTime: defaultStop,
-		AddressTTL: defaultAddressTTL, RetryRatio: defaultRetryRatio, RetryAllowance: defaultAllowance,
+		QuarantineTime: quarantine.DefaultDuration,
+		AddressTTL:     defaultAddressTTL, RetryRatio: defaultRetryRatio, RetryAllowance: defaultAllowance,
 		LogLevel: "info",
 	}
 }
@@ -120,6 +124,7 @@
 	p.CheckRange("processorShare", s.ProcessorShare, 0.01, 256)
 	p.CheckRange("stopTime", s.StopTime.Seconds(), 1, 3600)
 	p.CheckRange("addressTtl", s.AddressTTL.Seconds(), 0.1, 300)
+	p.CheckRange("quarantineTime", s.QuarantineTime.Seconds(), 1, 86400)
 	p.CheckRange("retryRatio", s.RetryRatio, 0, 10)
 	p.CheckRange("retryAllowance", s.RetryAllowance, 0, 1e6)
 	switch s.LogLevel {
--- a/entry/state.go
+++ b/entry/state.go
@@ -10,6 +10,7 @@
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/mesh"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
 // status provides this node's state to other nodes and callers, and combines it with
@@ -21,6 +22,7 @@
 	dispatcher    *forward.Dispatcher
 	instances     *follow.Follower
 	mesh          *mesh.Mesh
+	quarantine    *quarantine.Ledger
 	leaving       atomic.Bool
 }
 
@@ -60,7 +62,9 @@
 
 // state returns the state to send to other nodes.
 func (s *status) state() mesh.State {
-	state := mesh.State{Node: s.node(), Load: map[uint32]mesh.Load{}, Demand: s.ownDemand(), Waiting: map[string]uint16{}}
+	s.quarantine.Absorb(s.mesh.View().Quarantine)
+	state := mesh.State{Node: s.node(), Load: map[uint32]mesh.Load{}, Demand: s.ownDemand(), Waiting: map[string]uint16{},
+		Quarantine: s.quarantine.Report()}
 	now := time.Now()
 	s.tables.Load().Each(func(t *forward.Target) {
 		key := mesh.Key(t.Instance.ID)
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -21,6 +21,9 @@
 	HasTimeout bool
 	// PromptTokens is the length of the prompt, 0 if unknown.
 	PromptTokens int
+	// Prompt holds the IDs of the parts of the prompt in order. Requests share parts
+	// except the last one, which belongs to the request or its session.
+	Prompt []string
 }
 
 // Attempt is the metadata that is sent to a backend server in addition to the caller's
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -11,9 +11,11 @@
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/upstream"
 	"github.com/rattanlanding/rattanlanding/verdict"
@@ -45,9 +47,11 @@
 	Dispatcher    *Dispatcher
 	Connections   *upstream.Pool
 	Peers         Peers
-	Codec         Codec
-	Logger        log.Logger
-	Registry      metrics.Registry
+	// Quarantine holds the parts of prompts that crash engines; nil means an empty one.
+	Quarantine *quarantine.Ledger
+	Codec      Codec
+	Logger     log.Logger
+	Registry   metrics.Registry
 }
 
 // Handler serves the requests of callers.
@@ -60,6 +64,8 @@
 	// leavingSince is when this node began to shut down, in Unix nanoseconds; 0 if it
 	// isn't shutting down.
 	leavingSince atomic.Int64
+	// crashChecks joins simultaneous checks of one engine.
+	crashChecks singleflight.Group
 
 	mu sync.Mutex
 	// budgets are the retry budgets by service.
@@ -68,6 +74,9 @@
 
 // NewHandler returns a handler.
 func NewHandler(cfg Config, deps Dependencies) *Handler {
+	if deps.Quarantine == nil {
+		deps.Quarantine = quarantine.NewLedger(quarantine.Config{}, deps.Logger, deps.Registry)
+	}
 	return &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
 		buffers: newBufferLimit(cfg.MaxBufferedBytes), budgets: map[string]*retry.Budget{}}
 }
@@ -158,6 +167,9 @@
 	if c.ID == "" {
 		return verdict.BadField("request id", "the header is missing")
 	}
+	if err := h.checkQuarantine(c); err != nil {
+		return err
+	}
 	c.setTimes()
 	if err := c.readBody(configuration.Limits.MaxBodyBytes); err != nil {
 		return err
--- a/forward/response.go
+++ b/forward/response.go
@@ -113,22 +113,25 @@
 
 // handlerMetrics are the metrics of the request path.
 type handlerMetrics struct {
-	registry   metrics.Registry
-	retries    metrics.Counter
-	broken     metrics.Counter
-	abandoned  metrics.Counter
-	firstEvent metrics.Timer
-	duration   metrics.Timer
+	registry  metrics.Registry
+	retries   metrics.Counter
+	broken    metrics.Counter
+	abandoned metrics.Counter
+	// quarantined counts the requests refused because of a quarantine.
+	quarantined metrics.Counter
+	firstEvent  metrics.Timer
+	duration    metrics.Timer
 }
 
 func newHandlerMetrics(r metrics.Registry) handlerMetrics {
 	return handlerMetrics{
-		registry:   r,
-		retries:    metrics.GetOrRegisterCounter("forward.repeats", r),
-		broken:     metrics.GetOrRegisterCounter("forward.streams_broken_off", r),
-		abandoned:  metrics.GetOrRegisterCounter("forward.callers_left", r),
-		firstEvent: metrics.GetOrRegisterTimer("forward.first_event", r),
-		duration:   metrics.GetOrRegisterTimer("forward.duration", r),
+		registry:    r,
+		retries:     metrics.GetOrRegisterCounter("forward.repeats", r),
+		broken:      metrics.GetOrRegisterCounter("forward.streams_broken_off", r),
+		abandoned:   metrics.GetOrRegisterCounter("forward.callers_left", r),
+		quarantined: metrics.GetOrRegisterCounter("forward.quarantined", r),
+		firstEvent:  metrics.GetOrRegisterTimer("forward.first_event", r),
+		duration:    metrics.GetOrRegisterTimer("forward.duration", r),
 	}
 }
 
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -28,10 +28,11 @@
 }
 
 // isRetryable reports whether another attempt may succeed and is safe. A request that
-// got no slot was sent nowhere; it has already waited as long as is useful.
+// got no slot was sent nowhere; it has already waited as long as is useful. One whose
+// prompt is in quarantine would crash another engine.
 func (c *call) isRetryable(err *verdict.Error) bool {
 	switch {
-	case err.Reason == verdict.ReasonOverloaded || err.Reason == verdict.ReasonNoServer:
+	case err.Reason == verdict.ReasonOverloaded || err.Reason == verdict.ReasonNoServer || err.Reason == verdict.ReasonQuarantined:
 		return false
 	case c.runs >= c.route.MaxAttempts || c.sends >= c.route.MaxAttempts+maxRefusedSends:
 		return false
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -70,12 +70,19 @@
 
 // streamAttempt sends the request to one engine and forwards its events to the caller.
 func (h *Handler) streamAttempt(ctx context.Context, s *stream) *verdict.Error {
+	if err := h.checkQuarantine(s.call); err != nil {
+		return err
+	}
 	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: s.pool(), Rank: rank(s.route, s.organisation),
 		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: s.waitUntil()})
 	if err != nil {
 		return h.noSlotError(s.call, err)
 	}
 	defer slot.Release()
+	// The quarantine may have begun while the request waited.
+	if err := h.checkQuarantine(s.call); err != nil {
+		return err
+	}
 	monitor := h.newStallMonitor(s, slot)
 	response, failed := h.send(ctx, s.call, slot, s.lastEventID, monitor.watch)
 	if failed == nil {
@@ -83,6 +90,9 @@
 	}
 	if failed != nil && s.request.Context().Err() == nil {
 		h.suspectOnFailure(slot, failed)
+		if s.events == 0 && s.lastEventID == "" {
+			h.checkCrash(s.call, slot, failed)
+		}
 	}
 	return failed
 }
@@ -115,6 +125,7 @@
 	}
 	events := newEventReader(response.Body)
 	defer events.release()
+	received := 0
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -129,11 +140,17 @@
 			if monitor.event() {
 				slot.PromptRead()
 			}
+			if received++; received == soundEvents {
+				h.Quarantine.Sound(s.Prompt)
+			}
 		}
 		if err := h.forwardEvent(s, response, event); err != nil {
 			return err
 		}
 	}
+	if received > 0 && received < soundEvents {
+		h.Quarantine.Sound(s.Prompt)
+	}
 	h.sendHead(s, response)
 	return nil
 }
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -9,6 +9,8 @@
 	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
 // newTestMesh returns a mesh of a node without others.
@@ -31,6 +33,9 @@
 		datagram{Summary: &Summary{From: node, Total: true, Sum: sum, Members: []Member{member}}},
 		datagram{Summary: &Summary{From: node, Sum: &Sum{}}},
 		partDatagram{Summary: &Summary{From: node, Sum: sum}, Part: Part{Index: 1, Count: 2}},
+		observedDatagram{&Observed{node.PeerAddress, ScopeDomain, &quarantine.Observations{
+			Strikes: []quarantine.Strike{{Engine: 1, Prompt: 2, Part: 3}}, Clearances: []quarantine.Clearance{{Part: 3}},
+			Notices: []quarantine.Notice{{Parts: []quarantine.Part{3}, RemainingMs: 9}}}}},
 	} {
 		data, err := marshal(message)
 		if err != nil {
@@ -44,11 +49,7 @@
 		m := newTestMesh()
 		for range 2 {
 			if d, part, err := decode(data); err == nil {
-				if d.State != nil {
-					m.acceptState(d.State, now)
-				} else {
-					m.acceptSummary(d.Summary, part, now)
-				}
+				m.acceptDatagram(d, part, now)
 			}
 			m.prepare(State{Node: Node{Name: "a", PeerAddress: "10.0.0.1:7340", FailureDomain: "z", Boot: 1, Count: 1}}, now)
 		}
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -13,6 +13,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
 // simNode is a node of a simulated network.
@@ -22,6 +24,8 @@
 	address     netip.AddrPort
 	dead        bool
 	nextRoundAt time.Time
+	// ledger exchanges its observations over the network; nil for none.
+	ledger *quarantine.Ledger
 	// sent is the number of bytes sent.
 	sent int
 	// received is the number of bytes received.
@@ -90,6 +94,10 @@
 func (nw *network) round(n *simNode) {
 	state := n.state
 	state.Node.Boot, state.Node.Count = n.mesh.boot, n.mesh.nextCount()
+	if n.ledger != nil {
+		n.ledger.Absorb(n.mesh.View().Quarantine)
+		state.Quarantine = n.ledger.Report()
+	}
 	for _, message := range n.mesh.prepare(state, nw.now) {
 		nw.g.Expect(len(message.data)).To(BeNumerically("<=", maxDatagram))
 		for _, to := range message.recipients {
@@ -101,11 +109,7 @@
 			other.received += len(message.data)
 			d, part, err := decode(message.data)
 			nw.g.Expect(err).NotTo(HaveOccurred())
-			if d.State != nil {
-				other.mesh.acceptState(d.State, nw.now)
-			} else {
-				other.mesh.acceptSummary(d.Summary, part, nw.now)
-			}
+			other.mesh.acceptDatagram(d, part, nw.now)
 		}
 	}
 }
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -77,6 +77,8 @@
 	domainSummaryAt time.Time
 	// totalParts and domainParts collect summaries that arrive in several parts.
 	totalParts, domainParts assembly
+	// observed are the observations received from the node, by scope.
+	observed [scopeCount]receivedObservations
 	// wantsSummary is true if the node uses this one as an aggregator.
 	wantsSummary bool
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -66,6 +66,9 @@
 	// latestState is this node's state of the current round.
 	latestState *State
 
+	// observedSentAt is when observations were last sent, by scope.
+	observedSentAt [scopeCount]time.Time
+
 	// count numbers the states of this process in ascending order.
 	count uint64
 
@@ -226,9 +229,17 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d.State != nil {
+	m.acceptDatagram(d, part, now)
+}
+
+// acceptDatagram records a decoded datagram. The caller holds m.mu.
+func (m *Mesh) acceptDatagram(d datagram, part Part, now time.Time) {
+	switch {
+	case d.observed != nil:
+		m.acceptObserved(d.observed, now)
+	case d.State != nil:
 		m.acceptState(d.State, now)
-	} else {
+	default:
 		m.acceptSummary(d.Summary, part, now)
 	}
 }
--- a/mesh/prepare.go
+++ b/mesh/prepare.go
@@ -40,10 +40,15 @@
 	} else {
 		messages = m.stateMessagesToAggregators(state, live, now)
 	}
-	if m.isAggregator(live, now) {
+	var stateRecipients []netip.AddrPort
+	if len(messages) > 0 {
+		stateRecipients = messages[0].recipients
+	}
+	aggregator := m.isAggregator(live, now)
+	if aggregator {
 		messages = append(messages, m.summaryMessages(live, now)...)
 	}
-	return messages
+	return append(messages, m.observationMessages(stateRecipients, live, aggregator, now)...)
 }
 
 // markGone marks the nodes of this domain that no longer send their state here as
@@ -200,7 +205,7 @@
 	if total := m.bestTotalSum(now); total != nil && total.nodes() > others.nodes() {
 		others = total
 	}
-	view := &View{Others: others}
+	view := &View{Others: others, Quarantine: m.observations(now, anyMember, ScopeNode, ScopeDomain, ScopeAll)}
 	for _, other := range live {
 		// A domain that is missing from the sums is unreachable as a whole.
 		_, reported := others.Domains[other.Node.FailureDomain]
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rattanlanding/rattanlanding/object"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
 // Node describes a node to the others.
@@ -69,6 +70,9 @@
 	// WantsSummary is true if the sender uses the receiver as an aggregator and
 	// expects summaries from it.
 	WantsSummary bool `msgpack:"?"`
+	// Quarantine is what the node observed of prompt parts that crash engines, which is
+	// sent as Observed; nil if that is nothing.
+	Quarantine *quarantine.Observations `msgpack:"-"`
 }
 
 // Load is the load of one or several nodes on an instance: the number of requests in
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
@@ -12,6 +13,9 @@
 	Live []*Node
 	// Others is the sum of all other nodes.
 	Others *Sum
+	// Quarantine is what all nodes observed of prompt parts that crash engines; nil if
+	// that is nothing.
+	Quarantine *quarantine.Observations
 }
 
 func emptyView() *View { return &View{Others: newSum()} }
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -40,8 +40,20 @@
 type datagram struct {
 	State   *State   `msgpack:"s"`
 	Summary *Summary `msgpack:"r"`
+	// observed is encoded as an observedDatagram.
+	observed *Observed
 }
 
+// observedDatagram is the encoded form of Observed. It has another number of fields than
+// datagram, by which receivers distinguish them.
+type observedDatagram struct {
+	Observed *Observed `msgpack:"o"`
+}
+
+// observedDatagramHeader is the first byte of an encoded observedDatagram: an array of
+// one element.
+const observedDatagramHeader = 0x91
+
 // Part identifies one of the parts of a summary that doesn't fit into a datagram.
 type Part struct {
 	Index uint8 `msgpack:"i"`
@@ -153,6 +165,10 @@
 		}
 		return d, p.Part, err
 	}
+	if len(data) > 0 && data[0] == observedDatagramHeader {
+		o, err := decodeObserved(data)
+		return datagram{observed: o}, Part{Count: 1}, err
+	}
 	var d datagram
 	err := msgpack.Unmarshal(data, &d)
 	if err == nil && d.State == nil && (d.Summary == nil || d.Summary.Sum == nil) {
@@ -164,6 +180,21 @@
 	return d, Part{Count: 1}, err
 }
 
+// decodeObserved decodes and checks an observedDatagram.
+func decodeObserved(data []byte) (*Observed, error) {
+	var d observedDatagram
+	if err := msgpack.Unmarshal(data, &d); err != nil {
+		return nil, err
+	}
+	if d.Observed == nil || d.Observed.Scope >= scopeCount {
+		return nil, errInvalidScope
+	}
+	return d.Observed, d.Observed.Observations.Validate()
+}
+
+// errInvalidScope means that a datagram contains no observations or an unknown scope.
+var errInvalidScope = errors.New("datagram contains observations of an unknown scope")
+
 // validate checks the values of which a wrong one would spoil sums for longer than the
 // lifetime of the message.
 func (d *datagram) validate() error {
--- /dev/null
+++ b/quarantine/ledger.go
@@ -0,0 +1,253 @@
+package quarantine
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Times and limits of a Ledger.
+const (
+	// DefaultDuration is how long a quarantine lasts if Config sets no duration.
+	DefaultDuration = 5 * time.Minute
+	// evidenceTime is how long a strike counts.
+	evidenceTime = 2 * time.Minute
+	// reportTime is how long an observation is reported. A node sends several reports in
+	// this time, so that lost datagrams don't matter.
+	reportTime = 3 * time.Second
+	// clearanceInterval is the shortest time between two clearances of a part by a node.
+	clearanceInterval = 500 * time.Millisecond
+	// maxRecords is the number of parts with evidence.
+	maxRecords = 256
+	// maxRecordStrikes is the number of strikes kept for a part.
+	maxRecordStrikes = 32
+	// maxPromptParts is the number of parts of one prompt that are struck by a crash.
+	maxPromptParts = 6
+	// maxExpired is the number of expired quarantines kept.
+	maxExpired = 64
+)
+
+// Config configures a Ledger.
+type Config struct {
+	// Duration is how long a quarantine lasts.
+	Duration time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Quarantine is a quarantine that applies to requests.
+type Quarantine struct {
+	Notice
+	Until     time.Time
+	decidedAt time.Time
+}
+
+// Evidence describes the quarantine for logs and error messages.
+func (q *Quarantine) Evidence() string {
+	return fmt.Sprintf("%d engines crashed under %d prompts that contain it", q.Crashes, q.Prompts)
+}
+
+// Ledger holds the evidence and the quarantines that a node knows. It is safe for
+// concurrent use.
+type Ledger struct {
+	cfg      Config
+	logger   log.Logger
+	strikes  metrics.Counter
+	decided  metrics.Counter
+	adopted  metrics.Counter
+	lifted   metrics.Counter
+	inEffect atomic.Pointer[[]*Quarantine]
+	now      func() time.Time
+
+	mu      sync.Mutex
+	records map[Part]*record
+	notices map[string]*notice
+	sound   recentParts
+	// ownStrikes and ownClearances are the observations of this node to be reported.
+	ownStrikes    []ownStrike
+	ownClearances map[Part]ownClearance
+}
+
+// notice is a quarantine that is in effect, or that expired or was lifted.
+type notice struct {
+	Notice
+	decidedAt, until time.Time
+	// liftedAt is when a sound response contained one of the parts afterwards; zero if
+	// none did.
+	liftedAt time.Time
+}
+
+type ownStrike struct {
+	Strike
+	at time.Time
+}
+
+// ownClearance is when a part was sound and since when that is reported.
+type ownClearance struct{ at, reportedSince time.Time }
+
+// NewLedger returns an empty ledger.
+func NewLedger(cfg Config, logger log.Logger, registry metrics.Registry) *Ledger {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("quarantine."+name, registry)
+	}
+	cfg.Duration = cmp.Or(cfg.Duration, DefaultDuration)
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Ledger{cfg: cfg, logger: log.With(logger, "component", "quarantine"), now: cfg.Now,
+		strikes: counter("strikes"), decided: counter("decided"), adopted: counter("adopted"), lifted: counter("lifted"),
+		records: map[Part]*record{}, notices: map[string]*notice{}, ownClearances: map[Part]ownClearance{}}
+}
+
+// Match returns the quarantine that applies to a prompt, or nil. prompt holds the IDs of
+// its parts in order.
+func (l *Ledger) Match(prompt []string) *Quarantine {
+	current := l.inEffect.Load()
+	if current == nil || len(*current) == 0 {
+		return nil
+	}
+	parts, _ := partsOf(prompt)
+	now := l.now()
+	for _, q := range *current {
+		if now.Before(q.Until) && !slices.ContainsFunc(q.Parts, func(p Part) bool { return !slices.Contains(parts, p) }) {
+			return q
+		}
+	}
+	return nil
+}
+
+// Crashed records that an engine crashed before it sent the first event of the response to
+// a prompt.
+func (l *Ledger) Crashed(instance string, startedMs int64, prompt []string, at time.Time) {
+	parts, key := partsOf(prompt)
+	if len(parts) == 0 {
+		return
+	}
+	engine := engineKey(instance, startedMs)
+	l.strikes.Inc(1)
+	_ = level.Info(l.logger).Log("msg", "engine crashed before the response began", "instance", instance,
+		"prompt", fmt.Sprint(prompt), "parts", fmt.Sprint(parts))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, i := range l.mostSuspicious(parts) {
+		s := Strike{Engine: engine, Prompt: key, Part: parts[i], Depth: uint8(min(i, math.MaxUint8))}
+		l.addStrike(s, at)
+		l.ownStrikes = append(l.ownStrikes, ownStrike{s, at})
+	}
+	l.decide()
+}
+
+// mostSuspicious returns the indices of the parts to strike: those that never appeared in
+// a sound response first, then those at the end of the prompt.
+func (l *Ledger) mostSuspicious(parts []Part) []int {
+	indices := make([]int, len(parts))
+	for i := range indices {
+		indices[i] = i
+	}
+	slices.SortFunc(indices, func(a, b int) int {
+		return cmp.Or(l.sound.at(parts[a]).Compare(l.sound.at(parts[b])), cmp.Compare(b, a))
+	})
+	return indices[:min(len(indices), maxPromptParts)]
+}
+
+// Sound records that an engine was sound while it responded to a prompt.
+func (l *Ledger) Sound(prompt []string) {
+	parts, _ := partsOf(prompt)
+	if len(parts) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	changed := false
+	for _, p := range parts {
+		l.sound.add(p, now)
+		if l.isKnown(p) && now.Sub(l.ownClearances[p].at) >= clearanceInterval {
+			l.ownClearances[p] = ownClearance{now, now}
+			l.clear(p, now)
+			changed = true
+		}
+	}
+	if changed {
+		l.decide()
+	}
+}
+
+// isKnown reports whether there is evidence against a part or a quarantine of it.
+func (l *Ledger) isKnown(p Part) bool {
+	if l.records[p] != nil {
+		return true
+	}
+	for _, n := range l.notices {
+		if n.liftedAt.IsZero() && slices.Contains(n.Parts, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// Absorb records what other nodes have reported.
+func (l *Ledger) Absorb(r *Observations) {
+	if r.Empty() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	for _, s := range r.Strikes {
+		l.addStrike(s, ago(uint32(s.AgeMs)))
+	}
+	for _, c := range r.Clearances {
+		l.clear(c.Part, ago(c.AgeMs))
+	}
+	for _, n := range r.Notices {
+		l.adopt(n, now)
+	}
+	l.decide()
+}
+
+// Report returns what this node has to tell other nodes: its recent observations, and all
+// quarantines that it knows, from which a restarted node learns them. It is nil if there
+// is nothing to tell.
+func (l *Ledger) Report() *Observations {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.decide()
+	now := l.now()
+	r := &Observations{}
+	for _, s := range l.ownStrikes {
+		s.AgeMs = uint16(now.Sub(s.at).Milliseconds())
+		r.Strikes = append(r.Strikes, s.Strike)
+	}
+	for p, c := range l.ownClearances {
+		r.Clearances = append(r.Clearances, Clearance{p, uint32(now.Sub(c.at).Milliseconds())})
+	}
+	for _, q := range *l.inEffect.Load() {
+		n := q.Notice
+		n.AgeMs = uint32(now.Sub(q.decidedAt).Milliseconds())
+		n.RemainingMs = uint32(max(q.Until.Sub(now).Milliseconds(), 0))
+		r.Notices = append(r.Notices, n)
+	}
+	if r.Empty() {
+		return nil
+	}
+	r.limit()
+	return r
+}
+
+// Current returns the quarantines in effect.
+func (l *Ledger) Current() []*Quarantine {
+	if current := l.inEffect.Load(); current != nil {
+		return *current
+	}
+	return nil
+}
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,201 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits of Observations, so that it fits into a datagram beside the load of a large
+// deployment.
+const (
+	// maxStrikes is the number of strikes in the observations of several nodes.
+	maxStrikes = 24
+	// maxOwnStrikes is the number of strikes in the report of one node.
+	maxOwnStrikes = 12
+	// maxClearances is the number of clearances in a report.
+	maxClearances = 16
+	// maxNotices is the number of quarantines.
+	maxNotices = 8
+	// maxNoticeParts is the number of parts of one quarantine.
+	maxNoticeParts = 3
+)
+
+// Part is the hash of the ID of a part of a prompt. Its 64 bits make it improbable that a
+// sound part has the hash of one in quarantine.
+type Part uint64
+
+// PartOf returns the hash of the ID of a part.
+func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
+
+// partsOf returns the hashes of the parts of a prompt that may be put in quarantine, and
+// the key of the prompt. The last part belongs to the request or its session alone, so it
+// identifies the prompt.
+func partsOf(prompt []string) ([]Part, uint32) {
+	if len(prompt) == 0 {
+		return nil, 0
+	}
+	last := prompt[len(prompt)-1]
+	var parts []Part
+	for _, id := range prompt[:len(prompt)-1] {
+		if p := PartOf(id); id != last && !slices.Contains(parts, p) {
+			parts = append(parts, p)
+		}
+	}
+	return parts, uint32(xxhash.Sum64String(last))
+}
+
+// engineKey identifies one start of an engine.
+func engineKey(instance string, startedMs int64) uint32 {
+	return uint32(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(instance), uint64(startedMs))))
+}
+
+// Strike means that an engine crashed before it sent the first event of the response to a
+// prompt that contains a part.
+type Strike struct {
+	Engine uint32 `msgpack:"e"`
+	Prompt uint32 `msgpack:"q"`
+	Part   Part   `msgpack:"p"`
+	// Depth is the position of the part in the prompt.
+	Depth uint8 `msgpack:"d"`
+	// AgeMs is the time since the crash, in milliseconds.
+	AgeMs uint16 `msgpack:"a"`
+}
+
+// Clearance means that an engine was sound while it responded to a prompt that contains a
+// part.
+type Clearance struct {
+	Part Part `msgpack:"p"`
+	// AgeMs is the time since the response, in milliseconds.
+	AgeMs uint32 `msgpack:"a"`
+}
+
+// Notice is a quarantine. Requests that contain all of its parts are refused.
+type Notice struct {
+	Parts []Part `msgpack:"p"`
+	// Since is when the quarantine was decided, in Unix milliseconds of the node that
+	// decided it. A later notice for the same parts replaces an earlier one.
+	Since int64 `msgpack:"s"`
+	// AgeMs is the time since the decision, in milliseconds.
+	AgeMs uint32 `msgpack:"a"`
+	// RemainingMs is the time until the quarantine expires, in milliseconds.
+	RemainingMs uint32 `msgpack:"r"`
+	// Crashes is the number of engines that crashed.
+	Crashes uint16 `msgpack:"c"`
+	// Prompts is the number of different prompts under which they crashed.
+	Prompts uint16 `msgpack:"q"`
+}
+
+// key identifies the parts of a notice, which are sorted.
+func (n *Notice) key() string { return fmt.Sprint(n.Parts) }
+
+// Observations are what one or several nodes observed recently. Its zero value is empty.
+type Observations struct {
+	Strikes    []Strike    `msgpack:"s"`
+	Clearances []Clearance `msgpack:"c"`
+	Notices    []Notice    `msgpack:"n"`
+}
+
+// Empty reports whether nothing was observed. A nil report is empty.
+func (r *Observations) Empty() bool {
+	return r == nil || len(r.Strikes)+len(r.Clearances)+len(r.Notices) == 0
+}
+
+// Shorten returns the report without its longest list: notices and clearances are repeated
+// until they expire, so the strikes are dropped first. It returns nil for a report without
+// strikes.
+func (r *Observations) Shorten() *Observations {
+	if len(r.Strikes) == 0 {
+		return nil
+	}
+	return &Observations{Strikes: r.Strikes[:len(r.Strikes)/2], Clearances: r.Clearances, Notices: r.Notices}
+}
+
+// Validate checks the limits of a received report.
+func (r *Observations) Validate() error {
+	if r == nil {
+		return nil
+	}
+	for _, list := range []struct {
+		field      string
+		n, maximum int
+	}{
+		{"strikes", len(r.Strikes), maxStrikes}, {"clearances", len(r.Clearances), maxClearances}, {"notices", len(r.Notices), maxNotices},
+	} {
+		if list.n > list.maximum {
+			return fmt.Errorf("%s of quarantine: %d entries, at most %d are allowed", list.field, list.n, list.maximum)
+		}
+	}
+	for i := range r.Notices {
+		if n := len(r.Notices[i].Parts); n == 0 || n > maxNoticeParts {
+			return fmt.Errorf("notices[%d] of quarantine: %d parts, 1 to %d are allowed", i, n, maxNoticeParts)
+		}
+	}
+	return nil
+}
+
+// Merge returns the union of two reports, of which other was received some time ago. Both
+// stay unchanged. Beyond the limits it keeps the strikes of the parts that have the most
+// of them, and the newest clearances and notices.
+func Merge(r, other *Observations, ago time.Duration) *Observations {
+	if other.Empty() {
+		return r
+	}
+	union := &Observations{}
+	if r != nil {
+		*union = Observations{slices.Clone(r.Strikes), slices.Clone(r.Clearances), slices.Clone(r.Notices)}
+	}
+	ms := uint32(max(ago.Milliseconds(), 0))
+	for _, s := range other.Strikes {
+		s.AgeMs = uint16(min(uint32(s.AgeMs)+ms, math.MaxUint16))
+		if !slices.ContainsFunc(union.Strikes, s.same) {
+			union.Strikes = append(union.Strikes, s)
+		}
+	}
+	for _, c := range other.Clearances {
+		c.AgeMs += ms
+		if i := slices.IndexFunc(union.Clearances, func(o Clearance) bool { return o.Part == c.Part }); i < 0 {
+			union.Clearances = append(union.Clearances, c)
+		} else {
+			union.Clearances[i].AgeMs = min(union.Clearances[i].AgeMs, c.AgeMs)
+		}
+	}
+	for _, n := range other.Notices {
+		n.AgeMs, n.RemainingMs = n.AgeMs+ms, n.RemainingMs-min(n.RemainingMs, ms)
+		if i := slices.IndexFunc(union.Notices, func(o Notice) bool { return slices.Equal(o.Parts, n.Parts) }); i < 0 {
+			union.Notices = append(union.Notices, n)
+		} else if n.Since > union.Notices[i].Since {
+			union.Notices[i] = n
+		}
+	}
+	union.limit()
+	return union
+}
+
+// same reports whether two strikes describe the same observation.
+func (s Strike) same(other Strike) bool {
+	return s.Engine == other.Engine && s.Prompt == other.Prompt && s.Part == other.Part
+}
+
+// limit truncates the lists to their limits.
+func (r *Observations) limit() {
+	if len(r.Strikes) > maxStrikes {
+		byPart := map[Part]int{}
+		for _, s := range r.Strikes {
+			byPart[s.Part]++
+		}
+		slices.SortStableFunc(r.Strikes, func(a, b Strike) int {
+			return cmp.Or(cmp.Compare(byPart[b.Part], byPart[a.Part]), cmp.Compare(a.AgeMs, b.AgeMs))
+		})
+		r.Strikes = r.Strikes[:maxStrikes]
+	}
+	slices.SortStableFunc(r.Clearances, func(a, b Clearance) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+	r.Clearances = r.Clearances[:min(len(r.Clearances), maxClearances)]
+	slices.SortStableFunc(r.Notices, func(a, b Notice) int { return cmp.Compare(b.Since, a.Since) })
+	r.Notices = r.Notices[:min(len(r.Notices), maxNotices)]
+}
--- /dev/null
+++ b/quarantine/update.go
@@ -0,0 +1,170 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// addStrike adds a strike unless it is known or the part was sound since.
+func (l *Ledger) addStrike(s Strike, at time.Time) {
+	r := l.records[s.Part]
+	if r == nil {
+		soundAt := l.sound.at(s.Part)
+		r = &record{part: s.Part, soundAt: soundAt}
+		l.records[s.Part] = r
+		if !soundAt.IsZero() {
+			l.ownClearances[s.Part] = ownClearance{soundAt, l.now()}
+		}
+	}
+	known := slices.ContainsFunc(r.strikes, func(o strike) bool { return o.engine == s.Engine && o.prompt == s.Prompt })
+	if known || !at.After(r.soundAt) {
+		return
+	}
+	r.depth, r.struckAt = max(r.depth, s.Depth), l.now()
+	r.strikes = append(r.strikes, strike{s.Engine, s.Prompt, at})
+	if len(r.strikes) > maxRecordStrikes {
+		r.strikes = r.strikes[1:]
+	}
+}
+
+// clear records that a part appeared in a sound response.
+func (l *Ledger) clear(p Part, at time.Time) {
+	if r := l.records[p]; r != nil && at.After(r.soundAt) {
+		r.soundAt = at
+		r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.at.After(at) })
+	}
+	for _, n := range l.notices {
+		if n.liftedAt.IsZero() && slices.Contains(n.Parts, p) && at.After(n.decidedAt) {
+			n.liftedAt = at
+			l.lifted.Inc(1)
+			_ = level.Warn(l.logger).Log("msg", "quarantine lifted: a response to a prompt with the part was sound", "part", p,
+				"parts", fmt.Sprint(n.Parts), "since", n.Since)
+		}
+	}
+}
+
+// adopt records a quarantine of another node. A known one is not prolonged, so that
+// nodes don't renew it for each other, and one that was decided before a sound response
+// isn't taken again.
+func (l *Ledger) adopt(received Notice, now time.Time) {
+	received.Parts = slices.Clone(received.Parts)
+	slices.Sort(received.Parts)
+	known := l.notices[received.key()]
+	decidedAt := now.Add(-time.Duration(received.AgeMs) * time.Millisecond)
+	if received.RemainingMs == 0 || (known != nil && (known.inEffect(now) || known.Since >= received.Since || known.liftedAt.After(decidedAt))) {
+		return
+	}
+	for _, p := range received.Parts {
+		if soundAt := l.sound.at(p); soundAt.After(decidedAt) {
+			l.ownClearances[p] = ownClearance{soundAt, now}
+			return
+		}
+	}
+	remaining := min(time.Duration(received.RemainingMs)*time.Millisecond, l.cfg.Duration)
+	l.notices[received.key()] = &notice{Notice: received, decidedAt: decidedAt, until: now.Add(remaining)}
+	l.adopted.Inc(1)
+	_ = level.Warn(l.logger).Log("msg", "prompt part in quarantine, as reported by another node", "parts", fmt.Sprint(received.Parts),
+		"crashes", received.Crashes, "prompts", received.Prompts, "remaining_ms", remaining.Milliseconds())
+}
+
+// decide removes what has expired, puts parts in quarantine for which the evidence
+// suffices, and publishes the result. The caller holds the lock.
+func (l *Ledger) decide() {
+	now := l.now()
+	l.expire(now)
+	for {
+		var active [][]Part
+		for _, n := range l.notices {
+			if n.inEffect(now) {
+				active = append(active, n.Parts)
+			}
+		}
+		d, found := decide(l.records, active, l.expiredRecently, now)
+		if !found {
+			break
+		}
+		n := Notice{Parts: d.parts, Crashes: uint16(d.crashes), Prompts: uint16(d.prompts), Since: now.UnixMilli()}
+		if known := l.notices[n.key()]; known != nil {
+			n.Since = max(n.Since, known.Since+1)
+		}
+		l.notices[n.key()] = &notice{Notice: n, decidedAt: now, until: now.Add(l.cfg.Duration)}
+		l.decided.Inc(1)
+		_ = level.Warn(l.logger).Log("msg", "prompt part in quarantine: engines crashed before they responded to it", "parts", fmt.Sprint(d.parts),
+			"crashes", d.crashes, "prompts", d.prompts, "engines", fmt.Sprint(d.engines), "duration_ms", l.cfg.Duration.Milliseconds())
+	}
+	l.publish(now)
+}
+
+func (n *notice) inEffect(now time.Time) bool { return n.liftedAt.IsZero() && now.Before(n.until) }
+
+// expiredRecently reports whether a part was in a quarantine that has expired.
+func (l *Ledger) expiredRecently(p Part) bool {
+	now := l.now()
+	for _, n := range l.notices {
+		if n.liftedAt.IsZero() && !now.Before(n.until) && slices.Contains(n.Parts, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// expire removes outdated evidence and quarantines, and the excess ones.
+func (l *Ledger) expire(now time.Time) {
+	for p, r := range l.records {
+		r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return now.Sub(s.at) > evidenceTime })
+		if len(r.strikes) == 0 && now.Sub(r.struckAt) > reportTime {
+			delete(l.records, p)
+		}
+	}
+	removeOldest(l.records, maxRecords)
+	var current, past []*notice
+	for key, n := range l.notices {
+		switch {
+		case n.inEffect(now):
+			current = append(current, n)
+		case now.Sub(n.until) > l.cfg.Duration:
+			delete(l.notices, key)
+		default:
+			past = append(past, n)
+		}
+	}
+	newestFirst := func(a, b *notice) int { return b.decidedAt.Compare(a.decidedAt) }
+	slices.SortFunc(current, newestFirst)
+	slices.SortFunc(past, newestFirst)
+	for _, n := range current[min(len(current), maxNotices):] {
+		n.until = now
+	}
+	for _, n := range past[min(len(past), maxExpired):] {
+		delete(l.notices, n.key())
+	}
+	l.ownStrikes = slices.DeleteFunc(l.ownStrikes, func(s ownStrike) bool { return now.Sub(s.at) > reportTime })
+	l.ownStrikes = l.ownStrikes[max(len(l.ownStrikes)-maxOwnStrikes, 0):]
+	maps.DeleteFunc(l.ownClearances, func(_ Part, c ownClearance) bool { return now.Sub(c.reportedSince) > reportTime })
+}
+
+// removeOldest removes the records that were struck longest ago until at most limit are
+// left.
+func removeOldest(records map[Part]*record, limit int) {
+	if len(records) <= limit {
+		return
+	}
+	list := slices.SortedFunc(maps.Values(records), func(a, b *record) int { return a.struckAt.Compare(b.struckAt) })
+	for _, r := range list[:len(list)-limit] {
+		delete(records, r.part)
+	}
+}
+
+// publish replaces the quarantines that the request path uses.
+func (l *Ledger) publish(now time.Time) {
+	var list []*Quarantine
+	for _, n := range l.notices {
+		if n.inEffect(now) {
+			list = append(list, &Quarantine{Notice: n.Notice, Until: n.until, decidedAt: n.decidedAt})
+		}
+	}
+	l.inEffect.Store(&list)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -79,6 +80,15 @@
 	return c, nil
 }
 
+// Refused reports whether no process accepts connections at an address.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = raw.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // takeIdle returns the most recently used idle connection that is still usable, or nil.
 func (p *Pool) takeIdle(address string) *Conn {
 	for {
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -49,6 +49,8 @@
 	ReasonUnconfirmed Reason = "configuration-unconfirmed"
 	// ReasonDraining means that the node is shutting down.
 	ReasonDraining Reason = "draining"
+	// ReasonQuarantined means that the prompt contains a part under which engines crashed.
+	ReasonQuarantined Reason = "prompt-quarantined"
 	// ReasonPlatform means that the platform is needed but not available.
 	ReasonPlatform Reason = "platform-unavailable"
 	// ReasonBackendFailed means that the backend server refused, failed or did not respond.
@@ -80,6 +82,7 @@
 	ReasonDeadline:         http.StatusGatewayTimeout,
 	ReasonUnconfirmed:      http.StatusServiceUnavailable,
 	ReasonDraining:         http.StatusServiceUnavailable,
+	ReasonQuarantined:      http.StatusServiceUnavailable,
 	ReasonPlatform:         http.StatusServiceUnavailable,
 	ReasonBackendFailed:    http.StatusBadGateway,
 	ReasonIncompleteAnswer: http.StatusBadGateway,
