formation: remember the model of instances that left their group

Cause: members of a broken group are told to leave it, and then list no model. They counted as having only the weights on their hosts, those of the other model, and were formed into its groups within 0.1 s, where they lost what they had in memory: the larger model kept 0.4 to 2.4 of 8 groups for 30 s. An instance joins a group of its last model at once, whether or not it has left. Ruled out: the quarantine (decided 1.3 s after the first crash, one part only), and a lack of instances (6 free all the while).

The holder remembers the model of each start of an instance, until the instance restarts or is no longer listed.

--- a/formation/controller.go
+++ b/formation/controller.go
@@ -105,6 +105,8 @@
 	headMissingSince map[engine.GroupID]time.Time
 	lastHead         map[engine.GroupID]*engine.Instance
 	seenSince        map[engine.GroupID]time.Time
+	// loadedModels are the models that instances last had in memory, by instance ID.
+	loadedModels map[string]loadedModel
 	// instanceCount is the number of listed instances.
 	instanceCount int
 	// instanceCountSince is when instanceCount last changed.
@@ -126,7 +128,7 @@
 		unansweredJoins: map[string]unansweredJoin{}, reservations: map[string]Reservation{},
 		formed:           map[engine.GroupID]FormedGroup{},
 		headMissingSince: map[engine.GroupID]time.Time{}, lastHead: map[engine.GroupID]*engine.Instance{},
-		seenSince: map[engine.GroupID]time.Time{}, demand: map[string]float64{},
+		seenSince: map[engine.GroupID]time.Time{}, loadedModels: map[string]loadedModel{}, demand: map[string]float64{},
 		unreachable: map[string]unreachableInstance{}, lastProbed: map[string]time.Time{},
 	}
 }
@@ -202,7 +204,7 @@
 
 // snapshot collects the input of a plan and drops expired state.
 func (c *Controller) snapshot(service *catalog.Service, roster *engine.Roster, now time.Time) *Snapshot {
-	instances := c.withoutUnreachable(roster.ByService[service.Name], now)
+	instances := c.withLoadedModels(c.withoutUnreachable(roster.ByService[service.Name], now))
 	s := &Snapshot{
 		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
 		Demand: c.averageDemand(), CommandPending: map[string]bool{}, Formed: c.formed,
--- a/formation/track.go
+++ b/formation/track.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -84,6 +85,36 @@
 	}
 }
 
+// loadedModel is the model that a start of an instance last had in memory.
+type loadedModel struct {
+	startedMs int64
+	model     string
+}
+
+// withLoadedModels returns the instances, where those without a model in memory have the
+// model of their last group. An instance that left its group no longer lists the model,
+// but joins another group of it at once.
+func (c *Controller) withLoadedModels(instances []*engine.Instance) []*engine.Instance {
+	listed := map[string]bool{}
+	result := slices.Clone(instances)
+	for i, in := range instances {
+		listed[in.ID] = true
+		last := c.loadedModels[in.ID]
+		switch {
+		case in.Model != "":
+			c.loadedModels[in.ID] = loadedModel{in.StartedMs, in.Model}
+		case last.startedMs != in.StartedMs:
+			delete(c.loadedModels, in.ID)
+		case last.model != "" && in.Membership.Group == "":
+			loaded := *in
+			loaded.Model = last.model
+			result[i] = &loaded
+		}
+	}
+	maps.DeleteFunc(c.loadedModels, func(id string, _ loadedModel) bool { return !listed[id] })
+	return result
+}
+
 // isHeadMissing reports whether the head of a group that is listed without one has
 // disappeared. Members of a new group may be listed before its head is.
 func (c *Controller) isHeadMissing(s *Snapshot, g *engine.Group) bool {
