forward: end the wait of requests whose prompt is put in quarantine

Cause: a request that waited for a slot when its prompt was put in quarantine was refused only when it got a slot or gave up, up to 1.6 s later. Requests that are known to be refused have to be told at once.

The request path publishes quarantines only when they change; waiting requests watch that.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -34,6 +35,15 @@
 	return err
 }
 
+// blocked returns the function by which a request that waits for a slot notices that its
+// prompt is put in quarantine.
+func (c *call) blocked(l *quarantine.Ledger) func() (bool, <-chan struct{}) {
+	return func() (bool, <-chan struct{}) {
+		changed := l.Changed()
+		return l.Match(c.Prompt) != nil, changed
+	}
+}
+
 // checkCrash reports to the ledger if the engine of a failed attempt crashed. The attempt
 // must not have received an event. A broken connection alone is no crash: it may have been
 // reset, or the engine may have failed only this request.
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -89,6 +89,16 @@
 	GoalAt time.Time
 	// Until is the time after which waiting is pointless.
 	Until time.Time
+	// Blocked reports whether the request must not be sent any more, and returns a channel
+	// that is closed when that may have changed; nil if it never does.
+	Blocked func() (bool, <-chan struct{})
+}
+
+func (r *SlotRequest) blocked() (bool, <-chan struct{}) {
+	if r.Blocked == nil {
+		return false, nil
+	}
+	return r.Blocked()
 }
 
 // Slot is an acquired slot at a target. It must be released exactly once.
@@ -157,8 +167,12 @@
 	defer limit.Stop()
 	late := time.NewTimer(max(time.Until(r.GoalAt.Add(-firstEventTime)), 0))
 	defer late.Stop()
-	for waiting := true; waiting; {
+	blocked, changed := r.blocked()
+	for waiting := !blocked; waiting; {
 		select {
+		case <-changed:
+			blocked, changed = r.blocked()
+			waiting = !blocked
 		case target := <-w.assigned:
 			return d.newSlot(target, r.PromptTokens), nil
 		case <-late.C:
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -74,15 +74,17 @@
 		return err
 	}
 	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: s.pool(), Rank: rank(s.route, s.organisation),
-		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: s.waitUntil()})
-	if err != nil {
-		return h.noSlotError(s.call, err)
+		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: s.waitUntil(), Blocked: s.blocked(h.Quarantine)})
+	if err == nil {
+		defer slot.Release()
 	}
-	defer slot.Release()
 	// The quarantine may have begun while the request waited.
 	if err := h.checkQuarantine(s.call); err != nil {
 		return err
 	}
+	if err != nil {
+		return h.noSlotError(s.call, err)
+	}
 	monitor := h.newStallMonitor(s, slot)
 	response, failed := h.send(ctx, s.call, slot, s.lastEventID, monitor.watch)
 	if failed == nil {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -6,12 +6,13 @@
 	"math"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/blackboard"
 )
 
 // Times and limits of a Ledger.
@@ -64,7 +65,7 @@
 	decided  metrics.Counter
 	adopted  metrics.Counter
 	lifted   metrics.Counter
-	inEffect atomic.Pointer[[]*Quarantine]
+	inEffect blackboard.Section[[]*Quarantine]
 	now      func() time.Time
 
 	mu      sync.Mutex
@@ -124,6 +125,9 @@
 	return nil
 }
 
+// Changed returns a channel that is closed when the quarantines in effect change.
+func (l *Ledger) Changed() <-chan struct{} { return l.inEffect.Changed() }
+
 // Crashed records that an engine crashed before it sent the first event of the response to
 // a prompt.
 func (l *Ledger) Crashed(instance string, startedMs int64, prompt []string, at time.Time) {
@@ -231,7 +235,7 @@
 	for p, c := range l.ownClearances {
 		r.Clearances = append(r.Clearances, Clearance{p, uint32(now.Sub(c.at).Milliseconds())})
 	}
-	for _, q := range *l.inEffect.Load() {
+	for _, q := range l.Current() {
 		n := q.Notice
 		n.AgeMs = uint32(now.Sub(q.decidedAt).Milliseconds())
 		n.RemainingMs = uint32(max(q.Until.Sub(now).Milliseconds(), 0))
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -158,7 +159,7 @@
 	}
 }
 
-// publish replaces the quarantines that the request path uses.
+// publish replaces the quarantines that the request path uses if they have changed.
 func (l *Ledger) publish(now time.Time) {
 	var list []*Quarantine
 	for _, n := range l.notices {
@@ -166,5 +167,8 @@
 			list = append(list, &Quarantine{Notice: n.Notice, Until: n.until, decidedAt: n.decidedAt})
 		}
 	}
-	l.inEffect.Store(&list)
+	slices.SortFunc(list, func(a, b *Quarantine) int { return strings.Compare(a.key(), b.key()) })
+	if !slices.EqualFunc(list, l.Current(), func(a, b *Quarantine) bool { return a.key() == b.key() && a.Since == b.Since }) {
+		l.inEffect.Publish(&list)
+	}
 }
