quarantine: log the parts that are counted, by hash and ID

Cause, by reading: the line of a crash listed a whole prompt, which may have thousands of parts, and a refusal didn't name the part, so the two couldn't be connected. Finding the shared parts took the square of their number.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	h.metrics.quarantined.Inc(1)
-	err := verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "a part of the prompt is in quarantine: %s", q.Evidence()).
+	err := verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "prompt in quarantine: %s", q.Evidence()).
 		WithRetryAfter(time.Until(q.Until) + rand.N(quarantineSpread))
 	err.Field = "prompt"
 	return err
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -53,7 +53,7 @@
 
 // Evidence describes the quarantine for logs and error messages.
 func (q *Quarantine) Evidence() string {
-	return fmt.Sprintf("%d engines crashed under %d prompts that contain it", q.Crashes, q.Prompts)
+	return fmt.Sprintf("%d engines crashed under %d prompts with the parts %v", q.Crashes, q.Prompts, q.Parts)
 }
 
 // Ledger holds the evidence and the quarantines that a node knows. It is safe for
@@ -115,7 +115,7 @@
 	if current == nil || len(*current) == 0 {
 		return nil
 	}
-	parts, _ := partsOf(prompt)
+	parts := partsOf(sharedIDs(prompt))
 	now := l.now()
 	for _, q := range *current {
 		if now.Before(q.Until) && !slices.ContainsFunc(q.Parts, func(p Part) bool { return !slices.Contains(parts, p) }) {
@@ -131,17 +131,18 @@
 // Crashed records that an engine crashed before it sent the first event of the response to
 // a prompt.
 func (l *Ledger) Crashed(instance string, startedMs int64, prompt []string, at time.Time) {
-	parts, key := partsOf(prompt)
-	if len(parts) == 0 {
+	ids := sharedIDs(prompt)
+	if len(ids) == 0 {
 		return
 	}
-	engine := engineKey(instance, startedMs)
+	parts := partsOf(ids)
+	engine, key := engineKey(instance, startedMs), promptKey(prompt)
 	l.strikes.Inc(1)
-	_ = level.Info(l.logger).Log("msg", "engine crashed before the response began", "instance", instance,
-		"prompt", fmt.Sprint(prompt), "parts", fmt.Sprint(parts))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, i := range l.mostSuspicious(parts) {
+		_ = level.Info(l.logger).Log("msg", "engine crashed before the response began", "instance", instance,
+			"part", parts[i], "id", ids[i], "position", i)
 		s := Strike{Engine: engine, Prompt: key, Part: parts[i], Depth: uint8(min(i, math.MaxUint8))}
 		l.addStrike(s, at)
 		l.ownStrikes = append(l.ownStrikes, ownStrike{s, at})
@@ -164,7 +165,7 @@
 
 // Sound records that an engine was sound while it responded to a prompt.
 func (l *Ledger) Sound(prompt []string) {
-	parts, _ := partsOf(prompt)
+	parts := partsOf(sharedIDs(prompt))
 	if len(parts) == 0 {
 		return
 	}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -33,23 +33,28 @@
 // PartOf returns the hash of the ID of a part.
 func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
 
-// partsOf returns the hashes of the parts of a prompt that may be put in quarantine, and
-// the key of the prompt. The last part belongs to the request or its session alone, so it
-// identifies the prompt.
-func partsOf(prompt []string) ([]Part, uint32) {
+// sharedIDs returns the IDs of the parts of a prompt that may be put in quarantine. The
+// last part belongs to the request or its session alone.
+func sharedIDs(prompt []string) []string {
 	if len(prompt) == 0 {
-		return nil, 0
+		return nil
 	}
 	last := prompt[len(prompt)-1]
-	var parts []Part
-	for _, id := range prompt[:len(prompt)-1] {
-		if p := PartOf(id); id != last && !slices.Contains(parts, p) {
-			parts = append(parts, p)
-		}
+	return slices.DeleteFunc(slices.Clone(prompt), func(id string) bool { return id == last })
+}
+
+// partsOf returns the hashes of IDs.
+func partsOf(ids []string) []Part {
+	parts := make([]Part, len(ids))
+	for i, id := range ids {
+		parts[i] = PartOf(id)
 	}
-	return parts, uint32(xxhash.Sum64String(last))
+	return parts
 }
 
+// promptKey identifies a prompt by its last part.
+func promptKey(prompt []string) uint32 { return uint32(xxhash.Sum64String(prompt[len(prompt)-1])) }
+
 // engineKey identifies one start of an engine.
 func engineKey(instance string, startedMs int64) uint32 {
 	return uint32(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(instance), uint64(startedMs))))
