--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -10,4 +10,7 @@
 // the states of their domain, exchange the sums with the aggregators of other
 // domains, and send each node of their domain the sum of all others. The traffic of
 // a node then doesn't grow with the number of nodes.
+//
+// Observations of prompts that crash engines take the same way in datagrams of their own,
+// as nodes of earlier builds accept no additional fields in a state.
 package mesh
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -13,7 +13,7 @@
 	// three prompts, four with two, or five with repeats of one.
 	minWeight = 6
 	// minWeightOnceSound replaces minWeight for a part that appeared in sound responses
-	// before: it is more likely to be beside the deadly part.
+	// before: more likely, another part of the same prompts crashes the engines.
 	minWeightOnceSound = 10
 	// renewalWeight replaces minWeight after a quarantine has expired: a single crash.
 	renewalWeight = 2
