--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -111,9 +111,8 @@
 	return r == nil || len(r.Strikes)+len(r.Clearances)+len(r.Notices) == 0
 }
 
-// Shorten returns the report without its longest list: notices and clearances are repeated
-// until they expire, so the strikes are dropped first. It returns nil for a report without
-// strikes.
+// Shorten returns the observations with half of the strikes, or nil if there are no
+// strikes to drop.
 func (r *Observations) Shorten() *Observations {
 	if len(r.Strikes) == 0 {
 		return nil
