throttle: share the request rate that backend servers accept

Cause: the rate that a server states in its responses was read nowhere; its slots were the only measure of what it takes. Ruled out: nodes that each keep to the rate alone, and repeats (no line of the excess has send above 1).

Nodes record what a response states for one start of a server, tell each other in datagrams of their own, and take a share of the rate in proportion to the requests that arrive at them, as permits. The choice of the target, the queue, the demand for groups and the refusal go by permits. Shares work because they add up to the rate, however many nodes there are, and because permits expire and begin at random levels, so that nodes with little traffic don't use them together.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -48,6 +48,9 @@
 	// Others is the number of requests of other nodes in flight at the target.
 	Others  int    `json:"others"`
 	Address string `json:"address"`
+	// AcceptedPerSecond is the request rate that the target accepts from all nodes
+	// together; absent without a limit.
+	AcceptedPerSecond *float64 `json:"acceptedPerSecond,omitempty"`
 }
 
 // inspector serves the metrics and the state of this process.
@@ -110,8 +113,12 @@
 			RemainingMs: time.Until(q.Until).Milliseconds()})
 	}
 	i.status.tables.Load().Each(func(t *forward.Target) {
-		d.Targets[t.Instance.ID] = targetDump{Group: t.Group.Name, Model: t.Pool.Model, Slots: t.Slots, Own: t.Load.Running(),
+		target := targetDump{Group: t.Group.Name, Model: t.Pool.Model, Slots: t.Slots, Own: t.Load.Running(),
 			Others: i.status.mesh.Running(t.Instance.ID), Address: t.Instance.Address}
+		if rate, limited := i.status.dispatcher.AcceptedRate(t); limited {
+			target.AcceptedPerSecond = &rate
+		}
+		d.Targets[t.Instance.ID] = target
 	})
 	return d
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -23,6 +23,7 @@
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/throttle"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
 
@@ -81,6 +82,7 @@
 		newFollowers,
 		newPool,
 		newLedger,
+		newThrottle,
 		newPlatformState,
 		newStatus,
 		newHandler,
@@ -123,17 +125,21 @@
 	return quarantine.NewLedger(quarantine.Config{Duration: s.QuarantineTime}, logger, registry)
 }
 
-func newPlatformState(f followers, tables *forward.Tables, pool *upstream.Pool, logger log.Logger) *PlatformState {
-	return &PlatformState{configurations: f.configurations, instances: f.instances, tables: tables, pool: pool, logger: logger}
+func newThrottle(logger log.Logger, registry metrics.Registry) *throttle.Registry {
+	return throttle.NewRegistry(throttle.Config{}, logger, registry)
+}
+
+func newPlatformState(f followers, tables *forward.Tables, pool *upstream.Pool, t *throttle.Registry, logger log.Logger) *PlatformState {
+	return &PlatformState{configurations: f.configurations, instances: f.instances, tables: tables, pool: pool, throttle: t, logger: logger}
 }
 
 // newStatus also creates the components that depend on each other: the mesh sends the
 // state that the status returns, and the status uses the mesh's view of other nodes.
-func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, q *quarantine.Ledger, logger log.Logger, registry metrics.Registry) *status {
+func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, q *quarantine.Ledger, t *throttle.Registry, logger log.Logger, registry metrics.Registry) *status {
 	st := &status{settings: s, platformState: ps, tables: tables, instances: f.instances, quarantine: q}
-	st.mesh = mesh.New(mesh.Config{Node: s.Node, Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, logger, registry)
+	st.mesh = mesh.New(mesh.Config{Node: s.Node, Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, t, logger, registry)
 	r.liveNodes = func() []*mesh.Node { return st.mesh.View().Live }
-	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.FailureDomain)
+	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.FailureDomain, t)
 	return st
 }
 
--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -13,6 +13,7 @@
 	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
+	"github.com/rattanlanding/rattanlanding/throttle"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
 
@@ -26,6 +27,7 @@
 	instances      *follow.Follower
 	tables         *forward.Tables
 	pool           *upstream.Pool
+	throttle       *throttle.Registry
 	logger         log.Logger
 
 	// decoded maps instance IDs to the entries of the last update.
@@ -66,9 +68,12 @@
 	}
 	ps.tables.Build(c, r)
 	listed := make(map[string]bool, len(r.ByID))
+	servers := make(map[throttle.Server]string, len(r.ByID))
 	for _, in := range r.ByID {
 		listed[in.Address] = true
+		servers[throttle.ServerOf(in.ID, in.StartedMs)] = in.ID
 	}
+	ps.throttle.SetListed(servers)
 	ps.pool.CloseIdle(func(address string) bool { return listed[address] })
 }
 
--- a/entry/state.go
+++ b/entry/state.go
@@ -75,6 +75,9 @@
 			state.Suspects = append(state.Suspects, key)
 		}
 	})
+	for pool, rate := range s.dispatcher.ArrivalRates() {
+		state.Demand[mesh.ArrivalKey(pool.Service, pool.Model)] = float32(rate)
+	}
 	for pool, n := range s.dispatcher.Waiting() {
 		if pool.Model != "" {
 			state.Waiting[pool.Model] = uint16(n)
@@ -94,14 +97,20 @@
 	return demand
 }
 
-// demand returns the demand of all nodes by model.
+// demand returns the demand of all nodes in slots by model.
 func (s *status) demand() map[string]float64 {
 	total := map[string]float64{}
 	for model, slots := range s.ownDemand() {
 		total[model] += float64(slots)
 	}
 	for model, slots := range s.mesh.View().Others.Demand {
-		total[model] += float64(slots)
+		if !mesh.IsArrivalKey(model) {
+			total[model] += float64(slots)
+		}
+	}
+	// Slots that can't be used have to be replaced like those that are taken.
+	for model, slots := range s.dispatcher.UnusableSlots() {
+		total[model] += slots
 	}
 	return total
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -40,6 +40,7 @@
 		LastEventID:  lastEventID,
 		Priority:     noEnginePriority,
 	})
+	sentAt := time.Now()
 	response, err := conn.Do(ctx, &upstream.Request{
 		Method: c.request.Method, Target: c.target, Host: c.request.Host, Header: header, Body: c.body,
 		Watch: watch,
@@ -52,7 +53,14 @@
 		c.mayHaveRun = true
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "no response from %s", slot.Instance.Address).WithCause(err)
 	}
-	if h.Codec.DecodeResponse(response.Status, response.Header).NotRun {
+	meta := h.Codec.DecodeResponse(response.Status, response.Header)
+	if meta.Err != nil {
+		_ = level.Warn(h.Logger).Log("msg", "invalid statement of a backend server ignored", "request", c.ID, "instance", slot.Instance.ID, "err", meta.Err)
+	}
+	if meta.Server == "" || meta.Server == slot.Instance.ID {
+		h.Dispatcher.ObserveResponse(slot.Instance, meta.Statement, sentAt)
+	}
+	if meta.NotRun {
 		response.Abort()
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "backend server answered %d without running the request", response.Status)
 	}
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -4,12 +4,17 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
 // candidateSet is the state of all targets of a pool at one moment.
 type candidateSet struct {
 	targets    []*Target
 	candidates []Candidate
+	// rates are the permits per second that this node gets at throttled targets.
+	rates    []float64
+	throttle *throttle.Registry
 	// unreported is the expected number of requests of all nodes that the reports don't
 	// show yet.
 	unreported float64
@@ -17,15 +22,20 @@
 
 // candidates returns the candidates of a pool. The caller holds the lock.
 func (d *Dispatcher) candidates(p Pool) *candidateSet {
-	f := &candidateSet{targets: d.tables.Load().Targets(p)}
+	f := &candidateSet{targets: d.tables.Load().Targets(p), throttle: d.throttle}
 	now := time.Now()
 	f.unreported = d.unreported(p, now)
-	f.candidates = make([]Candidate, len(f.targets))
+	f.candidates, f.rates = make([]Candidate, len(f.targets)), make([]float64, len(f.targets))
+	demand := d.throttleDemand(p, now)
 	for i, t := range f.targets {
+		allowance := d.throttle.Allowance(t.Server, demand)
+		f.rates[i] = allowance.Rate * demand.Share
 		f.candidates[i] = Candidate{
 			Requests:       float64(t.Load.Running() + d.peers.Running(t.Instance.ID)),
 			PromptTokens:   float64(t.Load.unreadPrompts.Load()),
 			Slots:          t.Slots,
+			Throttled:      allowance.Limited,
+			Permits:        allowance.Permits,
 			Ahead:          d.peers.Ahead(p.Model, t.Instance.ID),
 			SameDomain:     t.Instance.FailureDomain == d.failureDomain,
 			Excluded:       !d.isEligible(t, now),
@@ -55,6 +65,8 @@
 	}
 	s.candidates[best].Requests++
 	s.candidates[best].PromptTokens += float64(w.promptTokens)
+	s.candidates[best].Permits--
+	s.throttle.Use(s.targets[best].Server)
 	load := s.targets[best].Load
 	load.running.Add(1)
 	load.unreadPrompts.Add(int64(w.promptTokens))
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -10,6 +10,10 @@
 	// target and that aren't read yet.
 	PromptTokens float64
 	Slots        int
+	// Throttled is true if the target accepts a limited request rate.
+	Throttled bool
+	// Permits is the number of requests that this node may send to a throttled target.
+	Permits float64
 	// Ahead is the number of nodes with waiting requests that have precedence over
 	// this node at the target.
 	Ahead int
@@ -66,7 +70,23 @@
 // Free slots go to the nodes with waiting requests in an order that all of them
 // compute, so that one free slot doesn't attract a request from each node. This is
 // needed at full targets, where reports of other nodes' requests arrive too late.
-func (c *Candidate) hasFreeSlot() bool { return c.Requests+float64(c.Ahead) < c.limit() }
+//
+// The permits of a throttled target are divided between the nodes already.
+func (c *Candidate) hasFreeSlot() bool {
+	if c.Throttled {
+		return c.Permits >= 1 && c.Requests < c.limit()
+	}
+	return c.Requests+float64(c.Ahead) < c.limit()
+}
+
+// free returns the number of requests that can start at the candidate.
+func (c *Candidate) free() float64 {
+	free := max(c.limit()-c.Requests, 0)
+	if c.Throttled {
+		return min(free, max(c.Permits, 0))
+	}
+	return free
+}
 
 // limit returns the number of requests that may be assigned to the candidate.
 func (c *Candidate) limit() float64 { return float64(c.Slots + int(float64(c.Slots)*overcommit)) }
@@ -94,7 +114,7 @@
 		c := &candidates[i]
 		largest = max(largest, c.Slots)
 		if !c.Excluded && c.tier() == tier {
-			free += max(c.limit()-c.Requests, 0)
+			free += c.free()
 		}
 	}
 	eligible := make([]int, 0, len(candidates))
@@ -103,7 +123,7 @@
 		if c.Excluded || c.tier() != tier {
 			continue
 		}
-		if c.hasFreeSlot() || (unreported > free && c.Requests < maxCrowding*c.limit()) {
+		if c.hasFreeSlot() || (!c.Throttled && unreported > free && c.Requests < maxCrowding*c.limit()) {
 			eligible = append(eligible, i)
 		}
 	}
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
 // Meta is the metadata in the headers of a request.
@@ -45,6 +47,14 @@
 	RequestID string
 	// NotRun is true if the backend server did not and will not run the request.
 	NotRun bool
+	// Server is the ID of the backend server that responded; empty if the response doesn't
+	// name it.
+	Server string
+	// Statement is what the backend server states about itself.
+	Statement throttle.Statement
+	// Err describes an invalid statement, which is left out of Statement; nil if all are
+	// valid.
+	Err error
 }
 
 // Codec translates headers. Headers that it doesn't define are passed unchanged.
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -14,7 +14,7 @@
 	It("ends its wait as soon as it must not be sent", func() {
 		// Guards against a request that waits although it is known to be refused.
 		tables, pool := newTables(1, 1)
-		d := NewDispatcher(tables, &fakePeers{}, "")
+		d := NewDispatcher(tables, &fakePeers{}, "", newThrottle())
 		var blocked blackboard.Section[bool]
 		r := SlotRequest{Pool: pool, GoalAt: time.Now().Add(time.Second), Until: time.Now().Add(2 * time.Second),
 			Blocked: func() (bool, <-chan struct{}) {
--- a/forward/demand_test.go
+++ b/forward/demand_test.go
@@ -21,7 +21,7 @@
 		tables := NewTables()
 		tables.Build((&catalog.Configuration{Services: []catalog.Service{{Name: "long"}, {Name: "short"}}}).Index(),
 			engine.NewRoster([]*engine.Instance{{ID: "a", Service: "long", Slots: 100}, {ID: "b", Service: "short", Slots: 100}}))
-		d := NewDispatcher(tables, &fakePeers{}, "z")
+		d := NewDispatcher(tables, &fakePeers{}, "z", newThrottle())
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		send := func(p Pool, every, service time.Duration) {
@@ -60,7 +60,7 @@
 		tables := NewTables()
 		tables.Build((&catalog.Configuration{Services: []catalog.Service{{Name: "llm", Engine: profile}}}).Index(),
 			engine.NewRoster([]*engine.Instance{{ID: "a", Service: "llm", Model: "m", Membership: engine.Membership{Group: "g", Epoch: 1, Phase: engine.Open}}}))
-		d := NewDispatcher(tables, &fakePeers{}, "z")
+		d := NewDispatcher(tables, &fakePeers{}, "z", newThrottle())
 		const perSecond, prompt, events = 14, 1665, 20
 		for range 5 * perSecond {
 			go func() {
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
 // Peers provides the state that other nodes have reported. Implementations are safe
@@ -24,6 +25,9 @@
 	// Demand returns the number of slots that the requests of other nodes for a model
 	// would occupy.
 	Demand(model string) float64
+	// ArrivalRate returns the number of requests per second that arrive at other nodes for
+	// a pool with a throttled target.
+	ArrivalRate(service, model string) float64
 	// Ahead returns the number of other nodes that have requests waiting for a group of
 	// a model and that have precedence over this node at an instance.
 	Ahead(model, instance string) int
@@ -50,6 +54,7 @@
 	tables        *Tables
 	peers         Peers
 	failureDomain string
+	throttle      *throttle.Registry
 
 	mu      sync.Mutex
 	waiting map[Pool][]*waiter
@@ -69,8 +74,8 @@
 
 // NewDispatcher returns a dispatcher for the targets of the current table. The failure
 // domain is that of this node.
-func NewDispatcher(tables *Tables, peers Peers, failureDomain string) *Dispatcher {
-	return &Dispatcher{tables: tables, peers: peers, failureDomain: failureDomain, waiting: map[Pool][]*waiter{},
+func NewDispatcher(tables *Tables, peers Peers, failureDomain string, registry *throttle.Registry) *Dispatcher {
+	return &Dispatcher{tables: tables, peers: peers, failureDomain: failureDomain, throttle: registry, waiting: map[Pool][]*waiter{},
 		rechecking: map[Pool]bool{}, traffic: map[Pool]*traffic{}}
 }
 
@@ -147,16 +152,25 @@
 		d.mu.Unlock()
 		return nil, ErrNoTarget
 	}
-	if target := d.candidates(r.Pool).pick(w); target != nil {
-		d.mu.Unlock()
-		return d.newSlot(target, r.PromptTokens), nil
-	}
-	if !time.Now().Before(r.Until) {
-		d.mu.Unlock()
-		return nil, ErrFull
+	now, candidates := time.Now(), d.candidates(r.Pool)
+	var target *Target
+	if permits := candidates.permitsFor(w); permits.throttled {
+		var err error
+		if target, err = d.acquireThrottled(r, w, candidates, permits, now); err != nil {
+			d.mu.Unlock()
+			return nil, err
+		}
+	} else if target = candidates.pick(w); target == nil {
+		if !now.Before(r.Until) {
+			d.mu.Unlock()
+			return nil, ErrFull
+		}
+		d.enqueue(r.Pool, w)
 	}
-	d.enqueue(r.Pool, w)
 	d.mu.Unlock()
+	if target != nil {
+		return d.newSlot(target, r.PromptTokens), nil
+	}
 	return d.wait(ctx, r, w)
 }
 
@@ -188,6 +202,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if permits := d.candidates(r.Pool).permitsFor(w); permits.throttled {
+		return nil, d.refuseThrottled(r.Pool, permits, time.Now())
+	}
 	d.trafficOf(r.Pool).recordRefusal(time.Now())
 	slots, demand := d.slotsAndDemand(r.Pool, time.Now())
 	return nil, fmt.Errorf("%w: demand of %.1f slots for %d available ones, %d more requests wait on this node", ErrFull, demand, slots, len(d.waiting[r.Pool]))
@@ -203,14 +220,14 @@
 	return d.trafficOf(p).lateWaitTime(demand, float64(slots), share, len(d.waiting[p])) <= remaining
 }
 
-// slotsAndDemand returns the number of slots of a pool's targets that aren't suspected,
+// slotsAndDemand returns the number of usable slots of a pool's targets that aren't suspected,
 // and the number of slots that the requests of all nodes would occupy. For plain
 // services nodes report only the slots that they hold. The caller holds the lock.
 func (d *Dispatcher) slotsAndDemand(p Pool, now time.Time) (slots int, demand float64) {
 	demand = d.demand(p, now) + d.peers.Demand(p.Model)
 	for _, t := range d.tables.Load().Targets(p) {
 		if !t.Load.Suspected(now) {
-			slots += t.Slots
+			slots += d.usableSlots(t)
 		}
 		if p.Model == "" {
 			demand += float64(d.peers.Running(t.Instance.ID))
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -103,7 +103,7 @@
 	var section blackboard.Section[catalog.Configuration]
 	section.Publish(configuration)
 	others := &fakePeers{}
-	handler := NewHandler(Config{}, Dependencies{Configuration: &section, Dispatcher: NewDispatcher(tables, others, "z"), Connections: upstream.NewPool(upstream.Config{}),
+	handler := NewHandler(Config{}, Dependencies{Configuration: &section, Dispatcher: NewDispatcher(tables, others, "z", newThrottle()), Connections: upstream.NewPool(upstream.Config{}),
 		Peers: others, Codec: headerCodec{}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry()})
 	node := httptest.NewServer(handler)
 	DeferCleanup(node.Close)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -32,13 +32,14 @@
 	suspected string
 }
 
-func (p *fakePeers) Running(instance string) int { return p.running[instance] }
-func (p *fakePeers) Progress(string) bool        { return p.progress }
-func (p *fakePeers) Suspected(i string) bool     { return p.suspected == i }
-func (p *fakePeers) Ahead(string, string) int    { return 0 }
-func (p *fakePeers) Demand(string) float64       { return 0 }
-func (p *fakePeers) Nodes() int                  { return max(p.nodes, 1) }
-func (p *fakePeers) ReportAge() time.Duration    { return 100 * time.Millisecond }
+func (p *fakePeers) Running(instance string) int        { return p.running[instance] }
+func (p *fakePeers) Progress(string) bool               { return p.progress }
+func (p *fakePeers) Suspected(i string) bool            { return p.suspected == i }
+func (p *fakePeers) Ahead(string, string) int           { return 0 }
+func (p *fakePeers) Demand(string) float64              { return 0 }
+func (p *fakePeers) ArrivalRate(string, string) float64 { return 0 }
+func (p *fakePeers) Nodes() int                         { return max(p.nodes, 1) }
+func (p *fakePeers) ReportAge() time.Duration           { return 100 * time.Millisecond }
 
 var _ = Describe("Choose", func() {
 	It("chooses the less loaded of two targets with a free slot", func() {
@@ -121,7 +122,7 @@
 		// Guards against refusals because a waiting request of this node is counted once
 		// for each of many nodes.
 		tables, pool := newTables(2, 6)
-		d := NewDispatcher(tables, &fakePeers{nodes: 88, running: map[string]int{"a": 2, "b": 1}}, "z")
+		d := NewDispatcher(tables, &fakePeers{nodes: 88, running: map[string]int{"a": 2, "b": 1}}, "z", newThrottle())
 		_, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		d.mu.Lock()
@@ -135,7 +136,7 @@
 		// Guards against serving every request late if there are more requests than
 		// slots.
 		tables, pool := newTables(1, 1)
-		d := NewDispatcher(tables, &fakePeers{}, "")
+		d := NewDispatcher(tables, &fakePeers{}, "", newThrottle())
 		first, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		served := make(chan string, 2)
@@ -158,11 +159,11 @@
 	It("refuses at once without a target, and if there is no time to wait", func() {
 		// Guards against a request that waits in vain.
 		tables, pool := newTables(0, 1)
-		d := NewDispatcher(tables, &fakePeers{}, "")
+		d := NewDispatcher(tables, &fakePeers{}, "", newThrottle())
 		_, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).To(MatchError(ErrNoTarget))
 		tables, pool = newTables(1, 1)
-		d = NewDispatcher(tables, &fakePeers{}, "")
+		d = NewDispatcher(tables, &fakePeers{}, "", newThrottle())
 		_, err = d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		w := want(pool, time.Second)
@@ -174,7 +175,7 @@
 	It("counts the requests of other nodes", func() {
 		// Guards against a target that several nodes together overload.
 		tables, pool := newTables(2, 4)
-		d := NewDispatcher(tables, &fakePeers{running: map[string]int{"a": 4, "b": 3}}, "")
+		d := NewDispatcher(tables, &fakePeers{running: map[string]int{"a": 4, "b": 3}}, "", newThrottle())
 		slot, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(slot.Instance.ID).To(Equal("b"))
@@ -188,7 +189,7 @@
 		// Guards against requests to a group that other nodes suspect, and against
 		// refusals because each plain server failed once.
 		now := time.Now()
-		d := NewDispatcher(NewTables(), &fakePeers{suspected: "a"}, "")
+		d := NewDispatcher(NewTables(), &fakePeers{suspected: "a"}, "", newThrottle())
 		group := &Target{Instance: &engine.Instance{ID: "a"}, Pool: Pool{"llm", "m"}, Load: &Load{}}
 		Expect(d.isEligible(group, now)).To(BeFalse())
 		group.Instance = &engine.Instance{ID: "b"}
@@ -202,7 +203,7 @@
 	It("leaks no slot under concurrent use", func() {
 		// Guards against slots that leak if one is assigned while the wait is cancelled.
 		tables, pool := newTables(3, 2)
-		d := NewDispatcher(tables, &fakePeers{}, "")
+		d := NewDispatcher(tables, &fakePeers{}, "", newThrottle())
 		done := make(chan bool)
 		for range 40 {
 			go func() {
@@ -232,7 +233,7 @@
 	It("runs one goroutine for a pool, however often its queue empties", func() {
 		// Guards against goroutines that accumulate under load.
 		tables, pool := newTables(1, 1)
-		d := NewDispatcher(tables, &fakePeers{}, "")
+		d := NewDispatcher(tables, &fakePeers{}, "", newThrottle())
 		held, err := d.Acquire(context.Background(), want(pool, time.Second))
 		Expect(err).NotTo(HaveOccurred())
 		before := runtime.NumGoroutine()
--- a/forward/response.go
+++ b/forward/response.go
@@ -34,7 +34,7 @@
 		return verdict.New(v, verdict.ReasonNoServer, "no backend server can run the request").
 			WithRetryAfter(jitter(noTargetRetry))
 	}
-	return verdict.New(v, verdict.ReasonOverloaded, "no slot at a backend server became free in time").WithCause(err).WithRetryAfter(jitter(fullRetry))
+	return verdict.New(v, verdict.ReasonOverloaded, "no slot at a backend server became free in time").WithCause(err).WithRetryAfter(retryAfterOf(err, fullRetry))
 }
 
 // jitter returns a random duration between half and one and a half of d, so that callers
--- a/forward/saturation_test.go
+++ b/forward/saturation_test.go
@@ -43,14 +43,17 @@
 	running map[string]int
 	waiting []string
 	demand  float64
+	// arrivals is the number of requests per second.
+	arrivals float64
 }
 
-func (n *saturatedNode) Running(instance string) int { return n.others.Load().running[instance] }
-func (n *saturatedNode) Progress(string) bool        { return true }
-func (n *saturatedNode) Suspected(string) bool       { return false }
-func (n *saturatedNode) Demand(string) float64       { return n.others.Load().demand }
-func (n *saturatedNode) Nodes() int                  { return n.nodes }
-func (n *saturatedNode) ReportAge() time.Duration    { return reportInterval + reportDelay/2 }
+func (n *saturatedNode) Running(instance string) int        { return n.others.Load().running[instance] }
+func (n *saturatedNode) Progress(string) bool               { return true }
+func (n *saturatedNode) Suspected(string) bool              { return false }
+func (n *saturatedNode) Demand(string) float64              { return n.others.Load().demand }
+func (n *saturatedNode) ArrivalRate(string, string) float64 { return n.others.Load().arrivals }
+func (n *saturatedNode) Nodes() int                         { return n.nodes }
+func (n *saturatedNode) ReportAge() time.Duration           { return reportInterval + reportDelay/2 }
 func (n *saturatedNode) Ahead(_, instance string) int {
 	ahead := 0
 	for _, other := range n.others.Load().waiting {
@@ -77,7 +80,7 @@
 		n := &saturatedNode{name: fmt.Sprint("node-", i), tables: NewTables(), nodes: nodes}
 		n.others.Store(&othersReport{})
 		n.tables.Build(configuration, engine.NewRoster(instances))
-		n.dispatcher = NewDispatcher(n.tables, n, "z")
+		n.dispatcher = NewDispatcher(n.tables, n, "z", newThrottle())
 		s.nodes = append(s.nodes, n)
 	}
 	return s
--- a/forward/table.go
+++ b/forward/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
 // Pool identifies the targets that can run the same requests: the groups of a model,
@@ -51,6 +52,8 @@
 // Target is a backend server that accepts requests for its pool.
 type Target struct {
 	Instance *engine.Instance
+	// Server identifies the start of the instance.
+	Server throttle.Server
 	// Group is the group that the instance heads; zero for a plain server.
 	Group engine.GroupID
 	Pool  Pool
@@ -141,6 +144,7 @@
 			target.Load = &Load{}
 		}
 		kept[key] = target.Load
+		target.Server = throttle.ServerOf(target.Instance.ID, target.Instance.StartedMs)
 		table.pools[target.Pool] = append(table.pools[target.Pool], target)
 		table.byInstance[target.Instance.ID] = target
 	}
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -37,6 +37,16 @@
 	promptTokens average
 	// events is the average number of events of a complete response.
 	events average
+	// others is the rate of the other nodes' arrivals at othersAt, while a target is
+	// throttled.
+	others   float64
+	othersAt time.Time
+	// rankRates are the averages of arrivals per second by rank at ranksAt, while all
+	// targets are throttled.
+	rankRates map[int]float64
+	ranksAt   time.Time
+	// nextReturn is when the next caller that gets no permit is told to return.
+	nextReturn time.Time
 }
 
 // recordArrival counts a request with a prompt of the given length.
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -11,11 +11,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
 // newTestMesh returns a mesh of a node without others.
 func newTestMesh() *Mesh {
-	return New(Config{Node: "a", Address: "10.0.0.1:7340"}, func() State { return State{} }, log.NewNopLogger(), metrics.NewRegistry())
+	return New(Config{Node: "a", Address: "10.0.0.1:7340"}, func() State { return State{} }, nil, log.NewNopLogger(), metrics.NewRegistry())
 }
 
 // FuzzAccept guards against a datagram that ends the process, when it is received or when
@@ -44,9 +45,15 @@
 		f.Add(data)
 	}
 	f.Add([]byte{partDatagramHeader})
+	notices, err := marshal([]throttle.Notice{{Server: 1, Limited: true, Rate: 2, AgeMs: 3}, {Server: 2}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append([]byte{noticeHeader}, notices...))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		g := NewWithT(t)
 		m := newTestMesh()
+		m.notices = throttle.NewRegistry(throttle.Config{}, log.NewNopLogger(), metrics.NewRegistry())
 		for range 2 {
 			if d, part, err := decode(data); err == nil {
 				m.acceptDatagram(d, part, now)
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -70,7 +70,7 @@
 		Load:   map[uint32]Load{Key("all"): NewLoad(2, false), Key(fmt.Sprint("g", i%40)): NewLoad(1, true)},
 		Demand: map[string]float32{"m": 0.5}, Waiting: map[string]uint16{"m": uint16(i % 2)}}
 	n.mesh = New(Config{Node: n.state.Node.Name, Address: addressOf(i), Seeds: []string{addressOf(0), addressOf(1), addressOf(2)}},
-		func() State { return n.state }, log.NewNopLogger(), metrics.NewRegistry())
+		func() State { return n.state }, nil, log.NewNopLogger(), metrics.NewRegistry())
 	n.mesh.shuffle = nw.rng.Shuffle
 	n.mesh.boot = nw.now.UnixMilli()
 	n.address = netip.MustParseAddrPort(addressOf(i))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -48,6 +48,7 @@
 	key                      uint32
 	address                  netip.AddrPort
 	localState               func() State
+	notices                  Notices
 	logger                   log.Logger
 	sentBytes, receivedBytes metrics.Counter
 	// rejected counts the datagrams that couldn't be processed.
@@ -77,9 +78,10 @@
 	boot int64
 }
 
-// New returns a Mesh that sends what localState returns to the other nodes.
-func New(cfg Config, localState func() State, logger log.Logger, registry metrics.Registry) *Mesh {
-	m := &Mesh{cfg: cfg, key: Key(cfg.Node), localState: localState, logger: log.With(logger, "component", "mesh"),
+// New returns a Mesh that sends what localState and notices return to the other nodes.
+// notices may be nil.
+func New(cfg Config, localState func() State, notices Notices, logger log.Logger, registry metrics.Registry) *Mesh {
+	m := &Mesh{cfg: cfg, key: Key(cfg.Node), localState: localState, notices: notices, logger: log.With(logger, "component", "mesh"),
 		sentBytes: metrics.GetOrRegisterCounter("mesh.sent_bytes", registry), receivedBytes: metrics.GetOrRegisterCounter("mesh.received_bytes", registry),
 		rejected: metrics.GetOrRegisterCounter("mesh.rejected_datagrams", registry),
 		members:  newMembers(), reportedToDomains: reportTimes{}, reportedToNodes: reportTimes{}, boot: time.Now().UnixMilli()}
@@ -235,11 +237,15 @@
 // acceptDatagram records a decoded datagram. The caller holds m.mu.
 func (m *Mesh) acceptDatagram(d datagram, part Part, now time.Time) {
 	switch {
+	case d.notices != nil:
+		if m.notices != nil {
+			m.notices.Absorb(d.notices)
+		}
 	case d.observed != nil:
 		m.acceptObserved(d.observed, now)
 	case d.State != nil:
 		m.acceptState(d.State, now)
-	default:
+	case d.Summary != nil:
 		m.acceptSummary(d.Summary, part, now)
 	}
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -24,7 +24,7 @@
 	m := New(Config{Node: fmt.Sprint("n", i), Address: address, Seeds: []string{"127.0.92.1:18501"}}, func() State {
 		return State{Node: Node{Name: fmt.Sprint("n", i), PeerAddress: address, Serving: true},
 			Load: map[uint32]Load{Key("i-1"): NewLoad(i, i == 2)}, Suspects: []uint32{Key("i-9")}}
-	}, log.NewNopLogger(), metrics.NewRegistry())
+	}, nil, log.NewNopLogger(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	go func() { _ = m.Run(ctx) }()
@@ -49,7 +49,7 @@
 	It("rejects an older state of the same process, and accepts a restarted node whatever its clock", func() {
 		// Guards against datagrams that arrive out of order, and against the rejection of
 		// a node that restarted after its clock was set back.
-		m := New(Config{Address: "127.0.92.9:1"}, nil, log.NewNopLogger(), metrics.NewRegistry())
+		m := New(Config{Address: "127.0.92.9:1"}, nil, nil, log.NewNopLogger(), metrics.NewRegistry())
 		now := time.Now()
 		accept := func(boot int64, count uint64, at time.Time) uint64 {
 			m.acceptState(&State{Node: Node{Name: "n", PeerAddress: "127.0.92.8:1", Boot: boot, Count: count}}, at)
--- a/mesh/prepare.go
+++ b/mesh/prepare.go
@@ -48,6 +48,7 @@
 	if aggregator {
 		messages = append(messages, m.summaryMessages(live, now)...)
 	}
+	messages = append(messages, m.noticeMessages(messages)...)
 	return append(messages, m.observationMessages(stateRecipients, live, aggregator, now)...)
 }
 
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -58,7 +58,8 @@
 	Node Node `msgpack:"n"`
 	// Load maps instances, by Key, to the node's load on them.
 	Load map[uint32]Load `msgpack:"q"`
-	// Demand maps models to the slots that the node's requests would occupy.
+	// Demand maps models to the slots that the node's requests would occupy, and arrival
+	// keys (ArrivalKey) to the requests that arrive at the node per second.
 	Demand map[string]float32 `msgpack:"d"`
 	// Waiting maps models to the number of the node's requests that wait for a slot.
 	Waiting map[string]uint16 `msgpack:"w"`
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -12,7 +12,8 @@
 	Domains map[string]uint16 `msgpack:"z"`
 	// Load maps instances, by Key, to the load of all nodes on them.
 	Load map[uint32]Load `msgpack:"q"`
-	// Demand maps models to the slots that the requests would occupy.
+	// Demand maps models to the slots that the requests would occupy, and arrival keys to
+	// the requests that arrive per second.
 	Demand map[string]float32 `msgpack:"d"`
 	// Waiting maps models to the nodes, by Key, with requests that wait for a slot.
 	Waiting map[string][]uint32 `msgpack:"w"`
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/quarantine"
@@ -43,6 +44,21 @@
 // Demand implements forward.Peers.
 func (m *Mesh) Demand(model string) float64 { return float64(m.View().Others.Demand[model]) }
 
+// arrivalPrefix precedes the name of a pool in the demand of a state: the entry holds the
+// arrivals per second instead of slots.
+const arrivalPrefix = "arrivals:"
+
+// ArrivalKey returns the key in the demand of a state for the arrivals at a pool per second.
+func ArrivalKey(service, model string) string { return arrivalPrefix + service + "/" + model }
+
+// IsArrivalKey reports whether a key in the demand of a state is one for arrivals.
+func IsArrivalKey(key string) bool { return strings.HasPrefix(key, arrivalPrefix) }
+
+// ArrivalRate implements forward.Peers.
+func (m *Mesh) ArrivalRate(service, model string) float64 {
+	return float64(m.View().Others.Demand[ArrivalKey(service, model)])
+}
+
 // Ahead implements forward.Peers.
 func (m *Mesh) Ahead(model, instance string) int {
 	waiting := m.View().Others.Waiting[model]
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
 // maxDatagram limits a datagram in bytes; a larger one may be fragmented by the
@@ -42,6 +44,8 @@
 	Summary *Summary `msgpack:"r"`
 	// observed is encoded as an observedDatagram.
 	observed *Observed
+	// notices are encoded after noticeHeader.
+	notices []throttle.Notice
 }
 
 // observedDatagram is the encoded form of Observed. It has another number of fields than
@@ -165,6 +169,10 @@
 		}
 		return d, p.Part, err
 	}
+	if len(data) > 0 && data[0] == noticeHeader {
+		notices, err := decodeNotices(data[1:])
+		return datagram{notices: notices}, Part{Count: 1}, err
+	}
 	if len(data) > 0 && data[0] == observedDatagramHeader {
 		o, err := decodeObserved(data)
 		return datagram{observed: o}, Part{Count: 1}, err
--- /dev/null
+++ b/throttle/doc.go
@@ -0,0 +1,7 @@
+// Package throttle keeps what backend servers state about themselves in their responses, and
+// divides the request rates that they accept between the nodes.
+//
+// A server in need accepts a limited number of requests per second from all nodes together.
+// Each node that receives the statement tells the others (Notice). A node takes a share of
+// the rate in proportion to the requests that arrive at it, as one permit for each request.
+package throttle
--- /dev/null
+++ b/throttle/permits.go
@@ -0,0 +1,140 @@
+package throttle
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// burstTime is the time for which permits accumulate at a node whose share is more than
+	// one request in that time.
+	burstTime = time.Second
+	// minPermitLifetime and maxPermitLifetime bound how long a permit is valid at a node
+	// whose share is less. Without an end, many nodes with little traffic would each keep
+	// one, and use all at once in a burst.
+	minPermitLifetime = time.Second
+	maxPermitLifetime = 4 * time.Second
+	// permitArrivals is the number of requests that are expected at the node while a permit
+	// is valid.
+	permitArrivals = 2
+	// maxRefillGap bounds the time for which permits are added at once. A node that
+	// refilled less often than that wasn't running, or knew nothing of the limit.
+	maxRefillGap = 300 * time.Millisecond
+	// rampTime is the time after the end of a limit in which the rate rises, so that not
+	// all nodes turn to the server at once.
+	rampTime = 3 * time.Second
+	// rampDoubling is the time in which the rate doubles meanwhile.
+	rampDoubling = 500 * time.Millisecond
+	// rampRate is the rate from which it rises at least, in requests per second.
+	rampRate = 1
+)
+
+// bucket holds a node's permits for a server.
+type bucket struct {
+	level      float64
+	refilledAt time.Time
+	// fullSince is when the level last reached the capacity.
+	fullSince time.Time
+}
+
+// Demand describes the requests that arrive at a node and may be sent to a server.
+type Demand struct {
+	// Share is their fraction of those that arrive at all nodes.
+	Share float64
+	// Rate is their number per second.
+	Rate float64
+}
+
+// permitLifetime returns how long a permit is valid.
+func (d Demand) permitLifetime() time.Duration {
+	seconds := min(permitArrivals/d.Rate, maxPermitLifetime.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), minPermitLifetime)
+}
+
+// refill adds the permits of a rate since the last call.
+func (b *bucket) refill(rate float64, lifetime time.Duration, now time.Time) {
+	elapsed := min(now.Sub(b.refilledAt), maxRefillGap)
+	if elapsed <= 0 {
+		return
+	}
+	capacity := max(rate*burstTime.Seconds(), 1)
+	wasFull := b.level >= capacity
+	b.refilledAt = now
+	b.level = min(b.level+rate*elapsed.Seconds(), capacity)
+	switch {
+	case b.level < capacity:
+	case !wasFull:
+		b.fullSince = now
+	case capacity == 1 && now.Sub(b.fullSince) >= lifetime:
+		b.level = 0
+	}
+}
+
+// currentRate returns the rate that all nodes together may send to the server, and whether
+// there is a limit.
+func (s *server) currentRate(now time.Time) (rate float64, limited bool) {
+	if s.limited {
+		return max(s.rate, minRate), true
+	}
+	since := now.Sub(s.liftedAt)
+	if since >= rampTime {
+		return 0, false
+	}
+	return max(s.rate, rampRate) * math.Exp2(since.Seconds()/rampDoubling.Seconds()), true
+}
+
+// Allowance is what a node may send to a server.
+type Allowance struct {
+	// Limited is false if there is no limit; the other fields are then zero.
+	Limited bool
+	// Rate is the number of requests per second that all nodes together may send.
+	Rate float64
+	// Permits is the number of requests that this node may send now.
+	Permits float64
+}
+
+// Allowance returns what a node with the given demand may send to a server.
+func (r *Registry) Allowance(key Server, demand Demand) Allowance {
+	if r.count.Load() == 0 {
+		return Allowance{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[key]
+	if s == nil {
+		return Allowance{}
+	}
+	now := r.now()
+	rate, limited := s.currentRate(now)
+	if !limited {
+		return Allowance{}
+	}
+	s.refill(rate*demand.Share, demand.permitLifetime(), now)
+	return Allowance{Limited: true, Rate: rate, Permits: s.level}
+}
+
+// Rate returns the number of requests per second that all nodes together may send to a
+// server, and whether there is a limit.
+func (r *Registry) Rate(key Server) (rate float64, limited bool) {
+	if r.count.Load() == 0 {
+		return 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.servers[key]; s != nil {
+		return s.currentRate(r.now())
+	}
+	return 0, false
+}
+
+// Use uses a permit for a request to a server, if it has a limit.
+func (r *Registry) Use(key Server) {
+	if r.count.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.servers[key]; s != nil {
+		s.level--
+	}
+}
--- /dev/null
+++ b/throttle/throttle_test.go
@@ -0,0 +1,146 @@
+package throttle
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+)
+
+// clock is a clock that tests advance.
+type clock struct{ at time.Time }
+
+func (c *clock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
+func newTestRegistry(c *clock) *Registry {
+	return NewRegistry(Config{Now: func() time.Time { return c.at }, Random: func() float64 { return 0.5 }}, log.NewNopLogger(), metrics.NewRegistry())
+}
+
+func limited(rate float64) Statement { return Statement{Limited: true, Rate: rate} }
+
+// rate returns the rate that applies to a server, or a negative number without a limit. It
+// ignores the rise after the end of a limit.
+func (r *Registry) statedRate(key Server) float64 {
+	if s := r.servers[key]; s != nil && s.limited {
+		return s.rate
+	}
+	return -1
+}
+
+// Guards against a late response that ends a limit, or replaces a lower one, although its
+// request was sent before.
+func TestOrdersStatementsByTheirRequests(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r := newTestRegistry(c)
+	r.Observe(1, Statement{}, c.at)
+	g.Expect(r.Empty()).To(BeTrue())
+	early := c.at
+	c.advance(time.Second)
+	late := c.at
+	c.advance(time.Second)
+	r.Observe(1, limited(2), late)
+	r.Observe(1, Statement{}, late)
+	g.Expect(r.statedRate(1)).To(Equal(2.0))
+	r.Observe(1, limited(9), early)
+	g.Expect(r.statedRate(1)).To(Equal(2.0))
+	r.Observe(1, limited(1), early)
+	g.Expect(r.statedRate(1)).To(Equal(1.0))
+	c.advance(time.Second)
+	r.Observe(1, limited(7), c.at.Add(-time.Millisecond))
+	g.Expect(r.statedRate(1)).To(Equal(7.0))
+	c.advance(time.Second)
+	r.Observe(1, Statement{}, c.at.Add(-time.Millisecond))
+	g.Expect(r.statedRate(1)).To(BeNumerically("<", 0))
+}
+
+// Guards against notices that arrive out of order, come back from other nodes or are
+// invalid.
+func TestAbsorbsTheNewestNotice(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r := newTestRegistry(c)
+	r.Absorb([]Notice{{Server: 1, Rate: 3}, {Server: 2, Limited: true, Rate: float32(math.NaN())}, {Server: 3, Limited: true, Rate: -1}})
+	g.Expect(r.Empty()).To(BeTrue())
+	r.Absorb([]Notice{{Server: 1, Limited: true, Rate: 3, AgeMs: 500}})
+	g.Expect(r.statedRate(1)).To(Equal(3.0))
+	r.Absorb([]Notice{{Server: 1, Limited: true, Rate: 8, AgeMs: 900}, {Server: 1, AgeMs: 600}})
+	g.Expect(r.statedRate(1)).To(Equal(3.0))
+	r.Absorb([]Notice{{Server: 1, AgeMs: 100}})
+	g.Expect(r.statedRate(1)).To(BeNumerically("<", 0))
+	r.Absorb([]Notice{{Server: 1, Limited: true, Rate: 3, AgeMs: 450}})
+	g.Expect(r.statedRate(1)).To(BeNumerically("<", 0))
+}
+
+// Guards against messages and state that grow without bound, and against a restarted node
+// that doesn't learn limits that are old.
+func TestReportsAreBoundedAndComplete(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r, other := newTestRegistry(c), newTestRegistry(c)
+	for i := range Server(3 * maxServers) {
+		r.Observe(i, limited(2), c.at)
+	}
+	g.Expect(r.servers).To(HaveLen(maxServers))
+	c.advance(time.Minute)
+	for i := 0; i < maxServers/MaxNotices+1; i++ {
+		notices := r.Report()
+		g.Expect(len(notices)).To(BeNumerically("<=", MaxNotices))
+		other.Absorb(notices)
+	}
+	g.Expect(other.servers).To(HaveLen(maxServers))
+	r.SetListed(map[Server]string{7: "i-7"})
+	c.advance(keepUnlisted + time.Second)
+	r.SetListed(map[Server]string{7: "i-7"})
+	g.Expect(r.servers).To(HaveLen(1))
+}
+
+// Guards against a server without requests, which can't state that it has recovered, and
+// against a jump of the rate when it does.
+func TestRateOfAServerThatRecovers(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r := newTestRegistry(c)
+	r.Observe(1, limited(0), c.at)
+	rate, _ := r.Rate(1)
+	g.Expect(rate).To(Equal(minRate))
+	c.advance(time.Second)
+	r.Observe(1, Statement{}, c.at)
+	before, limited := r.Rate(1)
+	g.Expect(limited).To(BeTrue())
+	c.advance(rampDoubling)
+	after, _ := r.Rate(1)
+	g.Expect(after).To(BeNumerically("~", 2*before))
+	c.advance(rampTime)
+	_, limited = r.Rate(1)
+	g.Expect(limited).To(BeFalse())
+}
+
+// Guards against permits that accumulate while a node doesn't use them.
+func TestPermitsExpire(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r := newTestRegistry(c)
+	r.Observe(1, limited(0.5), c.at)
+	demand := Demand{Share: 1, Rate: 10}
+	most := 0.0
+	for range 100 {
+		c.advance(100 * time.Millisecond)
+		most = max(most, r.Allowance(1, demand).Permits)
+	}
+	g.Expect(most).To(Equal(1.0))
+	var sum float64
+	for range 600 {
+		c.advance(100 * time.Millisecond)
+		if r.Allowance(1, demand).Permits >= 1 {
+			r.Use(1)
+			sum++
+		}
+	}
+	g.Expect(sum).To(BeNumerically("~", 30, 2), "permits used in a minute")
+	c.advance(time.Hour)
+	g.Expect(r.Allowance(1, demand).Permits).To(BeNumerically("<=", 1))
+}
