platform, object: order the states of the store by era, then revision

Callers saw a confirmed change that was never in force after the store came back from an older copy (CONFIG, DENIED), and requests at servers that leave (DRAIN).

Cause: a version was a revision alone. Ruled out: nodes that apply older documents, and nodes that follow one that is behind.

A version has the era in its upper bits, so that each comparison of versions is right: copies that nodes follow, positions of watches, lists and versions on the mesh. A cursor of an earlier era has no history, even if the store has given out its revision again; pages of two eras are no list; a conditional write never expects a version of an earlier era, and one that was carried out in a later one has an unknown outcome.

--- a/entry/module.go
+++ b/entry/module.go
@@ -97,10 +97,10 @@
 	fx.Invoke(func(l fx.Lifecycle, d *daemon) { l.Append(fx.Hook{OnStart: d.start, OnStop: d.stop}) }),
 )
 
-func newStore(s Settings, registry metrics.Registry) *platform.Store {
+func newStore(s Settings, logger log.Logger, registry metrics.Registry) *platform.Store {
 	return platform.NewStore(object.ClientConfig{
 		Addresses: []string{s.PlatformAddress}, Timeout: storeTimeout, Registry: registry,
-	})
+	}, logger)
 }
 
 // followers keep copies of the platform's documents up to date.
--- a/object/store.go
+++ b/object/store.go
@@ -19,10 +19,6 @@
 // String returns "kind/name".
 func (k Key) String() string { return k.Kind + "/" + k.Name }
 
-// Version is the version that the platform gives an object. It grows with every write.
-// Version 0 means that the object does not exist.
-type Version uint64
-
 // Object is one version of a stored value.
 type Object struct {
 	Key     Key
