lease: a record from before a restore names no holder and ends no count of terms

Seen by reading, and by the new tests: a store that is restored from an older copy shows an earlier holder, or none. That holder takes the lease over at once, as a restarted node takes its own, beside the one that has held it since; and the next term is one that was given out before, so that engines can't tell the orders of the two.

Cause: the record was taken as the latest word on the lease, and the number of the next term was the record's plus one.

A record names the era in which it was written. In a later era nobody holds the lease by it: a holder loses it, and all candidates wait for its whole duration from their first sight of the record. Epochs of a restored platform begin above all of earlier eras.

The test fails on the code before: no term above the one that was given out.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -37,8 +37,8 @@
 	if s.down {
 		return object.Object{}, object.ErrUnavailable
 	}
-	if s.current.Version == 0 {
-		return object.Object{}, object.ErrNotFound
+	if !s.current.Version.Exists() {
+		return object.Object{Version: s.current.Version}, object.ErrNotFound
 	}
 	return s.current, nil
 }
--- a/lease/record.go
+++ b/lease/record.go
@@ -25,10 +25,29 @@
 	Renewal uint64 `json:"renewal"`
 	// DurationMs is the lease duration in milliseconds.
 	DurationMs int64 `json:"durationMs"`
+	// Era is the era of the platform in which the record was written.
+	Era uint64 `json:"era,omitempty"`
 	// Released is true if the holder has released the lease.
 	Released bool `json:"released,omitempty"`
 }
 
+const (
+	// eraShift is the number of low bits of an epoch that count the holders within an era of
+	// the platform.
+	eraShift = 16
+	// initialEra is the highest era of a platform that was never restored.
+	initialEra = 1
+)
+
+// nextEpoch returns the epoch of the next holder. Once the platform was restored, the epochs
+// of an era are above all of earlier ones, whose records it may have lost.
+func nextEpoch(last, era uint64, restored bool) uint64 {
+	if restored || era > initialEra {
+		last = max(last, era<<eraShift)
+	}
+	return last + 1
+}
+
 // candidates returns the serving members that may hold the shard, the preferred one
 // first. Other members than this node are excluded if their last heartbeat is older than
 // suspectAfter.
--- /dev/null
+++ b/lease/restore_test.go
@@ -0,0 +1,95 @@
+package lease_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/lease"
+	"github.com/rattanlanding/rattanlanding/object"
+)
+
+// restore replaces the record with an older one in a new era of the store.
+func (s *fakeStore) restore(g *WithT, older object.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, err := object.NewVersion(s.current.Version.Era()+1, older.Version.Revision())
+	g.Expect(err).NotTo(HaveOccurred())
+	s.current = older
+	s.current.Version = version
+}
+
+func (s *fakeStore) copy() object.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Guards against two holders after the store was restored from an older copy, which shows
+// an earlier holder or none, and against a term that is given out twice.
+func TestRestoredRecordGivesNoSecondHolderAndNoTermAgain(t *testing.T) {
+	for name, exclusive := range map[string]bool{"": false, "exclusive process": true} {
+		for _, withRecord := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &fakeStore{}
+				var copied object.Object
+				first, second := startNodeWith(s, "a", lease.Config{ExclusiveProcess: exclusive}), startNodeWith(s, "b", lease.Config{ExclusiveProcess: exclusive})
+				publishStates(fleet.NodeServing, first, second)
+				time.Sleep(time.Second)
+				if _, holds := second.heldShard(); holds {
+					first, second = second, first
+				}
+				if withRecord {
+					copied = s.copy()
+				}
+				first.store.setFailing(true)
+				time.Sleep(lease.DefaultDuration + 2*lease.DefaultRenewInterval + 2*time.Second)
+				held, ok := second.heldShard()
+				g.Expect(ok).To(BeTrue())
+				first.store.setFailing(false)
+				time.Sleep(time.Second)
+
+				s.restore(g, copied)
+				for range 500 {
+					_, a := first.heldShard()
+					_, b := second.heldShard()
+					g.Expect(a && b).To(BeFalse(), name)
+					time.Sleep(20 * time.Millisecond)
+				}
+				after, ok := first.heldShard()
+				if !ok {
+					after, ok = second.heldShard()
+				}
+				g.Expect(ok).To(BeTrue(), "a holder ten seconds after the restore")
+				g.Expect(after.Epoch).To(BeNumerically(">", held.Epoch))
+				stopNodes(first, second)
+			})
+		}
+	}
+}
+
+// Guards against a restarted node that takes its earlier lease over at once, which a
+// restored store shows, although another one has held it since.
+func TestRestoredLeaseOfARestartedNodeIsNotTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		version, err := object.NewVersion(3, 7)
+		g.Expect(err).NotTo(HaveOccurred())
+		s := &fakeStore{current: object.Object{Key: object.Key{Kind: lease.Kind, Name: shard}, Version: version,
+			Value: []byte(`{"holder":"a","boot":"a-0","epoch":4,"renewal":2,"durationMs":4000,"era":2}`)}}
+		n := startNodeWith(s, "a", lease.Config{ExclusiveProcess: true})
+		n.publishMembers(map[string]fleet.NodeState{"a": fleet.NodeServing})
+		time.Sleep(lease.DefaultDuration - time.Second)
+		_, ok := n.heldShard()
+		g.Expect(ok).To(BeFalse())
+		time.Sleep(2 * time.Second)
+		held, ok := n.heldShard()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(held.Epoch).To(BeNumerically(">", 3<<16))
+		stopNodes(n)
+	})
+}
--- a/lease/shard.go
+++ b/lease/shard.go
@@ -24,7 +24,7 @@
 	name string
 	key  object.Key
 
-	// version is the version of the lease object; 0 if it does not exist.
+	// version is the version of the lease object; without a revision if it does not exist.
 	version object.Version
 	record  Record
 	// changedAt is the time, by this process's clock, at which it first read or wrote
@@ -34,6 +34,10 @@
 	// unknown outcome.
 	recordKnown bool
 	readAt      time.Time
+	// maxEpoch is the highest epoch that this process has read or written.
+	maxEpoch uint64
+	// firstEra is the platform's era when this process first read the record.
+	firstEra uint64
 	// renewedAt is the time just before the last successful write was sent.
 	renewedAt time.Time
 	// preferred is the preferred holder if it is not this node.
@@ -98,8 +102,8 @@
 			s.write(ctx, m, next)
 		}
 	case s.acquirable(m.cfg, rank):
-		next := Record{Holder: m.cfg.Node, Boot: m.cfg.Boot, Epoch: s.record.Epoch + 1,
-			DurationMs: m.cfg.Duration.Milliseconds()}
+		next := Record{Holder: m.cfg.Node, Boot: m.cfg.Boot, Epoch: nextEpoch(max(s.record.Epoch, s.maxEpoch), s.version.Era(), s.fromEarlierEra()),
+			DurationMs: m.cfg.Duration.Milliseconds(), Era: s.version.Era()}
 		if s.write(ctx, m, next) {
 			m.acquisitions.Inc(1)
 			level.Info(m.logger).Log("msg", "shard acquired", "shard", s.name, "epoch", next.Epoch)
@@ -112,9 +116,16 @@
 // (rank 0) wait longer, so that it, which reads the record every RenewInterval, can
 // acquire the lease first. They do not wait indefinitely, because it may be unable to
 // reach the platform.
+//
+// After a restore of the platform from an older copy, the record doesn't show who holds the
+// lease, and the holder may not know yet that it has lost it.
 func (s *shard) acquirable(cfg Config, rank int) bool {
 	delay := 2 * time.Duration(rank) * cfg.RenewInterval
-	if s.version == 0 || s.record.Released {
+	duration := max(cfg.Duration, time.Duration(s.record.DurationMs)*time.Millisecond)
+	if s.fromEarlierEra() {
+		return time.Since(s.changedAt) >= duration+delay
+	}
+	if !s.version.Exists() || s.record.Released {
 		return time.Since(s.changedAt) >= delay
 	}
 	if cfg.ExclusiveProcess && s.record.Holder == cfg.Node && s.record.Boot != cfg.Boot {
@@ -124,10 +135,18 @@
 		// An earlier write of this process took effect, but its result was lost.
 		return true
 	}
-	duration := max(cfg.Duration, time.Duration(s.record.DurationMs)*time.Millisecond)
 	return time.Since(s.changedAt) >= duration+delay
 }
 
+// fromEarlierEra reports whether the platform was restored since the record was written, or
+// since this process first read the record if there is none.
+func (s *shard) fromEarlierEra() bool {
+	if s.version.Exists() {
+		return s.record.Era != s.version.Era()
+	}
+	return s.firstEra != s.version.Era()
+}
+
 // read reads the record and updates whether this node holds the lease. It returns false
 // if the read failed.
 func (s *shard) read(ctx context.Context, m *Manager) bool {
@@ -137,7 +156,6 @@
 	var record Record
 	switch {
 	case errors.Is(err, object.ErrNotFound):
-		o = object.Object{Key: s.key}
 	case err != nil:
 		return false
 	default:
@@ -148,9 +166,13 @@
 		}
 	}
 	now := time.Now()
+	if s.changedAt.IsZero() {
+		s.firstEra = o.Version.Era()
+	}
 	if o.Version != s.version || s.changedAt.IsZero() {
 		s.changedAt = now
 	}
+	s.maxEpoch = max(s.maxEpoch, record.Epoch)
 	s.version, s.record, s.readAt, s.recordKnown = o.Version, record, now, true
 	if s.held && !s.ownsRecord(m.cfg) {
 		level.Warn(m.logger).Log("msg", "shard lost; this process no longer holds its lease", "shard", s.name, "holder", record.Holder)
@@ -162,7 +184,7 @@
 // ownsRecord reports whether the last record is the current lease of this process.
 func (s *shard) ownsRecord(cfg Config) bool {
 	return s.record.Holder == cfg.Node && s.record.Boot == cfg.Boot &&
-		s.record.Epoch == s.epoch && !s.record.Released
+		s.record.Epoch == s.epoch && !s.record.Released && !s.fromEarlierEra()
 }
 
 // write writes the record, conditional on the known version, and reports whether it took
@@ -189,7 +211,7 @@
 		return false
 	}
 	s.recordKnown = false
-	if !s.read(ctx, m) || s.record != next {
+	if !s.read(ctx, m) || s.record != next || s.fromEarlierEra() {
 		return false
 	}
 	s.setLease(next, sentAt, suspended, m.cfg)
@@ -199,7 +221,7 @@
 // setLease sets the state after a successful write of record that was sent at sentAt,
 // when the machine had been suspended for the given time.
 func (s *shard) setLease(record Record, sentAt time.Time, suspended time.Duration, cfg Config) {
-	s.record, s.renewedAt, s.recordKnown = record, sentAt, true
+	s.record, s.renewedAt, s.recordKnown, s.maxEpoch = record, sentAt, true, max(s.maxEpoch, record.Epoch)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held = !record.Released
