entry: store the quarantines again after a restore of the store

Seen by reading: the holder compared the quarantines with what it had written, so those that the store lost when it was restored from an older copy were not stored again. A restart of all nodes would forget them.

The holder reads and writes the object again once in each era of the store. The test doesn't compile on the code before, as it tests the new era.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -25,6 +25,8 @@
 type objects interface {
 	Get(ctx context.Context, key object.Key) (object.Object, error)
 	Update(ctx context.Context, key object.Key, expected object.Version, value []byte) (object.Version, error)
+	// Era returns the latest known era of the store.
+	Era() uint64
 }
 
 // quarantineKeeper reads the stored quarantines when the node starts. The holder of the
@@ -40,6 +42,8 @@
 	stored  *quarantine.Observations
 	version object.Version
 	known   bool
+	// era is the era of the store in which they were read.
+	era uint64
 }
 
 // run reads the stored quarantines and keeps them up to date until ctx is cancelled.
@@ -56,7 +60,7 @@
 // update reads the stored quarantines if they aren't known, and writes them if this node
 // holds the lease and they have changed.
 func (k *quarantineKeeper) update(ctx context.Context) error {
-	if !k.known {
+	if !k.known || (k.holds() && k.era != k.store.Era()) {
 		if err := k.read(ctx); err != nil {
 			return err
 		}
@@ -82,13 +86,13 @@
 func (k *quarantineKeeper) read(ctx context.Context) error {
 	stored, err := k.store.Get(ctx, quarantineKey)
 	if errors.Is(err, object.ErrNotFound) {
-		k.known, k.stored, k.version = true, nil, 0
+		k.known, k.stored, k.version, k.era = true, nil, 0, stored.Version.Era()
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	k.known, k.version = true, stored.Version
+	k.known, k.version, k.era = true, stored.Version, stored.Version.Era()
 	if k.stored, err = quarantine.Decode(stored.Value, time.Now()); err != nil {
 		k.stored = nil
 		return err
--- /dev/null
+++ b/entry/quarantine_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/object"
+	"github.com/rattanlanding/rattanlanding/quarantine"
+)
+
+// fakeObjects holds one object in a store that can be restored.
+type fakeObjects struct {
+	era     uint64
+	current object.Object
+}
+
+func (o *fakeObjects) Era() uint64 { return o.era }
+
+func (o *fakeObjects) Get(context.Context, object.Key) (object.Object, error) {
+	if !o.current.Version.Exists() {
+		version, err := object.NewVersion(o.era, 0)
+		if err == nil {
+			err = object.ErrNotFound
+		}
+		return object.Object{Version: version}, err
+	}
+	return o.current, nil
+}
+
+func (o *fakeObjects) Update(_ context.Context, key object.Key, expected object.Version, value []byte) (object.Version, error) {
+	if expected.Revision() != o.current.Version.Revision() {
+		return 0, object.ErrConflict
+	}
+	version, err := object.NewVersion(o.era, expected.Revision()+1)
+	o.current = object.Object{Key: key, Version: version, Value: value}
+	return version, err
+}
+
+// Guards against quarantines that a restart of all nodes forgets because the store lost them
+// when it was restored from an older copy.
+func TestStoresQuarantinesAgainAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	ledger := quarantine.NewLedger(quarantine.Config{}, log.NewNopLogger(), metrics.NewRegistry())
+	store := &fakeObjects{era: 1}
+	k := &quarantineKeeper{ledger: ledger, store: store, holds: func() bool { return true }, logger: log.NewNopLogger()}
+	ctx := context.Background()
+	g.Expect(k.update(ctx)).To(Succeed())
+	ledger.Absorb(&quarantine.Observations{Notices: []quarantine.Notice{{Parts: []quarantine.Part{7}, Crashes: 6, Prompts: 3, Since: time.Now().UnixMilli(), RemainingMs: 60_000}}})
+	g.Expect(k.update(ctx)).To(Succeed())
+	g.Expect(store.current.Version.Exists()).To(BeTrue())
+
+	store.era, store.current = 2, object.Object{}
+	g.Expect(k.update(ctx)).To(Succeed())
+	g.Expect(store.current.Version.Era()).To(BeEquivalentTo(2))
+	stored, err := quarantine.Decode(store.current.Value, time.Now())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(stored.Notices).To(HaveLen(1))
+}
