entry: learn the configuration in force from other nodes

A node that starts, wakes or gets the store back while a restored store shows an older configuration applied that one, and the nodes that know the confirmed one gave it the store's copy, too (CONFIG, DENIED).

Cause: nodes served and fetched only their copies of the store. What is in force may be newer than the copy until the operator's next change.

An invalid document is not applied, whoever it comes from. The test doesn't compile on the code before, which has no such document.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -39,6 +39,9 @@
 const (
 	// pathConfiguration is the path of the configuration.
 	pathConfiguration = "/documents/configuration"
+	// pathInForce is the path of the configuration that is in force at a node, which may be
+	// newer than its copy of the store's.
+	pathInForce = "/documents/configuration/in-force"
 	// pathInstances is the path of the instance list.
 	pathInstances = "/documents/instances"
 	// pathChanges is appended to a document's path for the changes after a cursor.
@@ -74,9 +77,20 @@
 		router.GET(path, func(c *gin.Context) { d.writeSnapshot(c, path, f) })
 		router.GET(path+pathChanges, func(c *gin.Context) { d.writeChanges(c, path, f) })
 	}
+	router.GET(pathInForce, d.writeInForce)
 	return router
 }
 
+// writeInForce responds with the configuration that is in force at this node.
+func (d *Documents) writeInForce(c *gin.Context) {
+	document := d.platformState.inForce.Load()
+	if document == nil {
+		c.Status(http.StatusNotFound)
+		return
+	}
+	d.responses.write(c, responseKey{path: pathInForce, upTo: object.Version(document.Version)}, document)
+}
+
 func (d *Documents) writeSnapshot(c *gin.Context, path string, f *follow.Follower) {
 	s := f.Current.Load()
 	if s == nil {
@@ -107,7 +121,7 @@
 	}
 	ofConfiguration := func(n *mesh.Node) uint64 { return n.ConfigurationVersion }
 	if d.configurationLag.exceeded(version, newest(view, ofConfiguration), now) || mayBeStale(d.configurations) {
-		d.fetch(ctx, pickNewer(view, d.failureDomain, version, ofConfiguration), pathConfiguration, d.configurations)
+		d.fetchConfiguration(ctx, pickNewer(view, d.failureDomain, version, ofConfiguration), version)
 	}
 	cursor := d.listCursor()
 	ofInstances := func(n *mesh.Node) object.Version { return n.ListCursor }
@@ -182,6 +196,22 @@
 	return near[rand.IntN(len(near))]
 }
 
+// fetchConfiguration adopts the configuration that is in force at a node, if it is newer than
+// the given version.
+func (d *Documents) fetchConfiguration(ctx context.Context, from *mesh.Node, version uint64) {
+	if from == nil {
+		return
+	}
+	var document configurationDocument
+	if err := getFromPeer(ctx, from.PeerAddress, pathInForce, fetchTimeout, &document); err != nil {
+		_ = level.Warn(d.logger).Log("msg", "fetching a document from another node failed", "peer", from.Name, "path", pathInForce, "err", err)
+		return
+	}
+	if document.Version > version {
+		d.platformState.Adopt(document.Value, from.Name)
+	}
+}
+
 // fetch fetches the changes of a document from a node, or the whole document if that
 // node no longer has the changes since this node's version.
 func (d *Documents) fetch(ctx context.Context, from *mesh.Node, path string, f *follow.Follower) {
--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -30,10 +32,23 @@
 	throttle       *throttle.Registry
 	logger         log.Logger
 
+	// applying is held while a configuration is compared and published.
+	applying sync.Mutex
+	// inForce is the document of Configuration.
+	inForce atomic.Pointer[configurationDocument]
+	// adopted receives a value when another node's configuration was adopted.
+	adopted chan struct{}
+
 	// decoded maps instance IDs to the entries of the last update.
 	decoded map[string]decodedInstance
 }
 
+// configurationDocument is a configuration as stored, for nodes that lack it.
+type configurationDocument struct {
+	Version uint64
+	Value   []byte
+}
+
 // decodedInstance is a decoded entry of the instance list.
 type decodedInstance struct {
 	version object.Version
@@ -50,6 +65,7 @@
 		case <-ctx.Done():
 		case <-configurations:
 		case <-instances:
+		case <-ps.adopted:
 		}
 	}
 	return nil
@@ -77,31 +93,49 @@
 	ps.pool.CloseIdle(func(address string) bool { return listed[address] })
 }
 
-// updateConfiguration decodes the configuration and publishes it if its version is
-// newer. The version never decreases within one process.
+// updateConfiguration applies the configuration in the store's copy.
 func (ps *PlatformState) updateConfiguration() {
 	s := ps.configurations.Current.Load()
 	if s == nil {
 		return
 	}
 	for _, o := range s.Objects {
-		if o.Key.Name != platform.ConfigurationName {
-			continue
-		}
-		next, err := platform.DecodeConfiguration(o.Value)
-		if err != nil {
-			_ = level.Error(ps.logger).Log("msg", "invalid configuration, keeping the previous one", "revision", o.Version, "err", err)
-			return
+		if o.Key.Name == platform.ConfigurationName {
+			ps.apply(o.Value, "store", o.Version)
 		}
-		if old := ps.Configuration.Load(); old != nil && old.Version >= next.Version {
-			return
-		}
-		_ = level.Info(ps.logger).Log("msg", "configuration applied", "version", next.Version, "revision", o.Version,
-			"routes", len(next.Routes), "services", len(next.Services), "organisations", len(next.Organisations))
-		ps.Configuration.Publish(next)
 	}
 }
 
+// Adopt applies the configuration of another node, if it is newer. A store that was restored
+// from an older copy shows an older one until the operator's next change, while the
+// confirmed one stays in force.
+func (ps *PlatformState) Adopt(value []byte, from string) {
+	ps.apply(value, from, 0)
+	select {
+	case ps.adopted <- struct{}{}:
+	default:
+	}
+}
+
+// apply decodes a configuration and publishes it if its version is newer. The version never
+// decreases within one process.
+func (ps *PlatformState) apply(value []byte, source string, revision object.Version) {
+	next, err := platform.DecodeConfiguration(value)
+	if err != nil {
+		_ = level.Error(ps.logger).Log("msg", "invalid configuration, keeping the previous one", "source", source, "revision", revision.Revision(), "err", err)
+		return
+	}
+	ps.applying.Lock()
+	defer ps.applying.Unlock()
+	if old := ps.Configuration.Load(); old != nil && old.Version >= next.Version {
+		return
+	}
+	_ = level.Info(ps.logger).Log("msg", "configuration applied", "version", next.Version, "source", source, "era", revision.Era(), "revision", revision.Revision(),
+		"routes", len(next.Routes), "services", len(next.Services), "organisations", len(next.Organisations))
+	ps.inForce.Store(&configurationDocument{next.Version, value})
+	ps.Configuration.Publish(next)
+}
+
 // decode returns the valid entries of the instance list. Unchanged entries aren't
 // decoded again.
 func (ps *PlatformState) decode(s *follow.Snapshot) []*engine.Instance {
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
+	"github.com/rattanlanding/rattanlanding/platform/platformtest"
 )
 
 // fakeStore is a store that fails watches while down is set and leaves them without a
@@ -202,3 +204,37 @@
 	defer func() { cancel(); <-done; <-done }()
 	g.Eventually(f.Cursor, 2*time.Second).Should(Equal(object.Version(9)))
 }
+
+// Guards against a node that starts while a restored store shows an older configuration,
+// and doesn't learn from the others which one is in force (CONFIG).
+func TestLearnsTheConfigurationInForceFromOthers(t *testing.T) {
+	g := NewWithT(t)
+	encode := func(version int) []byte {
+		data, err := json.Marshal(platformtest.Configuration(version, "k1"))
+		g.Expect(err).NotTo(HaveOccurred())
+		return data
+	}
+	newState := func(version int) *PlatformState {
+		ps := &PlatformState{logger: log.NewNopLogger(), adopted: make(chan struct{}, 1)}
+		ps.apply(encode(version), "store", 1)
+		return ps
+	}
+	other := newState(7)
+	server := httptest.NewServer((&Documents{platformState: other}).Handler())
+	defer server.Close()
+	node := &mesh.Node{Name: "other", PeerAddress: strings.TrimPrefix(server.URL, "http://"), ConfigurationVersion: 7}
+	ps := newState(4)
+	d := &Documents{platformState: ps, logger: log.NewNopLogger()}
+	d.fetchConfiguration(context.Background(), node, 4)
+	g.Expect(ps.Configuration.Load().Version).To(BeEquivalentTo(7))
+	ps.apply(encode(5), "store", 9)
+	g.Expect(ps.Configuration.Load().Version).To(BeEquivalentTo(7))
+	ps.Adopt([]byte(`{"version": 9, "routes": 3}`), "other")
+	g.Expect(ps.Configuration.Load().Version).To(BeEquivalentTo(7), "an invalid configuration")
+	third := newState(6)
+	d = &Documents{platformState: third, logger: log.NewNopLogger()}
+	server2 := httptest.NewServer((&Documents{platformState: ps}).Handler())
+	defer server2.Close()
+	d.fetchConfiguration(context.Background(), &mesh.Node{Name: "second", PeerAddress: strings.TrimPrefix(server2.URL, "http://")}, 6)
+	g.Expect(third.Configuration.Load().Version).To(BeEquivalentTo(7), "passed on by a node that learnt it")
+}
