engine: an older entry of a restored instance list is no news

Cause: each version of the list was taken as it is.

For five seconds after a restore, entries are compared with those known, by the start of the instance and its own count of what it wrote; instances that the list lacks are kept for 2.5 s. Without a restore nothing is compared, so a clock that was set back can't hide an instance.

--- /dev/null
+++ b/engine/history_test.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// ids returns the IDs of instances, with "-" after those that are leaving.
+func ids(instances []*Instance) (list []string) {
+	for _, in := range instances {
+		id := in.ID
+		if in.Leaving {
+			id += "-"
+		}
+		list = append(list, id)
+	}
+	return list
+}
+
+// Guards against a restored list by which instances that are gone get requests, live ones
+// get none, and leaving ones count as ready again.
+func TestRestoredListIsNoNews(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	merge := func(era uint64, listed ...*Instance) []string {
+		merged, _ := h.Merge(era, listed, now)
+		return ids(merged)
+	}
+	a, b, c := &Instance{ID: "a", Sequence: 1}, &Instance{ID: "b", Sequence: 1}, &Instance{ID: "c", Sequence: 4}
+	leaving := &Instance{ID: "b", Sequence: 2, Leaving: true}
+	g.Expect(merge(1, a, b)).To(ConsistOf("a", "b"))
+	now = now.Add(time.Second)
+	g.Expect(merge(1, leaving, c)).To(ConsistOf("b-", "c"))
+
+	now = now.Add(time.Second)
+	g.Expect(merge(2, a, b)).To(ConsistOf("b-", "c"))
+	now = now.Add(time.Second)
+	g.Expect(merge(2, a, leaving, c)).To(ConsistOf("b-", "c"), "c is back, a is old")
+	g.Expect(merge(2, &Instance{ID: "a", Sequence: 2}, leaving, c)).To(ConsistOf("a", "b-", "c"), "a is alive")
+	g.Expect(merge(2, leaving, c)).To(ConsistOf("b-", "c"), "a is removed")
+
+	now = now.Add(time.Second)
+	g.Expect(merge(3, b)).To(ConsistOf("b-", "c"))
+	_, again := h.Merge(3, []*Instance{b}, now)
+	g.Expect(again).To(Equal(now.Add(returnTime)))
+	now = again
+	g.Expect(merge(3, b)).To(ConsistOf("b-"), "c is gone")
+	_, again = h.Merge(3, []*Instance{b}, now)
+	now = again
+	g.Expect(merge(3, b)).To(ConsistOf("b"), "the list counts again")
+	_, again = h.Merge(3, []*Instance{b}, now)
+	g.Expect(again).To(BeZero())
+}
+
+// Guards against a restarted instance whose clock was set back, and which is ignored
+// because its start seems to be older.
+func TestWithoutARestoreTheListCounts(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	_, _ = h.Merge(0, []*Instance{{ID: "a", StartedMs: 9, Sequence: 7}}, now)
+	merged, again := h.Merge(0, []*Instance{{ID: "a", StartedMs: 5, Sequence: 1}}, now)
+	g.Expect(merged[0].StartedMs).To(BeEquivalentTo(5))
+	g.Expect(again).To(BeZero())
+	_, _ = h.Merge(0, nil, now)
+	merged, _ = h.Merge(0, []*Instance{{ID: "a", StartedMs: 5, Sequence: 1}}, now)
+	g.Expect(merged).To(HaveLen(1))
+}
--- a/engine/roster.go
+++ b/engine/roster.go
@@ -50,6 +50,8 @@
 	// StartedMs is the start time in Unix milliseconds. It distinguishes restarts of an
 	// instance.
 	StartedMs int64
+	// Sequence counts what the instance has written about itself since its start.
+	Sequence uint64
 	// Model is the model in memory, or "" if there is none.
 	Model string
 	// StagedModels are the models whose weights are on the host.
--- a/entry/module.go
+++ b/entry/module.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/engine"
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
@@ -130,7 +131,7 @@
 }
 
 func newPlatformState(f followers, tables *forward.Tables, pool *upstream.Pool, t *throttle.Registry, logger log.Logger) *PlatformState {
-	return &PlatformState{configurations: f.configurations, instances: f.instances, tables: tables, pool: pool, throttle: t, logger: logger, adopted: make(chan struct{}, 1)}
+	return &PlatformState{configurations: f.configurations, instances: f.instances, tables: tables, pool: pool, throttle: t, logger: logger, history: engine.NewHistory(), adopted: make(chan struct{}, 1)}
 }
 
 // newStatus also creates the components that depend on each other: the mesh sends the
--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -39,6 +40,8 @@
 	// adopted receives a value when another node's configuration was adopted.
 	adopted chan struct{}
 
+	// history merges the versions of the instance list.
+	history *engine.History
 	// decoded maps instance IDs to the entries of the last update.
 	decoded map[string]decodedInstance
 }
@@ -60,27 +63,34 @@
 func (ps *PlatformState) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		configurations, instances := ps.configurations.Current.Changed(), ps.instances.Current.Changed()
-		ps.update()
+		var again <-chan time.Time
+		if at := ps.update(); !at.IsZero() {
+			again = time.After(time.Until(at))
+		}
 		select {
 		case <-ctx.Done():
 		case <-configurations:
 		case <-instances:
 		case <-ps.adopted:
+		case <-again:
 		}
 	}
 	return nil
 }
 
 // update decodes and publishes both documents, rebuilds the routing tables, and closes
-// connections to instances that are no longer listed.
-func (ps *PlatformState) update() {
+// connections to instances that are no longer listed. It must be called again at the
+// returned time, unless that is zero.
+func (ps *PlatformState) update() (again time.Time) {
 	ps.updateConfiguration()
 	if s := ps.instances.Current.Load(); s != nil {
-		ps.Roster.Publish(engine.NewRoster(ps.decode(s)))
+		var merged []*engine.Instance
+		merged, again = ps.history.Merge(s.Cursor.Era(), ps.decode(s), time.Now())
+		ps.Roster.Publish(engine.NewRoster(merged))
 	}
 	c, r := ps.Configuration.Load(), ps.Roster.Load()
 	if c == nil || r == nil {
-		return
+		return again
 	}
 	ps.tables.Build(c, r)
 	listed := make(map[string]bool, len(r.ByID))
@@ -91,6 +101,7 @@
 	}
 	ps.throttle.SetListed(servers)
 	ps.pool.CloseIdle(func(address string) bool { return listed[address] })
+	return again
 }
 
 // updateConfiguration applies the configuration in the store's copy.
