forward: pass nothing but a stream on in the middle of a stream

Cause: the response to a resumed stream was checked by its status only. It must also have the media type with which the stream began; otherwise the attempt has failed like one with an error status.

The test over sockets failed before: {"error":"boom"} after the second event, and a complete response.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -24,6 +25,8 @@
 	controller  *http.ResponseController
 	// status is the HTTP status of the response.
 	status int
+	// contentType is the media type of the response.
+	contentType string
 	// events is the number of events sent to the caller.
 	events int
 }
@@ -125,6 +128,9 @@
 	if response.Status != http.StatusOK {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d instead of resuming the stream", response.Status)
 	}
+	if t := mediaType(response.Header); s.begun && t != "" && t != s.contentType {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered with %s instead of resuming the stream of %s", t, s.contentType)
+	}
 	events := newEventReader(response.Body)
 	defer events.release()
 	received := 0
@@ -162,13 +168,23 @@
 	if s.begun {
 		return
 	}
-	s.begun, s.status = true, response.Status
+	s.begun, s.status, s.contentType = true, response.Status, mediaType(response.Header)
 	s.firstEventDelay = time.Since(s.started)
 	copyHeader(s.writer.Header(), response.Header)
 	s.writer.WriteHeader(response.Status)
 	h.metrics.firstEvent.UpdateSince(s.started)
 }
 
+// mediaType returns the media type of a response without parameters; empty if it has none
+// that is valid.
+func mediaType(h http.Header) string {
+	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return t
+}
+
 // forwardEvent sends one event to the caller and flushes it.
 func (h *Handler) forwardEvent(s *stream, response *upstream.Response, e event) *verdict.Error {
 	h.sendHead(s, response)
