soak: restore the store from older copies, let engines limit their rate

The store is restored from a copy of up to 8 s ago; a second later the operator and the engines write again. An engine states a rate of 1 to 5 requests per second; what it gets is checked if no node was disturbed.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -28,7 +28,9 @@
 // violations returns the violated guarantees: those that the fleet detected, those of
 // each call, the recovery at the end of the run, and processes that exited unasked.
 func (d *deployment) violations(calls []*call, ended time.Time) []string {
-	found := d.fleet.Violations()
+	d.mu.Lock()
+	found := append(d.fleet.Violations(), d.found...)
+	d.mu.Unlock()
 	served, sent := 0, 0
 	for _, c := range calls {
 		if errors.Is(c.err, errCallerDisconnected) {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -57,6 +58,13 @@
 	// enginesStarted is the number of engines started so far, from which their IDs
 	// follow.
 	enginesStarted int
+	// configurationVersion and keys are those of the newest configuration.
+	configurationVersion int
+	keys                 []string
+	// copies are older copies of the store, the oldest first.
+	copies []*platformtest.StoreCopy
+	// found are violations that were detected during the run.
+	found []string
 	// revokedAt is the time at which key k2 was revoked, or zero.
 	revokedAt time.Time
 }
@@ -73,7 +81,7 @@
 		return nil, err
 	}
 	d.fleet = platformtest.NewFleet(d.store)
-	d.store.Put("config", "main", platformtest.Configuration(1, "k1", "k2"))
+	d.configure("k1", "k2")
 	for i := range engineDomains * enginesPerDomain {
 		if err := d.startEngine("llm", fmt.Sprint("d", i%engineDomains), streamEvents); err != nil {
 			return d, err
@@ -213,11 +221,14 @@
 		d.store.DropHistory()
 		return noop
 	case keyRevoked:
-		d.store.Put("config", "main", platformtest.Configuration(2, "k1"))
+		d.configure("k1")
 		d.mu.Lock()
 		d.revokedAt = time.Now()
 		d.mu.Unlock()
 		return noop
+	case storeRestored:
+		d.store.SetDown(true)
+		return func() { d.restoreStore(f.target) }
 	}
 	if m, ok := storeModes[f.kind]; ok {
 		n.store.begin(m)
@@ -257,6 +268,14 @@
 				e.SetLateCommandRate(0)
 			}
 		}
+	case engineLimited:
+		e, rate := d.selectEngine(f.target), 1+f.target%maxLimit
+		e.SetLimit(strconv.Itoa(rate))
+		started := time.Now()
+		return func() {
+			d.checkLimit(e, float64(rate), started)
+			e.SetLimit("")
+		}
 	case engineLost:
 		e := d.selectEngine(f.target)
 		e.SetLossRate(lostResponseFraction)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -21,9 +21,11 @@
 	nodeHangUp kind = "node-hangup"
 	allKill    kind = "all-kill"
 	// storeDown makes the store unavailable to all nodes, and storeForget makes it
-	// drop its history of changes.
-	storeDown   kind = "store-down"
-	storeForget kind = "store-forget"
+	// drop its history of changes. storeRestored makes it unavailable and then restores it
+	// from an older copy.
+	storeDown     kind = "store-down"
+	storeForget   kind = "store-forget"
+	storeRestored kind = "store-restored"
 	// The others are faults of one node's link to the store; see storeModes.
 	storeReset  kind = "store-reset"
 	storeSilent kind = "store-silent"
@@ -40,7 +42,9 @@
 	// engineLost makes an engine lose a fraction of its responses, and ordersLate
 	// delays a fraction of the orders to all engines.
 	engineLost kind = "engine-lost"
-	ordersLate kind = "orders-late"
+	// engineLimited makes an engine state a request rate. It lasts longer than other faults.
+	engineLimited kind = "engine-limited"
+	ordersLate    kind = "orders-late"
 	// keyRevoked revokes one of the two keys; a plan has it at most once.
 	keyRevoked kind = "key-revoked"
 )
@@ -51,8 +55,8 @@
 	weight int
 }{
 	{nodeKill, 4}, {nodePause, 3}, {nodeStop, 3}, {nodeHangUp, 1}, {allKill, 1},
-	{storeDown, 2}, {storeForget, 2}, {storeReset, 2}, {storeSilent, 2}, {storeMute, 1}, {storeSlow, 1},
-	{engineCrash, 6}, {engineDrain, 2}, {engineReset, 2}, {engineMute, 2}, {engineDeaf, 1}, {engineSlow, 1}, {engineLost, 2}, {ordersLate, 5},
+	{storeDown, 2}, {storeForget, 2}, {storeRestored, 2}, {storeReset, 2}, {storeSilent, 2}, {storeMute, 1}, {storeSlow, 1},
+	{engineCrash, 6}, {engineDrain, 2}, {engineReset, 2}, {engineMute, 2}, {engineDeaf, 1}, {engineSlow, 1}, {engineLost, 2}, {engineLimited, 3}, {ordersLate, 5},
 	{keyRevoked, 1},
 }
 
@@ -62,6 +66,8 @@
 	minFaultDuration = 300 * time.Millisecond
 	// maxFaultDuration is the longest duration of a fault.
 	maxFaultDuration = 3 * time.Second
+	// limitedFactor multiplies the duration of engineLimited.
+	limitedFactor = 4
 	// faultsPerSecond is the mean number of faults that begin in a second.
 	faultsPerSecond = 1.2
 	// recoveryPeriod is the time without faults at the end of a run, in which the system
@@ -104,6 +110,9 @@
 				break
 			}
 		}
+		if f.kind == engineLimited {
+			f.duration = max(min(limitedFactor*f.duration, length-f.start), minFaultDuration)
+		}
 		if f.kind == keyRevoked && revoked {
 			continue
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	go g.refreshAddresses(ctx)
+	go d.copyStore(ctx)
 	loadDone := make(chan struct{})
 	go func() {
 		g.generate(ctx, newRandom(o.Seed), o.MeanInterval)
