throttle: servers that state that they leave get no more requests

Cause: only the instance list told which servers leave; a node that has lost the store may not learn it at all.

The statement counts for one start of the server, at the node that received it at once and at all others as a notice.

--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -62,7 +62,7 @@
 // Run updates the state whenever a document changes, until ctx is cancelled.
 func (ps *PlatformState) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		configurations, instances := ps.configurations.Current.Changed(), ps.instances.Current.Changed()
+		configurations, instances, stated := ps.configurations.Current.Changed(), ps.instances.Current.Changed(), ps.throttle.Changed()
 		var again <-chan time.Time
 		if at := ps.update(); !at.IsZero() {
 			again = time.After(time.Until(at))
@@ -72,6 +72,7 @@
 		case <-configurations:
 		case <-instances:
 		case <-ps.adopted:
+		case <-stated:
 		case <-again:
 		}
 	}
@@ -86,7 +87,7 @@
 	if s := ps.instances.Current.Load(); s != nil {
 		var merged []*engine.Instance
 		merged, again = ps.history.Merge(s.Cursor.Era(), ps.decode(s), time.Now())
-		ps.Roster.Publish(engine.NewRoster(merged))
+		ps.Roster.Publish(engine.NewRoster(ps.markLeaving(merged)))
 	}
 	c, r := ps.Configuration.Load(), ps.Roster.Load()
 	if c == nil || r == nil {
@@ -104,6 +105,18 @@
 	return again
 }
 
+// markLeaving returns the instances, those as leaving that have stated so in a response.
+func (ps *PlatformState) markLeaving(instances []*engine.Instance) []*engine.Instance {
+	for i, in := range instances {
+		if !in.Leaving && ps.throttle.Leaving(throttle.ServerOf(in.ID, in.StartedMs)) {
+			leaving := *in
+			leaving.Leaving = true
+			instances[i] = &leaving
+		}
+	}
+	return instances
+}
+
 // updateConfiguration applies the configuration in the store's copy.
 func (ps *PlatformState) updateConfiguration() {
 	s := ps.configurations.Current.Load()
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -38,7 +38,7 @@
 			Permits:        allowance.Permits,
 			Ahead:          d.peers.Ahead(p.Model, t.Instance.ID),
 			SameDomain:     t.Instance.FailureDomain == d.failureDomain,
-			Excluded:       !d.isEligible(t, now),
+			Excluded:       !d.isEligible(t, now) || d.throttle.Leaving(t.Server),
 			Slow:           t.Slowness > 1,
 			RecentlyFailed: t.Load.Suspected(now),
 		}
--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -59,6 +59,8 @@
 
 	mu      sync.Mutex
 	servers map[Server]*server
+	// changed is closed and replaced when a server states that it is leaving.
+	changed chan struct{}
 	// ids are the IDs of the servers in the instance list.
 	ids map[Server]string
 }
@@ -80,6 +82,8 @@
 	loggedRate float64
 	changedAt  time.Time
 	reportedAt time.Time
+	// leaving is true once the server has stated that it is shutting down.
+	leaving bool
 	// listedAt is when the server was last in the instance list, or when it was added.
 	listedAt time.Time
 	bucket
@@ -97,7 +101,7 @@
 		limited:  metrics.GetOrRegisterGauge("throttle.limited", registry),
 		lifted:   metrics.GetOrRegisterCounter("throttle.lifted", registry),
 		received: metrics.GetOrRegisterCounter("throttle.received", registry),
-		servers:  map[Server]*server{}}
+		servers:  map[Server]*server{}, changed: make(chan struct{})}
 }
 
 // Empty reports whether no server has stated anything.
@@ -106,21 +110,23 @@
 // Observe records what a response states about its server. sentAt is when its request was
 // sent.
 func (r *Registry) Observe(key Server, s Statement, sentAt time.Time) {
-	if !s.Limited && r.count.Load() == 0 {
+	if s == (Statement{}) && r.count.Load() == 0 {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	known := r.servers[key]
-	switch {
-	case s.Limited:
-		if known == nil {
-			known = r.add(key, now)
-		}
-		if known == nil {
+	if known == nil && s != (Statement{}) {
+		if known = r.add(key, now); known == nil {
 			return
 		}
+	}
+	if s.Leaving {
+		r.leave(known, now, "response")
+	}
+	switch {
+	case s.Limited:
 		rate := s.Rate
 		if known.limited && sentAt.Before(known.sentAt) {
 			// Which of the two responses is newer is unknown.
@@ -145,6 +151,12 @@
 	for i := range notices {
 		n := &notices[i]
 		known := r.servers[n.Server]
+		if known == nil && n.Leaving && n.valid() {
+			known = r.add(n.Server, now)
+		}
+		if known != nil && n.Leaving {
+			r.leave(known, now, "another node")
+		}
 		at := n.at(now)
 		switch {
 		case !n.valid() || (known != nil && at.Sub(known.at) < minNewer) || (known == nil && !n.Limited):
@@ -177,6 +189,35 @@
 	return s
 }
 
+// leave records that a server is shutting down. The caller holds the lock.
+func (r *Registry) leave(s *server, now time.Time, source string) {
+	if s.leaving {
+		return
+	}
+	s.leaving, s.changedAt = true, now
+	close(r.changed)
+	r.changed = make(chan struct{})
+	_ = level.Info(r.logger).Log("msg", "backend server states that it is leaving", "instance", r.ids[s.key], "source", source)
+}
+
+// Leaving reports whether a server has stated that it is shutting down.
+func (r *Registry) Leaving(key Server) bool {
+	if r.count.Load() == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[key]
+	return s != nil && s.leaving
+}
+
+// Changed returns a channel that is closed when a server states that it is leaving.
+func (r *Registry) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
 // limit sets the rate of a server. The caller holds the lock.
 func (r *Registry) limit(s *server, rate float64, at, now time.Time, source string) {
 	if !s.limited {
@@ -221,7 +262,7 @@
 	now := r.now()
 	var list []*server
 	for _, s := range r.servers {
-		current := s.limited || now.Sub(s.liftedAt) <= keepLifted
+		current := s.limited || s.leaving || now.Sub(s.liftedAt) <= keepLifted
 		if current && (now.Sub(s.changedAt) <= changeReportTime || now.Sub(s.reportedAt) >= reportInterval) {
 			list = append(list, s)
 		}
@@ -232,7 +273,7 @@
 	var notices []Notice
 	for _, s := range list[:min(len(list), MaxNotices)] {
 		s.reportedAt = now
-		notices = append(notices, Notice{Server: s.key, Limited: s.limited, Rate: float32(s.rate),
+		notices = append(notices, Notice{Server: s.key, Limited: s.limited, Rate: float32(s.rate), Leaving: s.leaving,
 			AgeMs: uint32(min(now.Sub(s.at).Milliseconds(), math.MaxUint32))})
 	}
 	return notices
--- a/throttle/statement.go
+++ b/throttle/statement.go
@@ -23,6 +23,8 @@
 	// Rate is the number of requests per second that the server accepts from all nodes
 	// together, if Limited.
 	Rate float64
+	// Leaving is true if the server is shutting down.
+	Leaving bool
 }
 
 // Notice is what nodes tell each other about a server.
@@ -34,6 +36,8 @@
 	Rate float32 `msgpack:"r"`
 	// AgeMs is the age of the statement in milliseconds.
 	AgeMs uint32 `msgpack:"a"`
+	// Leaving is true if the server is shutting down.
+	Leaving bool `msgpack:"v"`
 }
 
 // MaxNotices is the number of notices in one message, so that it fits into a datagram.
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -144,3 +144,24 @@
 	c.advance(time.Hour)
 	g.Expect(r.Allowance(1, demand).Permits).To(BeNumerically("<=", 1))
 }
+
+// Guards against a server that leaves and gets requests from nodes that it didn't tell, and
+// against another start of it that counts as leaving.
+func TestLearnsThatAServerLeaves(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r, other := newTestRegistry(c), newTestRegistry(c)
+	changed, otherChanged := r.Changed(), other.Changed()
+	r.Observe(ServerOf("a", 1), Statement{Leaving: true}, c.at)
+	g.Expect(changed).To(BeClosed())
+	other.Absorb(r.Report())
+	g.Expect(otherChanged).To(BeClosed())
+	c.advance(time.Second)
+	r.Observe(ServerOf("a", 1), Statement{}, c.at)
+	for _, registry := range []*Registry{r, other} {
+		g.Expect(registry.Leaving(ServerOf("a", 1))).To(BeTrue())
+		g.Expect(registry.Leaving(ServerOf("a", 2))).To(BeFalse())
+		_, limited := registry.Rate(ServerOf("a", 1))
+		g.Expect(limited).To(BeFalse())
+	}
+}
