throttle: hold requests back from servers that ask for it

Cause: the header was read nowhere. A server that rejected a request was tried after others only, and alone it got every request.

The time counts for one start of the server at the node that received it, for waiting requests, too. A request for which no server is left in time is refused at once, with the time at which one takes requests again.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -13,8 +13,10 @@
 	targets    []*Target
 	candidates []Candidate
 	// rates are the permits per second that this node gets at throttled targets.
-	rates    []float64
-	throttle *throttle.Registry
+	rates []float64
+	// heldUntil are the times at which the targets take requests of this node again.
+	heldUntil []time.Time
+	throttle  *throttle.Registry
 	// unreported is the expected number of requests of all nodes that the reports don't
 	// show yet.
 	unreported float64
@@ -25,9 +27,11 @@
 	f := &candidateSet{targets: d.tables.Load().Targets(p), throttle: d.throttle}
 	now := time.Now()
 	f.unreported = d.unreported(p, now)
-	f.candidates, f.rates = make([]Candidate, len(f.targets)), make([]float64, len(f.targets))
+	f.candidates, f.rates, f.heldUntil = make([]Candidate, len(f.targets)), make([]float64, len(f.targets)), make([]time.Time, len(f.targets))
 	demand := d.throttleDemand(p, now)
 	for i, t := range f.targets {
+		heldUntil := d.throttle.HeldUntil(t.Server)
+		f.heldUntil[i] = heldUntil
 		allowance := d.throttle.Allowance(t.Server, demand)
 		f.rates[i] = allowance.Rate * demand.Share
 		f.candidates[i] = Candidate{
@@ -38,7 +42,7 @@
 			Permits:        allowance.Permits,
 			Ahead:          d.peers.Ahead(p.Model, t.Instance.ID),
 			SameDomain:     t.Instance.FailureDomain == d.failureDomain,
-			Excluded:       !d.isEligible(t, now) || d.throttle.Leaving(t.Server),
+			Excluded:       !d.isEligible(t, now) || d.throttle.Leaving(t.Server) || now.Before(heldUntil),
 			Slow:           t.Slowness > 1,
 			RecentlyFailed: t.Load.Suspected(now),
 		}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -161,6 +162,11 @@
 			return nil, err
 		}
 	} else if target = candidates.pick(w); target == nil {
+		if at := candidates.freeAt(w, now); at.After(r.Until) {
+			d.trafficOf(r.Pool).recordRefusal(now)
+			d.mu.Unlock()
+			return nil, &throttledError{retryAfter: at.Sub(now) + rand.N(returnSpread), err: fmt.Errorf("%w: no backend server takes requests of this node", ErrFull)}
+		}
 		if !now.Before(r.Until) {
 			d.mu.Unlock()
 			return nil, ErrFull
--- a/forward/throttle.go
+++ b/forward/throttle.go
@@ -162,6 +162,22 @@
 	return p
 }
 
+// freeAt returns when the first target takes requests again, if none does now because of
+// what the servers stated; zero otherwise.
+func (s *candidateSet) freeAt(w *waiter, now time.Time) (at time.Time) {
+	for i := range s.candidates {
+		until := s.heldUntil[i]
+		switch held := now.Before(until); {
+		case !held && w.avoid[s.targets[i].Instance.ID]:
+		case !held:
+			return time.Time{}
+		case at.IsZero() || until.Before(at):
+			at = until
+		}
+	}
+	return at
+}
+
 // wait returns the expected time until the request after the given number of others gets a
 // permit.
 func (p permits) wait(ahead int) time.Duration {
@@ -245,5 +261,8 @@
 		ErrFull, p.rate, len(d.waiting[pool]))}
 }
 
+// returnSpread is the time over which callers return once a server takes requests again.
+const returnSpread = time.Second
+
 // minReturnDelay is the shortest time after which a refused caller is told to return.
 const minReturnDelay = 50 * time.Millisecond
--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -51,6 +51,7 @@
 	limited  metrics.Gauge
 	lifted   metrics.Counter
 	received metrics.Counter
+	held     metrics.Counter
 	now      func() time.Time
 	random   func() float64
 	// count is the number of servers. It keeps the request path free of the lock while
@@ -84,6 +85,8 @@
 	reportedAt time.Time
 	// leaving is true once the server has stated that it is shutting down.
 	leaving bool
+	// heldUntil is when the server takes requests of this node again; zero if it does.
+	heldUntil time.Time
 	// listedAt is when the server was last in the instance list, or when it was added.
 	listedAt time.Time
 	bucket
@@ -101,6 +104,7 @@
 		limited:  metrics.GetOrRegisterGauge("throttle.limited", registry),
 		lifted:   metrics.GetOrRegisterCounter("throttle.lifted", registry),
 		received: metrics.GetOrRegisterCounter("throttle.received", registry),
+		held:     metrics.GetOrRegisterCounter("throttle.held", registry),
 		servers:  map[Server]*server{}, changed: make(chan struct{})}
 }
 
@@ -125,6 +129,11 @@
 	if s.Leaving {
 		r.leave(known, now, "response")
 	}
+	if until := now.Add(min(s.RetryAfter, MaxRetryAfter)); s.RetryAfter > 0 && until.After(known.heldUntil) {
+		known.heldUntil = until
+		r.held.Inc(1)
+		_ = level.Info(r.logger).Log("msg", "backend server wants no requests from this node", "instance", r.ids[key], "for_ms", until.Sub(now).Milliseconds())
+	}
 	switch {
 	case s.Limited:
 		rate := s.Rate
@@ -211,6 +220,20 @@
 	return s != nil && s.leaving
 }
 
+// HeldUntil returns when a server takes requests of this node again; a time in the past, or
+// zero, if it does.
+func (r *Registry) HeldUntil(key Server) time.Time {
+	if r.count.Load() == 0 {
+		return time.Time{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.servers[key]; s != nil {
+		return s.heldUntil
+	}
+	return time.Time{}
+}
+
 // Changed returns a channel that is closed when a server states that it is leaving.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
--- a/throttle/statement.go
+++ b/throttle/statement.go
@@ -25,6 +25,8 @@
 	Rate float64
 	// Leaving is true if the server is shutting down.
 	Leaving bool
+	// RetryAfter is how long the server wants no requests from this node; 0 for none.
+	RetryAfter time.Duration
 }
 
 // Notice is what nodes tell each other about a server.
@@ -46,6 +48,9 @@
 // MaxRate is the largest rate of a statement, in requests per second. It limits nothing.
 const MaxRate = 1e6
 
+// MaxRetryAfter is the longest time for which a server gets no requests.
+const MaxRetryAfter = 10 * time.Minute
+
 // valid reports whether the values of a notice are in range. NaN fails both comparisons.
 func (n *Notice) valid() bool { return n.Rate >= 0 && n.Rate <= MaxRate }
 
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -165,3 +165,20 @@
 		g.Expect(limited).To(BeFalse())
 	}
 }
+
+// Guards against a time without requests that is shortened by a later response, without
+// bound, or passed on to nodes that weren't told.
+func TestHoldsRequestsBack(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r, other := newTestRegistry(c), newTestRegistry(c)
+	r.Observe(1, Statement{RetryAfter: 4 * time.Second}, c.at)
+	r.Observe(1, Statement{RetryAfter: time.Second}, c.at)
+	r.Observe(1, Statement{}, c.at)
+	g.Expect(r.HeldUntil(1)).To(Equal(c.at.Add(4 * time.Second)))
+	r.Observe(2, Statement{RetryAfter: 1000 * time.Hour}, c.at)
+	g.Expect(r.HeldUntil(2)).To(Equal(c.at.Add(MaxRetryAfter)))
+	g.Expect(r.HeldUntil(3)).To(BeZero())
+	other.Absorb(r.Report())
+	g.Expect(other.HeldUntil(1)).To(BeZero())
+}
