throttle: a value that can't be decoded ends no limit

Found by reading: a response with an invalid Server-Limit counted as one that states none, and ended the limit of the server. The test uses a new field, so it doesn't compile on the code before.

--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -121,7 +121,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	known := r.servers[key]
-	if known == nil && s != (Statement{}) {
+	if known == nil && (s.Limited || s.Leaving || s.RetryAfter > 0) {
 		if known = r.add(key, now); known == nil {
 			return
 		}
@@ -144,7 +144,7 @@
 			known.sentAt = sentAt
 		}
 		r.limit(known, rate, now, now, "response")
-	case known != nil && known.limited && sentAt.After(known.at):
+	case known != nil && known.limited && !s.Incomplete && sentAt.After(known.at):
 		r.lift(known, sentAt, now)
 	}
 }
--- a/throttle/statement.go
+++ b/throttle/statement.go
@@ -27,6 +27,8 @@
 	Leaving bool
 	// RetryAfter is how long the server wants no requests from this node; 0 for none.
 	RetryAfter time.Duration
+	// Incomplete is true if a value couldn't be decoded. The response then ends no limit.
+	Incomplete bool
 }
 
 // Notice is what nodes tell each other about a server.
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -50,6 +50,8 @@
 	r.Observe(1, limited(1), early)
 	g.Expect(r.statedRate(1)).To(Equal(1.0))
 	c.advance(time.Second)
+	r.Observe(1, Statement{Incomplete: true}, c.at.Add(-time.Millisecond))
+	g.Expect(r.statedRate(1)).To(Equal(1.0), "after a value that can't be decoded")
 	r.Observe(1, limited(7), c.at.Add(-time.Millisecond))
 	g.Expect(r.statedRate(1)).To(Equal(7.0))
 	c.advance(time.Second)
