throttle: forget servers whose statements no longer apply

Found by reading: a server that had once asked for a pause stayed recorded until it was no longer listed, and each request took the lock of the registry from then on.

--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -264,6 +264,11 @@
 	_ = level.Info(r.logger).Log("msg", "backend server no longer limits its request rate", "instance", r.ids[s.key], "previous_per_second", s.rate)
 }
 
+// isPast reports whether nothing that the server stated applies any more.
+func (s *server) isPast(now time.Time) bool {
+	return !s.limited && !s.leaving && now.Sub(s.liftedAt) > keepLifted && !now.Before(s.heldUntil)
+}
+
 func (r *Registry) countLimited() {
 	n := int64(0)
 	for _, s := range r.servers {
@@ -312,7 +317,8 @@
 	for key, s := range r.servers {
 		if _, listed := ids[key]; listed {
 			s.listedAt = now
-		} else if now.Sub(s.listedAt) > keepUnlisted {
+		}
+		if now.Sub(s.listedAt) > keepUnlisted || s.isPast(now) {
 			delete(r.servers, key)
 		}
 	}
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -181,6 +181,11 @@
 	r.Observe(2, Statement{RetryAfter: 1000 * time.Hour}, c.at)
 	g.Expect(r.HeldUntil(2)).To(Equal(c.at.Add(MaxRetryAfter)))
 	g.Expect(r.HeldUntil(3)).To(BeZero())
+	r.SetListed(map[Server]string{1: "a", 2: "b"})
+	g.Expect(r.servers).To(HaveLen(2))
+	c.advance(5 * time.Second)
+	r.SetListed(map[Server]string{1: "a", 2: "b"})
+	g.Expect(r.HeldUntil(1)).To(BeZero(), "forgotten")
 	other.Absorb(r.Report())
 	g.Expect(other.HeldUntil(1)).To(BeZero())
 }
