--- a/gateway/resume_error_test.go
+++ b/gateway/resume_error_test.go
@@ -32,10 +32,10 @@
 			Expect(got.body).NotTo(ContainSubstring("HTTP/1.1"))
 			Expect(got.body).NotTo(ContainSubstring("[DONE]"))
 		},
-		Entry("500", func(w http.ResponseWriter) { http.Error(w, "boom", 500) }),
+		Entry("500", func(w http.ResponseWriter) { http.Error(w, "boom", http.StatusInternalServerError) }),
 		Entry("a refusal", func(w http.ResponseWriter) {
 			w.Header().Set("Rattanlanding-Verdict", "not-run")
-			http.Error(w, "boom", 503)
+			http.Error(w, "boom", http.StatusServiceUnavailable)
 		}),
 		Entry("a success that is no stream", func(w http.ResponseWriter) { _, _ = w.Write([]byte("{\"error\":\"boom\"}\n\n")) }),
 	)
