--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -178,6 +178,7 @@
 // many aggregators, died at once. With seed 3, four dead nodes of a domain rank before
 // its live ones, and were tried as aggregators again and again.
 func TestNamesNoDeadNodeAfterAMassLoss(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{7, 3} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
--- a/mesh/notices_test.go
+++ b/mesh/notices_test.go
@@ -22,6 +22,7 @@
 // Guards against a limit that only the nodes know that the server told, against limits that
 // outlast the server's need, and against messages that grow with the number of nodes.
 func TestNodesLearnTheLimitsOfServers(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		nodes, servers int
 		within         time.Duration
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -38,6 +38,7 @@
 // TestNodesLearnTogetherWhatCrashesEngines guards against requests that crash one engine after
 // the other because each node sees few of the crashes.
 func TestNodesLearnTogetherWhatCrashesEngines(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{8, 88, 380} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			t.Parallel()
