--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -165,7 +165,7 @@
 		if at := candidates.freeAt(w, now); at.After(r.Until) {
 			d.trafficOf(r.Pool).recordRefusal(now)
 			d.mu.Unlock()
-			return nil, &throttledError{retryAfter: at.Sub(now) + rand.N(returnSpread), err: fmt.Errorf("%w: no backend server takes requests of this node", ErrFull)}
+			return nil, &refusedError{retryAfter: at.Sub(now) + rand.N(returnSpread), err: fmt.Errorf("%w: no backend server takes requests of this node", ErrFull)}
 		}
 		if !now.Before(r.Until) {
 			d.mu.Unlock()
--- a/forward/throttle.go
+++ b/forward/throttle.go
@@ -33,21 +33,22 @@
 	maxReturnDelay = 5 * time.Second
 )
 
-// throttledError is the error of a request that got no permit of a throttled target.
-type throttledError struct {
-	// retryAfter is when this node expects a permit for the request.
+// refusedError is the error of a request that gets no slot because of what the backend
+// servers have stated.
+type refusedError struct {
+	// retryAfter is when this node expects that a server takes the request.
 	retryAfter time.Duration
 	err        error
 }
 
-func (e *throttledError) Error() string { return e.err.Error() }
-func (e *throttledError) Unwrap() error { return e.err }
+func (e *refusedError) Error() string { return e.err.Error() }
+func (e *refusedError) Unwrap() error { return e.err }
 
 // retryAfterOf returns the time after which a caller without a slot may return.
 func retryAfterOf(err error, fallback time.Duration) time.Duration {
-	var throttled *throttledError
-	if errors.As(err, &throttled) {
-		return throttled.retryAfter
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return refused.retryAfter
 	}
 	return jitter(fallback)
 }
@@ -257,7 +258,7 @@
 	} else {
 		t.nextReturn = t.nextReturn.Add(min(permits{rate: p.rate}.wait(0), maxReturnDelay))
 	}
-	return &throttledError{retryAfter: max(retryAfter, minReturnDelay), err: fmt.Errorf("%w: the backend servers accept %.2f requests per second from this node, %d more requests wait",
+	return &refusedError{retryAfter: max(retryAfter, minReturnDelay), err: fmt.Errorf("%w: the backend servers accept %.2f requests per second from this node, %d more requests wait",
 		ErrFull, p.rate, len(d.waiting[pool]))}
 }
 
--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -4,4 +4,7 @@
 // A server in need accepts a limited number of requests per second from all nodes together.
 // Each node that receives the statement tells the others (Notice). A node takes a share of
 // the rate in proportion to the requests that arrive at it, as one permit for each request.
+//
+// A server may also state that it is leaving, which nodes tell each other, too, or ask the
+// node that received the response to send nothing for some time.
 package throttle
