throttle: a rate of zero isn't a change each time

Found by reading the change again. A server that states a rate of 0 would fill the logs and the datagrams: each response, and each notice of another node, counted as a changed rate, as zero divided by zero is no number.

Rates are compared with the lowest one that applies. The test failed before: the notice was sent again half a second later.

--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -66,7 +66,7 @@
 	ids map[Server]string
 }
 
-// server is the state of a server that has stated a limit.
+// server is the state of a server that has stated something.
 type server struct {
 	key     Server
 	limited bool
@@ -79,7 +79,7 @@
 	sentAt time.Time
 	// liftedAt is when the limit ended; zero before.
 	liftedAt time.Time
-	// loggedRate is the rate in the last log line.
+	// loggedRate is the rate that applied at the last log line; 0 before.
 	loggedRate float64
 	changedAt  time.Time
 	reportedAt time.Time
@@ -250,8 +250,9 @@
 		r.countLimited()
 	}
 	s.rate, s.at = rate, at
-	if ratio := rate / s.loggedRate; math.IsNaN(ratio) || ratio >= logRatio || ratio <= 1/logRatio {
-		s.loggedRate, s.changedAt = rate, now
+	// Rates below minRate have the same effect.
+	if ratio := max(rate, minRate) / s.loggedRate; ratio >= logRatio || ratio <= 1/logRatio {
+		s.loggedRate, s.changedAt = max(rate, minRate), now
 		_ = level.Info(r.logger).Log("msg", "backend server limits its request rate", "instance", r.ids[s.key], "per_second", rate, "source", source)
 	}
 }
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -189,3 +189,19 @@
 	other.Absorb(r.Report())
 	g.Expect(other.HeldUntil(1)).To(BeZero())
 }
+
+// Guards against a rate of zero that counts as changed with each response, so that each node
+// logs it and tells all others in each round.
+func TestARateOfZeroIsReportedOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r := newTestRegistry(c)
+	r.Observe(1, limited(0), c.at)
+	c.advance(changeReportTime + time.Millisecond)
+	g.Expect(r.Report()).To(HaveLen(1))
+	c.advance(reportInterval / 2)
+	r.Observe(1, limited(0), c.at)
+	g.Expect(r.Report()).To(BeEmpty())
+	r.Observe(1, limited(3), c.at)
+	g.Expect(r.Report()).To(HaveLen(1))
+}
