throttle: keep the permits of rounds that are far apart

Permits were added for 0.3 s at most, and nodes add them once a round, which takes up to 0.42 s with 127 nodes in a failure domain: there and above a part of the accepted rate was lost wherever requests are too few to add them in between.

The bound is a second. The test failed before: 34 of 60 permits with calls half a second apart.

--- a/throttle/permits.go
+++ b/throttle/permits.go
@@ -17,9 +17,9 @@
 	// permitArrivals is the number of requests that are expected at the node while a permit
 	// is valid.
 	permitArrivals = 2
-	// maxRefillGap bounds the time for which permits are added at once. A node that
-	// refilled less often than that wasn't running, or knew nothing of the limit.
-	maxRefillGap = 300 * time.Millisecond
+	// maxRefillGap bounds the time for which permits are added at once. It is longer than a
+	// round of the largest deployments; a node that refilled less often wasn't running.
+	maxRefillGap = time.Second
 	// rampTime is the time after the end of a limit in which the rate rises, so that not
 	// all nodes turn to the server at once.
 	rampTime = 3 * time.Second
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -205,3 +205,21 @@
 	r.Observe(1, limited(3), c.at)
 	g.Expect(r.Report()).To(HaveLen(1))
 }
+
+// Guards against permits that are lost at nodes of large deployments, whose rounds are far
+// apart.
+func TestPermitsAccumulateBetweenRoundsThatAreFarApart(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{time.Unix(1e9, 0)}
+	r := newTestRegistry(c)
+	r.Observe(1, limited(2), c.at)
+	used := 0
+	for range 240 {
+		c.advance(500 * time.Millisecond)
+		if r.Allowance(1, Demand{Share: 0.25, Rate: 1}).Permits >= 1 {
+			r.Use(1)
+			used++
+		}
+	}
+	g.Expect(used).To(BeNumerically("~", 60, 2), "permits used in two minutes")
+}
