forward: resume a stream whose media type is unknown

Found by reading the change again. A stream that began without a valid Content-Type was broken off, although sound, if the engine that resumed it named one.

Media types are compared only if both are known.

--- a/forward/faulty_engine_test.go
+++ b/forward/faulty_engine_test.go
@@ -210,6 +210,25 @@
 	)
 })
 
+var _ = Describe("Handler with a stream whose engines name no media type or only some do", func() {
+	DescribeTable("resumes it", func(first, second string) {
+		// Guards against a sound stream that is broken off because its media type is unknown.
+		head := func(contentType string) string {
+			return strings.Replace(streamHead, "Content-Type: text/event-stream\r\n", contentType, 1)
+		}
+		s := &scriptedServer{scripts: []string{head(first) + twoEvents + "CLOSE", head(second) + "f\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n"}}
+		status, body, complete := sendScripted(newScriptedNode(s.listen(), s.listen()), "/stream/x", "r")
+		Expect(status).To(Equal(200))
+		Expect(body).To(HaveSuffix("id: 3\ndata: c\n\n"))
+		Expect(complete).To(BeTrue())
+	},
+		Entry("neither", "", ""),
+		Entry("the second", "", "Content-Type: text/event-stream\r\n"),
+		Entry("the first", "Content-Type: text/event-stream\r\n", ""),
+		Entry("with parameters", "Content-Type: text/event-stream\r\n", "Content-Type: text/event-stream; charset=utf-8\r\n"),
+	)
+})
+
 var _ = Describe("Handler with an engine that stops within the head of its response", func() {
 	DescribeTable("never answers with success",
 		func(path, head string) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -25,7 +25,7 @@
 	controller  *http.ResponseController
 	// status is the HTTP status of the response.
 	status int
-	// contentType is the media type of the response.
+	// contentType is the media type of the response; empty if it is unknown.
 	contentType string
 	// events is the number of events sent to the caller.
 	events int
@@ -128,7 +128,7 @@
 	if response.Status != http.StatusOK {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d instead of resuming the stream", response.Status)
 	}
-	if t := mediaType(response.Header); s.begun && t != "" && t != s.contentType {
+	if t := mediaType(response.Header); s.begun && t != "" && s.contentType != "" && t != s.contentType {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered with %s instead of resuming the stream of %s", t, s.contentType)
 	}
 	events := newEventReader(response.Body)
