lease: a record created across a restore is nobody's lease

Found by reading the change again. A candidate that read no record, and created one after the store had been restored in between, held the lease under the first term of the earlier era, which may have been given out.

Such a record isn't taken for a lease; all wait for its duration, and the next term is one of the new era. The test failed before: the node held the lease at once.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -29,6 +29,8 @@
 	current        object.Object
 	loseNextResult bool
 	down           bool
+	// beforeUpdate is called once before the next update.
+	beforeUpdate func()
 }
 
 func (s *fakeStore) Get(context.Context, object.Key) (object.Object, error) {
@@ -49,10 +51,16 @@
 	if s.down {
 		return 0, object.ErrUnavailable
 	}
-	if expected != s.current.Version {
+	if before := s.beforeUpdate; before != nil {
+		s.beforeUpdate = nil
+		before()
+	}
+	// An object is created in whatever era the store is.
+	creates := !expected.Exists() && !s.current.Version.Exists()
+	if expected != s.current.Version && !creates {
 		return 0, object.ErrConflict
 	}
-	s.current = object.Object{Key: key, Version: expected + 1, Value: value}
+	s.current = object.Object{Key: key, Version: s.current.Version + 1, Value: value}
 	if s.loseNextResult {
 		s.loseNextResult = false
 		return 0, object.ErrAmbiguous
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -93,3 +93,29 @@
 		stopNodes(n)
 	})
 }
+
+// Guards against a lease that is created just after a restore in the belief that there was
+// none before, under a term that may have been given out.
+func TestLeaseCreatedAcrossARestoreIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		first, err := object.NewVersion(1, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		s := &fakeStore{current: object.Object{Version: first}}
+		s.beforeUpdate = func() {
+			version, err := object.NewVersion(2, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			s.current.Version = version
+		}
+		n := startNode(s, "a")
+		n.publishMembers(map[string]fleet.NodeState{"a": fleet.NodeServing})
+		time.Sleep(time.Second)
+		_, ok := n.heldShard()
+		g.Expect(ok).To(BeFalse())
+		time.Sleep(lease.DefaultDuration + time.Second)
+		held, ok := n.heldShard()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(held.Epoch).To(BeNumerically(">", 2<<16))
+		stopNodes(n)
+	})
+}
--- a/lease/shard.go
+++ b/lease/shard.go
@@ -200,7 +200,11 @@
 	sentAt, suspended := time.Now(), m.cfg.Suspended()
 	version, err := m.store.Update(callCtx, s.key, s.version, body)
 	if err == nil {
-		s.version, s.changedAt = version, time.Now()
+		s.version, s.record, s.changedAt = version, next, time.Now()
+		if s.fromEarlierEra() {
+			// The record was created in a later era than it states, so it is nobody's lease.
+			return false
+		}
 		s.setLease(next, sentAt, suspended, m.cfg)
 		return true
 	}
