forward: count resumed streams as demand for permits

Found by reading the change again. Callers would have seen a stream broken off that could be resumed, at a node with few other requests while all engines limit their rate.

Cause: a node's share of the rate follows the requests that arrive; a resumed stream didn't count, so the node expected no permit and refused it at once.

Resumed streams count like arrivals, and wait for a permit as long as their caller does. The test failed before: refused at once.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -145,7 +145,9 @@
 		assigned: make(chan *Target, 1), avoid: r.Avoid, promptTokens: r.PromptTokens,
 	}
 	d.mu.Lock()
-	if !r.Begun {
+	if r.Begun {
+		d.trafficOf(r.Pool).recordResume(time.Now())
+	} else {
 		d.trafficOf(r.Pool).recordArrival(time.Now(), r.PromptTokens)
 	}
 	if len(d.tables.Load().Targets(r.Pool)) == 0 {
--- a/forward/throttle.go
+++ b/forward/throttle.go
@@ -91,7 +91,7 @@
 	}
 	t := d.trafficOf(p)
 	t.decay(now)
-	own := t.arrivalRate + float64(len(d.waiting[p]))
+	own := t.arrivalRate + t.resumeRate + float64(len(d.waiting[p]))
 	if own <= 0 {
 		return throttle.Demand{}
 	}
@@ -194,7 +194,8 @@
 
 // acquireThrottled assigns a permit to a request whose targets are all throttled, or adds
 // the request to the queue. Permits that are too few for all requests go to the best ranks;
-// the other requests are refused at once. The caller holds the lock.
+// the other requests are refused at once. A resumed stream waits: it comes before all others,
+// and would be broken off. The caller holds the lock.
 func (d *Dispatcher) acquireThrottled(r SlotRequest, w *waiter, s *candidateSet, p permits, now time.Time) (*Target, error) {
 	if chance := d.trafficOf(r.Pool).chance(r.Rank, p.rate+p.available/permitUseTime.Seconds(), now); !r.Begun && rand.Float64() >= chance {
 		return nil, d.refuseThrottled(r.Pool, p, now)
@@ -210,7 +211,7 @@
 			return target, nil
 		}
 	}
-	if p.wait(ahead) > maxPatience*r.Until.Sub(now) {
+	if !r.Begun && p.wait(ahead) > maxPatience*r.Until.Sub(now) {
 		return nil, d.refuseThrottled(r.Pool, p, now)
 	}
 	d.enqueue(r.Pool, w)
--- a/forward/throttle_test.go
+++ b/forward/throttle_test.go
@@ -10,7 +10,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/engine"
 	"github.com/rattanlanding/rattanlanding/throttle"
@@ -276,6 +278,24 @@
 	})
 }
 
+// Guards against a stream that is broken off at a node without other requests, because its
+// resumption counts as no demand while servers are throttled.
+func TestResumedStreamsGetPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSaturation(9, 12, 17)
+		n := s.nodes[0]
+		n.others.Store(&othersReport{arrivals: 20})
+		registry := throttle.NewRegistry(throttle.Config{Random: func() float64 { return 0.8 }}, log.NewNopLogger(), metrics.NewRegistry())
+		n.dispatcher = NewDispatcher(n.tables, n, "z", registry)
+		for _, target := range n.tables.Load().Targets(s.pool) {
+			n.dispatcher.ObserveResponse(target.Instance, throttle.Statement{Limited: true, Rate: 2}, time.Now())
+		}
+		_, err := n.dispatcher.Acquire(context.Background(), SlotRequest{Pool: s.pool, Begun: true, Until: time.Now().Add(firstEventTimeout)})
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
 // Guards against a limit by which urgent requests lose to others, and against one that
 // starves the requests that are less urgent.
 func TestThrottledEnginesServeRanksInOrderAndStarveNone(t *testing.T) {
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -30,7 +30,9 @@
 	arrivalRate float64
 	// refusalRate is the moving average of refusals per second at updatedAt.
 	refusalRate float64
-	updatedAt   time.Time
+	// resumeRate is the moving average of resumed streams per second at updatedAt.
+	resumeRate float64
+	updatedAt  time.Time
 	// holdTime is the average time for which a slot is held.
 	holdTime time.Duration
 	// promptTokens is the average length of the prompts.
@@ -56,6 +58,12 @@
 	t.promptTokens.add(float64(promptTokens))
 }
 
+// recordResume counts a stream that is to be resumed.
+func (t *traffic) recordResume(now time.Time) {
+	t.decay(now)
+	t.resumeRate += 1 / rateWindow.Seconds()
+}
+
 // firstArrivalRate returns the rate of requests without those of refused callers, who are
 // assumed to retry once.
 func (t *traffic) firstArrivalRate(now time.Time) float64 {
@@ -89,7 +97,7 @@
 // decay reduces the rates exponentially by the time since the last update.
 func (t *traffic) decay(now time.Time) {
 	left := math.Exp(-now.Sub(t.updatedAt).Seconds() / rateWindow.Seconds())
-	t.arrivalRate, t.refusalRate, t.updatedAt = t.arrivalRate*left, t.refusalRate*left, now
+	t.arrivalRate, t.refusalRate, t.resumeRate, t.updatedAt = t.arrivalRate*left, t.refusalRate*left, t.resumeRate*left, now
 }
 
 // demand returns the number of slots that all requests would occupy; held is the number
