forward: callers who left take no place among those who return

Found by reading the change again. Refused callers are told to return one after the other, and one who had left while waiting took a place, too, so that the others were told to return later than needed.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -210,7 +210,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if permits := d.candidates(r.Pool).permitsFor(w); permits.throttled {
+	if permits := d.candidates(r.Pool).permitsFor(w); permits.throttled && ctx.Err() == nil {
 		return nil, d.refuseThrottled(r.Pool, permits, time.Now())
 	}
 	d.trafficOf(r.Pool).recordRefusal(time.Now())
--- a/forward/throttle_test.go
+++ b/forward/throttle_test.go
@@ -296,6 +296,27 @@
 	})
 }
 
+// Guards against callers who left while they waited and delay the return of the others.
+func TestCallersWhoLeaveDelayNoReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSaturation(1, 1, 17)
+		d := s.nodes[0].dispatcher
+		d.ObserveResponse(s.nodes[0].tables.Load().Targets(s.pool)[0].Instance, throttle.Statement{Limited: true}, time.Now())
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		for range 20 {
+			_, err := d.Acquire(left, SlotRequest{Pool: s.pool, Begun: true, Until: time.Now().Add(time.Minute)})
+			g.Expect(err).To(HaveOccurred())
+		}
+		// The goroutine that serves the queue ends.
+		time.Sleep(2 * recheckInterval)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		g.Expect(d.trafficOf(s.pool).nextReturn).To(BeZero())
+	})
+}
+
 // Guards against a limit by which urgent requests lose to others, and against one that
 // starves the requests that are less urgent.
 func TestThrottledEnginesServeRanksInOrderAndStarveNone(t *testing.T) {
