platform, forward: say whether a stated value is ignored or bounded

Found by reading the change again. A Retry-After of just ten minutes was logged as too long, and the line said that a bounded value was ignored.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -55,7 +55,7 @@
 	}
 	meta := h.Codec.DecodeResponse(response.Status, response.Header)
 	if meta.Err != nil {
-		_ = level.Warn(h.Logger).Log("msg", "invalid statement of a backend server ignored", "request", c.ID, "instance", slot.Instance.ID, "err", meta.Err)
+		_ = level.Warn(h.Logger).Log("msg", "invalid value in the statement of a backend server", "request", c.ID, "instance", slot.Instance.ID, "err", meta.Err)
 	}
 	if meta.Server == "" || meta.Server == slot.Instance.ID {
 		h.Dispatcher.ObserveResponse(slot.Instance, meta.Statement, sentAt)
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -52,8 +52,8 @@
 	Server string
 	// Statement is what the backend server states about itself.
 	Statement throttle.Statement
-	// Err describes an invalid statement, which is left out of Statement; nil if all are
-	// valid.
+	// Err describes values that are invalid, and left out of Statement, or too large; nil if
+	// there are none.
 	Err error
 }
 
