throttle, forward: read what applies to a server in one call

Found by reading the change again: the choice of a target took the lock of the registry three times for each target, and constants stood in four places. The tests are as before, apart from the name of the accessor.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -30,10 +30,8 @@
 	f.candidates, f.rates, f.heldUntil = make([]Candidate, len(f.targets)), make([]float64, len(f.targets)), make([]time.Time, len(f.targets))
 	demand := d.throttleDemand(p, now)
 	for i, t := range f.targets {
-		heldUntil := d.throttle.HeldUntil(t.Server)
-		f.heldUntil[i] = heldUntil
 		allowance := d.throttle.Allowance(t.Server, demand)
-		f.rates[i] = allowance.Rate * demand.Share
+		f.rates[i], f.heldUntil[i] = allowance.Rate*demand.Share, allowance.HeldUntil
 		f.candidates[i] = Candidate{
 			Requests:       float64(t.Load.Running() + d.peers.Running(t.Instance.ID)),
 			PromptTokens:   float64(t.Load.unreadPrompts.Load()),
@@ -42,7 +40,7 @@
 			Permits:        allowance.Permits,
 			Ahead:          d.peers.Ahead(p.Model, t.Instance.ID),
 			SameDomain:     t.Instance.FailureDomain == d.failureDomain,
-			Excluded:       !d.isEligible(t, now) || d.throttle.Leaving(t.Server) || now.Before(heldUntil),
+			Excluded:       !d.isEligible(t, now) || allowance.Leaving || now.Before(allowance.HeldUntil),
 			Slow:           t.Slowness > 1,
 			RecentlyFailed: t.Load.Suspected(now),
 		}
--- a/forward/throttle.go
+++ b/forward/throttle.go
@@ -29,8 +29,15 @@
 	permitUseTime = 400 * time.Millisecond
 	// rankWindow is the time constant of the averages of arrivals by rank.
 	rankWindow = 2 * time.Second
-	// maxReturnDelay is the longest time after which a refused caller is told to return.
+	// negligibleRate is the rate below which a rank is no longer counted, in requests per
+	// second.
+	negligibleRate = 0.01
+	// minReturnDelay and maxReturnDelay bound the time after which a refused caller is told
+	// to return.
+	minReturnDelay = 50 * time.Millisecond
 	maxReturnDelay = 5 * time.Second
+	// returnSpread is the time over which callers return once a server takes requests again.
+	returnSpread = time.Second
 )
 
 // refusedError is the error of a request that gets no slot because of what the backend
@@ -241,10 +248,6 @@
 	return max((permitRate-better)/t.rankRates[rank], minRankFraction*permitRate/all)
 }
 
-// negligibleRate is the rate below which a rank is no longer counted, in requests per
-// second.
-const negligibleRate = 0.01
-
 // refuseThrottled returns the error for a request that gets no permit. Refused callers are
 // told to return one after the other, at the rate of the permits. The caller holds the lock.
 func (d *Dispatcher) refuseThrottled(pool Pool, p permits, now time.Time) error {
@@ -262,9 +265,3 @@
 	return &refusedError{retryAfter: max(retryAfter, minReturnDelay), err: fmt.Errorf("%w: the backend servers accept %.2f requests per second from this node, %d more requests wait",
 		ErrFull, p.rate, len(d.waiting[pool]))}
 }
-
-// returnSpread is the time over which callers return once a server takes requests again.
-const returnSpread = time.Second
-
-// minReturnDelay is the shortest time after which a refused caller is told to return.
-const minReturnDelay = 50 * time.Millisecond
--- a/throttle/permits.go
+++ b/throttle/permits.go
@@ -85,12 +85,17 @@
 
 // Allowance is what a node may send to a server.
 type Allowance struct {
-	// Limited is false if there is no limit; the other fields are then zero.
+	// Limited is false if there is no limit; Rate and Permits are then zero.
 	Limited bool
 	// Rate is the number of requests per second that all nodes together may send.
 	Rate float64
 	// Permits is the number of requests that this node may send now.
 	Permits float64
+	// Leaving is true if the server is shutting down.
+	Leaving bool
+	// HeldUntil is when the server takes requests of this node again; a time in the past, or
+	// zero, if it does.
+	HeldUntil time.Time
 }
 
 // Allowance returns what a node with the given demand may send to a server.
@@ -105,12 +110,12 @@
 		return Allowance{}
 	}
 	now := r.now()
-	rate, limited := s.currentRate(now)
-	if !limited {
-		return Allowance{}
+	a := Allowance{Leaving: s.leaving, HeldUntil: s.heldUntil}
+	if a.Rate, a.Limited = s.currentRate(now); a.Limited {
+		s.refill(a.Rate*demand.Share, demand.permitLifetime(), now)
+		a.Permits = s.level
 	}
-	s.refill(rate*demand.Share, demand.permitLifetime(), now)
-	return Allowance{Limited: true, Rate: rate, Permits: s.level}
+	return a
 }
 
 // Rate returns the number of requests per second that all nodes together may send to a
--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -220,20 +220,6 @@
 	return s != nil && s.leaving
 }
 
-// HeldUntil returns when a server takes requests of this node again; a time in the past, or
-// zero, if it does.
-func (r *Registry) HeldUntil(key Server) time.Time {
-	if r.count.Load() == 0 {
-		return time.Time{}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s := r.servers[key]; s != nil {
-		return s.heldUntil
-	}
-	return time.Time{}
-}
-
 // Changed returns a channel that is closed when a server states that it is leaving.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -177,17 +177,17 @@
 	r.Observe(1, Statement{RetryAfter: 4 * time.Second}, c.at)
 	r.Observe(1, Statement{RetryAfter: time.Second}, c.at)
 	r.Observe(1, Statement{}, c.at)
-	g.Expect(r.HeldUntil(1)).To(Equal(c.at.Add(4 * time.Second)))
+	g.Expect(r.Allowance(1, Demand{}).HeldUntil).To(Equal(c.at.Add(4 * time.Second)))
 	r.Observe(2, Statement{RetryAfter: 1000 * time.Hour}, c.at)
-	g.Expect(r.HeldUntil(2)).To(Equal(c.at.Add(MaxRetryAfter)))
-	g.Expect(r.HeldUntil(3)).To(BeZero())
+	g.Expect(r.Allowance(2, Demand{}).HeldUntil).To(Equal(c.at.Add(MaxRetryAfter)))
+	g.Expect(r.Allowance(3, Demand{}).HeldUntil).To(BeZero())
 	r.SetListed(map[Server]string{1: "a", 2: "b"})
 	g.Expect(r.servers).To(HaveLen(2))
 	c.advance(5 * time.Second)
 	r.SetListed(map[Server]string{1: "a", 2: "b"})
-	g.Expect(r.HeldUntil(1)).To(BeZero(), "forgotten")
+	g.Expect(r.Allowance(1, Demand{}).HeldUntil).To(BeZero(), "forgotten")
 	other.Absorb(r.Report())
-	g.Expect(other.HeldUntil(1)).To(BeZero())
+	g.Expect(other.Allowance(1, Demand{}).HeldUntil).To(BeZero())
 }
 
 // Guards against a rate of zero that counts as changed with each response, so that each node
