forward: a stream without a length that ends before an event isn't complete

Callers saw an empty stream of status 200 that looked complete when an engine crashed after the head of a response with neither a length nor chunks: its connection closes in the same way at the end of a whole one.

Cause: the end of the connection between two events counted as the end of the stream, also before the first event.

A stream that ends with its connection counts as broken off until an event has arrived: the request is sent to another engine, or fails. What such a stream can't show, an end between two later events, stays as it was.

The tests cover responses that end with their connection, streams and bodies, closed and reset at each place.

--- a/forward/faulty_engine_test.go
+++ b/forward/faulty_engine_test.go
@@ -24,7 +24,7 @@
 
 // scriptedServer writes a scripted response to each request in turn, on whatever connection
 // it arrives. In a script, ID stands for the ID of the request; one that ends in CLOSE
-// closes the connection.
+// closes the connection, one that ends in RESET resets it.
 type scriptedServer struct {
 	mu      sync.Mutex
 	scripts []string
@@ -72,8 +72,12 @@
 			script, s.scripts = s.scripts[0], s.scripts[1:]
 		}
 		s.mu.Unlock()
+		script, resets := strings.CutSuffix(script, "RESET")
+		if resets {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
 		script, closes := strings.CutSuffix(script, "CLOSE")
-		if _, err := io.WriteString(conn, strings.ReplaceAll(script, "ID", id)); err != nil || closes {
+		if _, err := io.WriteString(conn, strings.ReplaceAll(script, "ID", id)); err != nil || closes || resets {
 			return
 		}
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -156,6 +156,9 @@
 			return err
 		}
 	}
+	if received == 0 && response.EndsWithConnection() {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine closed the connection of a stream without a length before an event")
+	}
 	if received > 0 && received < soundEvents {
 		h.Quarantine.Sound(s.Prompt)
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -178,6 +178,12 @@
 // the watch gets.
 func (r *Response) Progress() { r.conn.markProgress() }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks. Its end can't
+// be told from a connection that a failing server closed, unless the content shows it.
+func (r *Response) EndsWithConnection() bool {
+	return r.Length < 0 && !slices.Contains(r.response.TransferEncoding, "chunked")
+}
+
 // Abort closes the connection of a response that wasn't read to its end.
 func (r *Response) Abort() {
 	if !r.complete {
@@ -194,8 +200,7 @@
 		requestSent = err == nil
 	default:
 	}
-	framed := r.Length >= 0 || slices.Contains(r.response.TransferEncoding, "chunked")
-	if !contextActive || !requestSent || !framed || r.response.Close || c.desynchronised || c.reader.Buffered() > 0 {
+	if !contextActive || !requestSent || r.EndsWithConnection() || r.response.Close || c.desynchronised || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
