upstream: a reset that arrives while a read is given up isn't the end of a body

Callers could get an incomplete answer that looked complete, if an answer with neither a length nor chunks was reset while this process was suspended past the timeout of the read.

Cause: before such a read ends, it looks for bytes that arrived meanwhile. The look consumed the error of the connection, and the read after it returned io.EOF, which ends such a body.

The look returns the error instead. The test failed before: the body 'ab' was complete.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -91,9 +92,16 @@
 // readPending reads bytes that arrived while this process, not the backend server, was
 // suspended. Without such bytes it returns the watch's error.
 func (c *Conn) readPending(p []byte, timeout error) (int, error) {
-	if c.pendingRead >= maxPending || c.isQuiet() {
+	if c.pendingRead >= maxPending {
 		return 0, timeout
 	}
+	switch err := c.peek(); {
+	case errors.Is(err, syscall.EAGAIN):
+		return 0, timeout
+	case err != nil:
+		// The kernel reports an error once; a read would return io.EOF now.
+		return 0, err
+	}
 	if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
 		return 0, err
 	}
@@ -106,22 +114,25 @@
 func (c *Conn) markProgress() { c.progressAt, c.pendingRead = time.Now(), 0 }
 
 // isQuiet reports whether the connection is open and has no unread bytes in the kernel.
-func (c *Conn) isQuiet() bool {
+func (c *Conn) isQuiet() bool { return errors.Is(c.peek(), syscall.EAGAIN) }
+
+// peek looks for unread bytes in the kernel. It returns nil if there are some or the peer has
+// closed the connection, EAGAIN if there are none, or the error of the connection.
+func (c *Conn) peek() error {
 	sys, ok := c.raw.(syscall.Conn)
 	if !ok {
-		return true
+		return syscall.EAGAIN
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	quiet := false
+	var peekErr error
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		_, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	return cmp.Or(err, peekErr)
 }
 
 // Close closes the connection and removes it from the pool's count.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -206,6 +206,37 @@
 		Expect(err).To(MatchError(errStalled))
 	})
 
+	It("doesn't take a reset during the watch's last call for the end of a body", func() {
+		// Guards against an incomplete body that looks complete after this process was
+		// suspended: looking for unread bytes consumes the error of the reset connection.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		reset := make(chan struct{})
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r\r\n\r\nab")
+			<-reset
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}()
+		reads := 0
+		body, err := exchange(upstream.NewPool(upstream.Config{}), listener.Addr().String(), func(time.Duration) (time.Duration, error) {
+			if reads++; reads == 1 {
+				return time.Second, nil
+			}
+			close(reset)
+			time.Sleep(50 * time.Millisecond)
+			return 0, errors.New("suspended")
+		})
+		Expect(body).To(Equal("ab"))
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("opens no more connections than allowed", func() {
 		// Guards against connections that a backend server would reset.
 		address, _ := newServer(responseWith("r", "one"))
