backend: accept plain answers that end with their connection

Callers of the gateway got 502 (incomplete-answer, may-have-run) for each answer of a plain server with neither a length nor chunks, though it had run and its answer was whole; one that may be repeated ran at up to three servers.

Cause: such bodies were refused, because a cut can't be told from the end. A server that fails resets the connection.

A body that ends with its connection is complete if that is closed, and incomplete if it is reset; Content-Digest is checked as before and shows other cuts.

Streams were right: they need their end marker.

--- a/backend/plain_client.go
+++ b/backend/plain_client.go
@@ -116,16 +116,12 @@
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
-// readBody reads a response body of at most limit bytes. A body that is delimited only
-// by the end of the connection is an error, because its end can't be distinguished from
-// a truncation.
+// readBody reads a response body of at most limit bytes. A body with neither a length nor
+// chunks is complete when its connection is closed, not if it is reset.
 func readBody(response *http.Response, limit int64) ([]byte, error) {
 	if response.Request != nil && response.Request.Method == http.MethodHead {
 		return nil, nil
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonIncompleteAnswer, "answer has no length")
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonIncompleteAnswer, "answer was cut").WithCause(err)
