route: a group of a withdrawn service is alive until its streams have ended

Callers saw streams move to another group, or end with an error event, when a release note withdrew their service and their engine paused for longer than half a second (StallCheck), as it does while it reads a long prompt; the groups stay placed until such streams have ended.

Cause: the routing table listed the evidence of groups, by which a pausing stream is told from a stalled one, only if their service was configured. With the service gone no group of it counted as alive.

The evidence of all placed groups is listed. The test of withdrawn groups failed before for one whose service is withdrawn, too.

--- a/route/builder.go
+++ b/route/builder.go
@@ -174,7 +174,8 @@
 }
 
 // addGroups adds the groups whose members have all reported that they are ready
-// in their roles.
+// in their roles. A group outlives the configuration of its service until its streams have
+// ended.
 func (b *Builder) addGroups(table *Table, s snapshot) {
 	placements := b.board.Placements.Load()
 	if placements == nil {
@@ -187,14 +188,17 @@
 	for _, placement := range placements.ByDomain {
 		for i := range placement.Placement.Groups {
 			group := &placement.Placement.Groups[i]
-			service := table.Services[group.Service]
-			if len(group.Members) == 0 || service == nil || service.Kind != fleet.KindModel {
+			if len(group.Members) == 0 {
 				continue
 			}
 			oldest, complete := oldestEvidence(group, s.evidence)
 			if complete {
 				table.completeUntil[groupKey{group.Name, group.Generation}] = oldest.Add(b.config.Lifetime)
 			}
+			service := table.Services[group.Service]
+			if service == nil || service.Kind != fleet.KindModel {
+				continue
+			}
 			if configured[group.Name] == group.Service && acceptsWork(group, s.instances) {
 				b.addGroup(service, group, s, oldest, complete)
 			}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -155,6 +155,8 @@
 		f.placement.Groups[0].Phase = fleet.PhaseWithdrawn
 		Expect(f.table().Alive("g0", 1, start)).To(BeTrue())
 		Expect(f.table().Alive("g0", 2, start)).To(BeFalse())
+		f.config = fleet.Configuration{}
+		Expect(f.table().Alive("g0", 1, start)).To(BeTrue(), "its service was withdrawn, too")
 		delete(f.evidence, "i0-1")
 		Expect(f.table().Alive("g0", 1, start)).To(BeFalse())
 	})
