--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -44,6 +45,7 @@
 	claims    claim.Fake
 	settings  gateway.Config
 	refresher gateway.Refresher
+	admitter  gateway.Limiter
 	gateway   *gateway.Gateway
 	url       string
 
@@ -62,10 +64,11 @@
 	Extra     string   `json:"extra"`
 	Deadline  string   `json:"-"`
 	w         http.ResponseWriter
+	ctx       context.Context
 }
 
 func newTestEnv() *testEnv {
-	e := &testEnv{evidence: make(map[string]blackboard.Observation), refresher: gateway.Unlimited{}}
+	e := &testEnv{evidence: make(map[string]blackboard.Observation), refresher: gateway.Unlimited{}, admitter: gateway.Unlimited{}}
 	e.settings = gateway.Config{RefreshAge: time.Hour, PickWait: time.Millisecond, ResumeWait: time.Millisecond,
 		Groups: &route.RoundRobin{}, Servers: &route.RoundRobin{}}
 	hash := func(key string) []string {
@@ -98,7 +101,7 @@
 			return
 		}
 		a := attempt{Group: r.Header.Get(backend.HeaderGroup), ID: r.Header.Get(backend.HeaderAttempt),
-			Deadline: r.Header.Get(backend.HeaderDeadline), w: rw}
+			Deadline: r.Header.Get(backend.HeaderDeadline), w: rw, ctx: r.Context()}
 		_ = json.NewDecoder(r.Body).Decode(&a)
 		e.mu.Lock()
 		e.attempts = append(e.attempts, a)
@@ -146,7 +149,7 @@
 	e.publish()
 	registry := metrics.NewRegistry()
 	e.gateway = gateway.New(e.settings, gateway.Dependencies{Board: &e.board, Table: &e.builder.Table,
-		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: gateway.Unlimited{},
+		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: e.admitter,
 		Claims: &e.claims, Refresher: e.refresher, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = e.gateway.Server()
