gateway: abort a response whose handler panics after it has begun

Callers saw a stream that ended like a complete response, though without its end marker, when its handler panicked: the panic was logged and the error dropped, because the response had begun.

The connection is aborted, as by the handler of entry nodes. The test failed before: the body ended without an error.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -43,11 +43,14 @@
 	g.metrics.requests.Inc(1)
 	defer func() {
 		if p := recover(); p != nil {
-			if p == http.ErrAbortHandler {
+			if p != http.ErrAbortHandler {
+				_ = level.Error(g.Logger).Log("msg", "panic while handling a request; its outcome is unknown", "request", id, "panic", fmt.Sprint(p))
+			}
+			if p == http.ErrAbortHandler || c.Writer.Written() {
+				// Aborting the connection is the only way to signal an incomplete response.
 				g.inFlight.Add(-1)
-				panic(p)
+				panic(http.ErrAbortHandler)
 			}
-			level.Error(g.Logger).Log("msg", "panic while handling a request; its outcome is unknown", "request", id, "panic", fmt.Sprint(p))
 			g.fail(c, verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "internal error"))
 		}
 		g.inFlight.Add(-1)
--- a/gateway/resume_error_test.go
+++ b/gateway/resume_error_test.go
@@ -1,11 +1,14 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/route"
 )
 
 var _ = Describe("Completions that are resumed", func() {
@@ -39,4 +42,26 @@
 		}),
 		Entry("a success that is no stream", func(w http.ResponseWriter) { _, _ = w.Write([]byte("{\"error\":\"boom\"}\n\n")) }),
 	)
+
+	It("aborts a stream whose handler panics", func() {
+		// Guards against an incomplete stream that ends like a complete response.
+		choices := 0
+		e.settings.Groups = pausingPolicy{func(*route.Target) {
+			if choices++; choices > 1 {
+				panic("test")
+			}
+		}}
+		e.addEngine(func(a attempt) { a.writeTokens(0, 1) })
+		e.start()
+		request, err := http.NewRequest("POST", e.url+"/v1/completions", strings.NewReader(streamedRequest))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Authorization", "Bearer k1")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		Expect(string(body)).To(ContainSubstring("t0 "))
+		Expect(err).To(HaveOccurred())
+		Eventually(e.gateway.InFlight).Should(BeZero())
+	})
 })
