gateway: refuse at once while the service of a waiting request is withdrawn

Callers whose stream had lost its group waited up to 15 s (ResumeWait) for the error event, and new requests up to 1 s for their refusal, when their service had been withdrawn meanwhile: no group of it could come back.

Waiting for a target ends once the newest configuration lacks the service. The test failed before: the error event came after the whole wait, a minute there.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -22,7 +22,8 @@
 )
 
 // pickTarget chooses a target for a new attempt and waits up to wait for one. It
-// returns nil if no target may receive work by then. Targets in tried are chosen only
+// returns nil if no target may receive work by then, or at once if the service was
+// withdrawn. Targets in tried are chosen only
 // if there is no other.
 func (g *Gateway) pickTarget(ctx context.Context, policy route.Policy, service string, tried []string, wanted route.Request, wait time.Duration) *route.Target {
 	deadline := time.Now().Add(wait)
@@ -43,12 +44,20 @@
 				refreshed = time.Now()
 			}
 		}
-		if remaining := time.Until(deadline); remaining <= 0 || !waitForChange(ctx, changed, remaining) {
+		remaining := time.Until(deadline)
+		if remaining <= 0 || g.withdrawn(service) || !waitForChange(ctx, changed, remaining) {
 			return nil
 		}
 	}
 }
 
+// withdrawn reports whether the service is no longer configured, so that waiting for a target
+// is pointless.
+func (g *Gateway) withdrawn(service string) bool {
+	configuration := g.Board.Configuration.Load()
+	return configuration != nil && configuration.Service(service) == nil
+}
+
 // chooseTarget lets the policy choose among the targets whose evidence has not expired
 // and is at most maxAge old, except the excluded ones. It returns nil if there are none.
 func (g *Gateway) chooseTarget(policy route.Policy, service string, excluded []string, wanted route.Request, maxAge time.Duration) *route.Target {
--- a/gateway/resume_error_test.go
+++ b/gateway/resume_error_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/route"
 )
 
@@ -43,6 +45,22 @@
 		Entry("a success that is no stream", func(w http.ResponseWriter) { _, _ = w.Write([]byte("{\"error\":\"boom\"}\n\n")) }),
 	)
 
+	It("ends a stream at once if its service is withdrawn before it can resume", func() {
+		// Guards against a caller that waits for a group that can't come back.
+		e.settings.ResumeWait, e.settings.CompletionTimeout = time.Minute, time.Minute
+		e.addEngine(func(a attempt) {
+			a.writeTokens(0, 1)
+			e.board.Configuration.Publish(&fleet.Configuration{Organisations: e.config.Organisations})
+			e.builder.Build()
+		})
+		e.start()
+		begun := time.Now()
+		got := e.do("POST", "/v1/completions", streamedRequest)
+		Expect(got.body).To(ContainSubstring("event: error"))
+		Expect(got.body).NotTo(ContainSubstring(endMarker))
+		Expect(time.Since(begun)).To(BeNumerically("<", 30*time.Second))
+	})
+
 	It("aborts a stream whose handler panics", func() {
 		// Guards against an incomplete stream that ends like a complete response.
 		choices := 0
