placement: drain a withdrawn group as long as a request may take

Callers of the gateway could have a long completion cut after two minutes, when a release note withdrew its group: the members were released although it was still running. With another group of the same model version it would resume there; with the whole service withdrawn it would end with an error event.

Cause: the drain took at most two minutes or the timeout of the service. A completion of a service without a timeout may take five minutes, and the timeout of a withdrawn service was looked up in the new configuration, where it no longer stands.

The drain waits for the requests in flight for as long as one of the service may take: its timeout, the default, or for a withdrawn service the longest timeout. Both time limits move to package fleet.

--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -1,5 +1,16 @@
 package fleet
 
+import "time"
+
+// Time limits of requests.
+const (
+	// DefaultCompletionTimeout is the time limit of a completion of a service without a
+	// timeout of its own.
+	DefaultCompletionTimeout = 5 * time.Minute
+	// MaxTimeout is the longest timeout that a service may have.
+	MaxTimeout = 10 * time.Minute
+)
+
 // Revision numbers accepted configurations, from 1. Revision 0 is the empty
 // configuration before the first release note.
 type Revision uint64
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
@@ -26,7 +27,7 @@
 	// IdleTimeout is the time after which an idle connection is closed; default 75 s.
 	IdleTimeout time.Duration
 	// CompletionTimeout is the time limit of a completion of a service without a
-	// timeout of its own; default 5 min.
+	// timeout of its own; default fleet.DefaultCompletionTimeout.
 	CompletionTimeout time.Duration
 	// PlainTimeout is the time limit of a call to a plain service without a timeout of
 	// its own; default 15 s.
@@ -65,7 +66,7 @@
 	c.BodyTimeout = cmp.Or(c.BodyTimeout, 15*time.Second)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, 15*time.Second)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, 75*time.Second)
-	c.CompletionTimeout = cmp.Or(c.CompletionTimeout, 5*time.Minute)
+	c.CompletionTimeout = cmp.Or(c.CompletionTimeout, fleet.DefaultCompletionTimeout)
 	c.PlainTimeout = cmp.Or(c.PlainTimeout, 15*time.Second)
 	c.RefreshAge = cmp.Or(c.RefreshAge, 2*time.Second)
 	c.PickWait = cmp.Or(c.PickWait, time.Second)
--- a/placement/input.go
+++ b/placement/input.go
@@ -14,8 +14,7 @@
 	// DefaultFormingAllowance is the time a member has to load weights and
 	// report its role.
 	DefaultFormingAllowance = 3 * time.Minute
-	// DefaultDrainAllowance limits the drain of a withdrawn group. It is longer
-	// than the time limit of a request.
+	// DefaultDrainAllowance is longer than most requests take.
 	DefaultDrainAllowance = 2 * time.Minute
 	// DefaultMinDrain is longer than a placement takes to reach every node.
 	DefaultMinDrain = 2500 * time.Millisecond
@@ -30,7 +29,7 @@
 	// role.
 	FormingAllowance time.Duration
 	// DrainAllowance is the longest time for which a withdrawn group is
-	// drained, unless its service has a longer request timeout.
+	// drained, unless a request of its service may take longer.
 	DrainAllowance time.Duration
 	// MinDrain is the shortest time for which a group stays withdrawn, so that
 	// every node has received the update before the members are released.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -75,8 +75,7 @@
 	if age < d.input.Limits.MinDrain {
 		return false
 	}
-	service := d.input.Services[g.Service]
-	if age >= max(d.input.Limits.DrainAllowance, time.Duration(service.TimeoutMs)*time.Millisecond) {
+	if age >= d.drainLimit(g.Service) {
 		return true
 	}
 	for _, m := range g.Members {
@@ -88,6 +87,16 @@
 	return true
 }
 
+// drainLimit returns the longest time for which a withdrawn group of a service is drained:
+// at least that of a request. The time limit of a withdrawn service is unknown.
+func (d *draft) drainLimit(name string) time.Duration {
+	request := fleet.MaxTimeout
+	if service, found := d.input.Services[name]; found {
+		request = cmp.Or(time.Duration(service.TimeoutMs)*time.Millisecond, fleet.DefaultCompletionTimeout)
+	}
+	return max(d.input.Limits.DrainAllowance, request)
+}
+
 // promote changes the phase of forming groups to serving once all members have
 // reported that they are ready in their roles.
 func (d *draft) promote() {
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -200,6 +200,12 @@
 			s.Groups, s.Current.Groups[0].Phase, s.GroupAge[1] = nil, fleet.PhaseWithdrawn, 10*time.Second
 			return s
 		}(), "h:withdrawn a b"),
+	Entry("waits for requests in flight of a withdrawn group as long as they may take", balanced(0.5),
+		withdrawnWithRequests(fleet.DefaultCompletionTimeout-time.Second, true), "h:withdrawn a b"),
+	Entry("doesn't wait for them any longer", balanced(0.5), withdrawnWithRequests(fleet.DefaultCompletionTimeout, true)),
+	Entry("waits for requests in flight of a withdrawn service as long as any may take", balanced(0.5),
+		withdrawnWithRequests(fleet.MaxTimeout-time.Second, false), "h:withdrawn a b"),
+	Entry("doesn't wait for those any longer", balanced(0.5), withdrawnWithRequests(fleet.MaxTimeout, false)),
 	Entry("removes a drained group that is not configured", balanced(0.5),
 		func() *inputBuilder {
 			s := newInput().group("h", "high", "a", "b")
@@ -208,6 +214,17 @@
 		}()),
 )
 
+// withdrawnWithRequests returns an input with a group that was withdrawn some time ago,
+// together with its service unless that is still configured, and has a request in flight.
+func withdrawnWithRequests(age time.Duration, configured bool) *inputBuilder {
+	b := newInput().group("h", "high", "a", "b").view("b", func(v *placement.InstanceView) { v.Report.Running = 1 })
+	b.Groups, b.Current.Groups[0].Phase, b.GroupAge[1] = nil, fleet.PhaseWithdrawn, age
+	if !configured {
+		delete(b.Services, "high")
+	}
+	return b
+}
+
 // alwaysFill is a policy that always fills, even if instances are not free.
 type alwaysFill struct{ placement.Policy }
 
--- a/release/validate.go
+++ b/release/validate.go
@@ -5,6 +5,7 @@
 	"path"
 	"regexp"
 	"strings"
+	"time"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/internal/strictjson"
@@ -13,10 +14,8 @@
 // Limits of the fields of a note.
 const (
 	// maxGroupSize is the maximum number of instances in a group.
-	maxGroupSize   = 64
-	maxReasonBytes = 500
-	// maxTimeoutMs is the maximum timeout of a service in milliseconds, 10 minutes.
-	maxTimeoutMs    = 600_000
+	maxGroupSize    = 64
+	maxReasonBytes  = 500
 	maxPriority     = 100
 	maxTokensPerSec = 1e9
 	maxWeight       = 1000
@@ -129,7 +128,7 @@
 	p.CheckName(field+".name", s.Name)
 	p.CheckName(field+".pool", s.Pool)
 	checkChangedUnset(p, field, s.Changed)
-	p.CheckRange(field+".timeoutMs", float64(s.TimeoutMs), 0, maxTimeoutMs)
+	p.CheckRange(field+".timeoutMs", float64(s.TimeoutMs), 0, float64(fleet.MaxTimeout/time.Millisecond))
 	p.CheckRange(field+".priority", float64(s.Priority), 0, maxPriority)
 	switch s.Kind {
 	case fleet.KindModel:
