forward: a crash before the first event of a stream without a length counts

Engines could crash under one prompt after another, if they closed the connection after the head of a response with neither a length nor chunks: the crash wasn't reported.

Cause: only errors with a cause are checked for a crash, and such a stream used to end as a complete one, then with an error without a cause.

The error has one.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -67,11 +67,11 @@
 	s.closed.Add(1)
 }
 
-// headerCodec reads the request ID and the model from headers.
+// headerCodec reads the request ID, the model and the parts of the prompt from headers.
 type headerCodec struct{}
 
 func (headerCodec) DecodeRequest(h http.Header) Meta {
-	return Meta{ID: h.Get("Id"), Model: h.Get("Model")}
+	return Meta{ID: h.Get("Id"), Model: h.Get("Model"), Prompt: h.Values("Part")}
 }
 func (headerCodec) EncodeRequest(http.Header, Attempt)    {}
 func (headerCodec) EncodeOwnResponse(http.Header, string) {}
--- a/forward/faulty_engine_test.go
+++ b/forward/faulty_engine_test.go
@@ -24,7 +24,8 @@
 
 // scriptedServer writes a scripted response to each request in turn, on whatever connection
 // it arrives. In a script, ID stands for the ID of the request; one that ends in CLOSE
-// closes the connection, one that ends in RESET resets it.
+// closes the connection, one that ends in RESET resets it, and one that ends in CRASH closes
+// it and the listener.
 type scriptedServer struct {
 	mu      sync.Mutex
 	scripts []string
@@ -32,12 +33,16 @@
 	runs map[string]int
 	// connections is the number of connections accepted.
 	connections int
+	listeners   []net.Listener
 }
 
 func (s *scriptedServer) listen() string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
+	DeferCleanup(func() { _ = listener.Close() })
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -71,13 +76,19 @@
 		if len(s.scripts) > 0 {
 			script, s.scripts = s.scripts[0], s.scripts[1:]
 		}
+		script, crashes := strings.CutSuffix(script, "CRASH")
+		if crashes {
+			for _, l := range s.listeners {
+				_ = l.Close()
+			}
+		}
 		s.mu.Unlock()
 		script, resets := strings.CutSuffix(script, "RESET")
 		if resets {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
 		script, closes := strings.CutSuffix(script, "CLOSE")
-		if _, err := io.WriteString(conn, strings.ReplaceAll(script, "ID", id)); err != nil || closes || resets {
+		if _, err := io.WriteString(conn, strings.ReplaceAll(script, "ID", id)); err != nil || closes || resets || crashes {
 			return
 		}
 	}
@@ -136,6 +147,7 @@
 	r.Host = "h"
 	r.Header.Set("Id", id)
 	r.Header.Set("Model", "m")
+	r.Header["Part"] = []string{"shared", "own"}
 	response, err := node.Client().Do(r)
 	if err != nil {
 		return 0, "", false
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -157,7 +157,7 @@
 		}
 	}
 	if received == 0 && response.EndsWithConnection() {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine closed the connection of a stream without a length before an event")
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine closed the connection of a stream without a length before an event").WithCause(io.ErrUnexpectedEOF)
 	}
 	if received > 0 && received < soundEvents {
 		h.Quarantine.Sound(s.Prompt)
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -39,4 +39,15 @@
 		Entry("streams that end before their first events", "/stream/x", []string{unframedHead + "CLOSE", unframedHead + "CLOSE"}, 502, "", true, 2),
 		Entry("streams that end within an event", "/stream/x", []string{unframedHead + a + "idCLOSE", unframedHead + "id: 2\nCLOSE"}, 200, a, false, 2),
 	)
+
+	It("reports the crash of an engine before the first event", func() {
+		// Guards against engines that crash under one prompt after another because none of
+		// the crashes counts (BUDGET).
+		s := &scriptedServer{scripts: []string{unframedHead + "CRASH"}}
+		node := newScriptedNode(s.listen())
+		status, _, _ := sendScripted(node, "/stream/x", "r")
+		Expect(status).To(Equal(502))
+		ledger := node.Config.Handler.(*Handler).Quarantine
+		Eventually(func() bool { return ledger.Report().Empty() }).Should(BeFalse())
+	})
 })
