forward: silence of an engine ends no stream

What callers saw: a stream whose engine was silent for about a second was cut in the middle if no other engine could go on with it: on the last attempt, on a route whose streams aren't resumable, or while no other engine of the model had a free slot, as beside a change of the configuration or of the instance list. The connection was closed without the rest of the answer.

Cause: the stall timeout ended the attempt regardless of what followed. A resumable stream gave up its engine before another one was known to take it, and after the last attempt the caller's connection was aborted.

Change: an attempt whose caller has a part of the answer, or whose request must not be sent again, ends by silence only if another engine can take the request now; this is checked again every 100 ms. The engine is suspected as before. Engines that go on sending bytes without an event are still cut off. Stall detection has a file of its own.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -48,20 +48,29 @@
 	return f
 }
 
-// pick chooses a target for a waiter and counts the request there, or returns nil. The
-// caller holds the lock.
-func (s *candidateSet) pick(w *waiter) *Target {
-	if len(s.targets) == 0 {
-		return nil
-	}
+// choose returns the index of a target with a free slot that isn't to be avoided, or -1.
+func (s *candidateSet) choose(avoid map[string]bool) int {
 	candidates := s.candidates
-	if len(w.avoid) > 0 {
+	if len(avoid) > 0 {
 		candidates = slices.Clone(candidates)
 		for i, t := range s.targets {
-			candidates[i].Excluded = candidates[i].Excluded || w.avoid[t.Instance.ID]
+			candidates[i].Excluded = candidates[i].Excluded || avoid[t.Instance.ID]
 		}
 	}
-	best := Choose(candidates, s.unreported, rand.IntN)
+	return Choose(candidates, s.unreported, rand.IntN)
+}
+
+// hasFreeSlot reports whether a target that isn't to be avoided has a free slot.
+func (d *Dispatcher) hasFreeSlot(p Pool, avoid map[string]bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.candidates(p).choose(avoid) >= 0
+}
+
+// pick chooses a target for a waiter and counts the request there, or returns nil. The
+// caller holds the lock.
+func (s *candidateSet) pick(w *waiter) *Target {
+	best := s.choose(w.avoid)
 	if best < 0 {
 		return nil
 	}
--- /dev/null
+++ b/forward/stall.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
+)
+
+// errStalled is returned if an engine sent no event with content for too long.
+var errStalled = errors.New("engine stalled: no event with content within the timeout")
+
+// Parameters of stall detection.
+const (
+	// firstEventSlack is added to the expected time to the first event.
+	firstEventSlack = 500 * time.Millisecond
+	// lastAttemptFactor multiplies the timeouts of an attempt after which the request
+	// can't be moved to another engine any more. If such an attempt stalls before the
+	// caller has a part of the answer, the caller gets an error and may retry.
+	lastAttemptFactor = 2
+	// crowdedSlack is added if all slots of the engine were taken, since the request
+	// waits there for another one to end: about half the duration of a stream.
+	crowdedSlack = 800 * time.Millisecond
+	// minStallTimeout is the shortest time without events that counts as a stall. It
+	// allows for the steps in which long prompts are read.
+	minStallTimeout = 400 * time.Millisecond
+	// stallGaps is the number of usual gaps between events, at a full batch, that count
+	// as a stall.
+	stallGaps = 6
+	// stallRecheck is the time between two checks whether another engine can take a
+	// stalled stream.
+	stallRecheck = 100 * time.Millisecond
+	// maxEmptyReads is the number of reads without an event with content from which an
+	// engine counts as faulty and not as silent.
+	maxEmptyReads = 8
+)
+
+// stallTimeouts returns the times without events, before the first one and between
+// two, after which a stream is moved to another engine. They must detect engines that
+// accept requests and make no progress, but not be exceeded because of long prompts,
+// full batches or slow groups.
+func stallTimeouts(r *catalog.Route, p *catalog.EngineProfile, pace float64, promptTokens int) (first, next time.Duration) {
+	if p == nil {
+		return defaultTimeout, defaultTimeout
+	}
+	scaled := func(d time.Duration) time.Duration { return time.Duration(float64(d) * pace) }
+	usual, longest := p.EventGap()
+	next = max(minStallTimeout, scaled(stallGaps*usual), scaled(2*longest))
+	first = max(r.LatencyGoal, next) + 2*scaled(p.PrefillTime(promptTokens)) + firstEventSlack
+	return first, next
+}
+
+// progressWindow is the maximum age of an event, also of another stream, that proves
+// that a target makes progress: several steps of a full batch.
+const progressWindow = 300 * time.Millisecond
+
+// stallMonitor detects a stall of one attempt.
+type stallMonitor struct {
+	load *Load
+	// peerProgress reports whether the engine is sending events to other nodes.
+	peerProgress func() bool
+	// mustFinish reports whether the caller would lose its answer if the attempt ended:
+	// it has a part of it, or the request must not be sent again.
+	mustFinish func() bool
+	// canMove reports whether another engine can take the request now.
+	canMove func() bool
+	// firstTimeout applies before the first event of the attempt.
+	firstTimeout time.Duration
+	// nextTimeout applies after the first event.
+	nextTimeout time.Duration
+	// begun is true once the attempt has received an event.
+	begun bool
+	// emptyReads is the number of reads since the last event with content.
+	emptyReads int
+	// lastAttempt is true if the request can't be moved to another engine any more.
+	lastAttempt bool
+}
+
+func (h *Handler) newStallMonitor(s *stream, slot *Slot) *stallMonitor {
+	m := &stallMonitor{
+		load:         slot.Load,
+		peerProgress: func() bool { return h.Peers.Progress(slot.Instance.ID) },
+		mustFinish:   func() bool { return s.begun || !s.route.Repeatable() },
+		canMove:      func() bool { return h.canMove(s) },
+		lastAttempt: s.runs+1 >= s.route.MaxAttempts || s.sends+1 >= s.route.MaxAttempts+maxRefusedSends ||
+			!s.route.Repeatable(),
+	}
+	m.firstTimeout, m.nextTimeout = stallTimeouts(s.route, s.service.Engine, slot.TimeFactor, s.PromptTokens)
+	if slot.TargetFull() {
+		m.firstTimeout += crowdedSlack
+	}
+	return m
+}
+
+// canMove reports whether another engine can take a stream now.
+func (h *Handler) canMove(s *stream) bool {
+	return h.budget(s.service.Name).Remaining() > 0 && h.Quarantine.Match(s.Prompt) == nil && h.Dispatcher.hasFreeSlot(s.pool(), s.tried)
+}
+
+// event records an event and reports whether it was the first one.
+func (m *stallMonitor) event() bool {
+	first := !m.begun
+	m.begun, m.emptyReads = true, 0
+	return first
+}
+
+// observe returns a reader that counts the reads of a body.
+func (m *stallMonitor) observe(body io.Reader) io.Reader { return &observedBody{body, m} }
+
+type observedBody struct {
+	io.Reader
+	monitor *stallMonitor
+}
+
+func (b *observedBody) Read(p []byte) (int, error) {
+	b.monitor.emptyReads++
+	return b.Reader.Read(p)
+}
+
+// watch implements upstream.Watch: it returns the remaining time, or errStalled.
+func (m *stallMonitor) watch(sinceProgress time.Duration) (time.Duration, error) {
+	limit := m.firstTimeout
+	if m.begun {
+		limit = m.nextTimeout
+	}
+	if m.lastAttempt {
+		limit *= lastAttemptFactor
+	}
+	if sinceProgress < limit {
+		return limit - sinceProgress, nil
+	}
+	now := time.Now()
+	if !m.begun && (m.load.HasRecentProgress(now) || m.peerProgress()) {
+		// The engine makes progress on other requests; this one is queued there.
+		return progressWindow, nil
+	}
+	if m.mustFinish() && m.emptyReads < maxEmptyReads && (m.lastAttempt || !m.canMove()) {
+		// A silent engine may go on, while the answer would end for good here.
+		m.load.Suspect(now.Add(suspectDuration))
+		return stallRecheck, nil
+	}
+	return 0, errStalled
+}
--- /dev/null
+++ b/forward/stall_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// listenPausing starts a server that writes the parts of its response to one request with a
+// pause between two of them, and closes the connection.
+func listenPausing(pause time.Duration, parts ...string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		for i, part := range parts {
+			if i > 0 {
+				time.Sleep(pause)
+			}
+			_, _ = io.WriteString(conn, part)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+var _ = Describe("Handler with an engine that falls silent in the middle of a stream", func() {
+	DescribeTable("delivers the stream whole if no other engine can go on with it", func(parts ...string) {
+		// Guards against answers that are cut because their engine was silent for a while.
+		const pause = 2 * time.Second
+		length := -len(okHead)
+		for _, part := range parts {
+			length += len(part)
+		}
+		status, received := get(newTestNode(listenPausing(pause, parts...)), "/stream/")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(received).To(Equal(length))
+	},
+		Entry("between two events", okHead+"id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n"),
+		Entry("within an event", okHead+"id: 1\ndata: x\n\nid: 2\nda", "ta: x\n\n"),
+		Entry("after each event", okHead+"id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n", "id: 3\ndata: x\n\n"),
+	)
+})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/upstream"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -131,7 +130,7 @@
 	if t := mediaType(response.Header); s.begun && t != "" && s.contentType != "" && t != s.contentType {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered with %s instead of resuming the stream of %s", t, s.contentType)
 	}
-	events := newEventReader(response.Body)
+	events := newEventReader(monitor.observe(response.Body))
 	defer events.release()
 	received := 0
 	for {
@@ -224,98 +223,3 @@
 // suspectDuration is how long a target that failed receives no new requests. The
 // platform's instance list shows its state within three heartbeats.
 const suspectDuration = 3 * time.Second
-
-// errStalled is returned if an engine sent no event with content for too long.
-var errStalled = errors.New("engine stalled: no event with content within the timeout")
-
-// Parameters of stall detection.
-const (
-	// firstEventSlack is added to the expected time to the first event.
-	firstEventSlack = 500 * time.Millisecond
-	// lastAttemptFactor multiplies the timeouts of an attempt after which the request
-	// can't be moved to another engine any more. When such an attempt stalls, the
-	// caller gets an error at once and may retry with the last event ID.
-	lastAttemptFactor = 2
-	// crowdedSlack is added if all slots of the engine were taken, since the request
-	// waits there for another one to end: about half the duration of a stream.
-	crowdedSlack = 800 * time.Millisecond
-	// minStallTimeout is the shortest time without events that counts as a stall. It
-	// allows for the steps in which long prompts are read.
-	minStallTimeout = 400 * time.Millisecond
-	// stallGaps is the number of usual gaps between events, at a full batch, that count
-	// as a stall.
-	stallGaps = 6
-)
-
-// stallTimeouts returns the times without events, before the first one and between
-// two, after which a stream is moved to another engine. They must detect engines that
-// accept requests and make no progress, but not be exceeded because of long prompts,
-// full batches or slow groups.
-func stallTimeouts(r *catalog.Route, p *catalog.EngineProfile, pace float64, promptTokens int) (first, next time.Duration) {
-	if p == nil {
-		return defaultTimeout, defaultTimeout
-	}
-	scaled := func(d time.Duration) time.Duration { return time.Duration(float64(d) * pace) }
-	usual, longest := p.EventGap()
-	next = max(minStallTimeout, scaled(stallGaps*usual), scaled(2*longest))
-	first = max(r.LatencyGoal, next) + 2*scaled(p.PrefillTime(promptTokens)) + firstEventSlack
-	return first, next
-}
-
-// progressWindow is the maximum age of an event, also of another stream, that proves
-// that a target makes progress: several steps of a full batch.
-const progressWindow = 300 * time.Millisecond
-
-// stallMonitor detects a stall of one attempt.
-type stallMonitor struct {
-	load *Load
-	// peerProgress reports whether the engine is sending events to other nodes.
-	peerProgress func() bool
-	// firstTimeout applies before the first event of the attempt.
-	firstTimeout time.Duration
-	// nextTimeout applies after the first event.
-	nextTimeout time.Duration
-	// begun is true once the attempt has received an event.
-	begun bool
-	// lastAttempt is true if the request can't be moved to another engine any more.
-	lastAttempt bool
-}
-
-func (h *Handler) newStallMonitor(s *stream, slot *Slot) *stallMonitor {
-	m := &stallMonitor{
-		load:         slot.Load,
-		peerProgress: func() bool { return h.Peers.Progress(slot.Instance.ID) },
-		lastAttempt:  s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable(),
-	}
-	m.firstTimeout, m.nextTimeout = stallTimeouts(s.route, s.service.Engine, slot.TimeFactor, s.PromptTokens)
-	if slot.TargetFull() {
-		m.firstTimeout += crowdedSlack
-	}
-	return m
-}
-
-// event records an event and reports whether it was the first one.
-func (m *stallMonitor) event() bool {
-	first := !m.begun
-	m.begun = true
-	return first
-}
-
-// watch implements upstream.Watch: it returns the remaining time, or errStalled.
-func (m *stallMonitor) watch(sinceProgress time.Duration) (time.Duration, error) {
-	limit := m.firstTimeout
-	if m.begun {
-		limit = m.nextTimeout
-	}
-	if m.lastAttempt {
-		limit *= lastAttemptFactor
-	}
-	if sinceProgress < limit {
-		return limit - sinceProgress, nil
-	}
-	if !m.begun && (m.load.HasRecentProgress(time.Now()) || m.peerProgress()) {
-		// The engine makes progress on other requests; this one is queued there.
-		return progressWindow, nil
-	}
-	return 0, errStalled
-}
