forward: silence before a short response is no trickle

What callers saw: 502 though their request had run to a good end. A plain server sent the head of its response, nothing for two seconds, and then a short body in chunks or one that ends with its connection.

Cause: the rate of a body counted the silence before it, so that the first 20 bytes arrived at 20 bytes a second, and the attempt was ended as too slow before the end of the body was seen.

A server that sends a byte now and then is still cut off; silence is bounded by the deadline of the request.

Test: "Handler with a plain server that falls silent before the rest of a short response"; both entries failed before with 502 and pass now.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -44,7 +44,7 @@
 		h.suspectOnFailure(slot, failed)
 		return failed
 	}
-	body, err := h.buffers.readAll(newRateReader(response.Body, time.Now()))
+	body, err := h.buffers.readAll(newRateReader(response.Body))
 	if err != nil {
 		response.Abort()
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
