upstream: reject a status below 100

What callers saw: a connection closed without an answer, after a backend server had answered with a status such as 000 or 099.

Cause: net/http reads a status of any three digits, but its WriteHeader panics below 100, so the handler ended without writing anything.

Change: such a response is none: the attempt fails, and the caller gets 502 or the response of another server.

Test: "Handler with a server whose status is none of HTTP"; its three entries failed before (no answer) and pass now.

--- a/forward/faulty_engine_test.go
+++ b/forward/faulty_engine_test.go
@@ -264,3 +264,19 @@
 		Entry("before the body", "/safe/x", "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\n"),
 	)
 })
+
+var _ = Describe("Handler with a server whose status is none of HTTP", func() {
+	DescribeTable("answers with a failure", func(path, status string) {
+		// Guards against a connection that is closed without an answer because the status
+		// can't be passed on.
+		head := "HTTP/1.1 " + status + " OK\r\nId: r\r\nContent-Length: 0\r\n\r\n"
+		s := &scriptedServer{scripts: []string{head, head}}
+		got, _, complete := sendScripted(newScriptedNode(s.listen()), path, "r")
+		Expect(got).To(Equal(502))
+		Expect(complete).To(BeTrue())
+	},
+		Entry("to a safe request", "/safe/x", "000"),
+		Entry("to an unsafe request", "/unsafe/x", "099"),
+		Entry("to a stream", "/stream/x", "007"),
+	)
+})
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -33,6 +33,10 @@
 // requests.
 var ErrForeignResponse = errors.New("response belongs to another request")
 
+// errInvalidStatus is returned for a status below 100, which net/http reads but doesn't
+// write.
+var errInvalidStatus = errors.New("invalid status")
+
 // Request is a request whose body is in memory.
 type Request struct {
 	Method string
@@ -97,7 +101,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < 100 {
+			return nil, fmt.Errorf("read response: %w %d", errInvalidStatus, response.StatusCode)
+		}
+		if response.StatusCode < 200 {
 			continue
 		}
 		if r.IsOwn(response.StatusCode, response.Header) {
