forward: keep a silent engine until another one goes on

What callers saw: a stream cut in the middle, though its engine was only silent for a while, when the engine that was to go on with it refused, failed or broke off, or when the last free slot, the instances or the route's service were gone between the decision to move the stream and its next attempt.

Cause: the silent engine was given up before another one had taken the request.

Change: the attempt at another engine begins while the silent one is kept, and only if a slot is free there. The silent engine is given up once the other one has answered with the head of a stream; if its own bytes arrive first, the stream goes on there and the other attempt ends.

Test: "Handler with an engine that falls silent while another one has free slots"; its four entries failed before and pass now.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -60,13 +60,6 @@
 	return Choose(candidates, s.unreported, rand.IntN)
 }
 
-// hasFreeSlot reports whether a target that isn't to be avoided has a free slot.
-func (d *Dispatcher) hasFreeSlot(p Pool, avoid map[string]bool) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.candidates(p).choose(avoid) >= 0
-}
-
 // pick chooses a target for a waiter and counts the request there, or returns nil. The
 // caller holds the lock.
 func (s *candidateSet) pick(w *waiter) *Target {
@@ -84,6 +77,20 @@
 	return s.targets[best]
 }
 
+// TryAcquire returns a slot for the request if one is free now, and nil otherwise.
+func (d *Dispatcher) TryAcquire(r SlotRequest) *Slot {
+	d.mu.Lock()
+	target := d.candidates(r.Pool).pick(&waiter{avoid: r.Avoid, promptTokens: r.PromptTokens})
+	if target != nil {
+		d.trafficOf(r.Pool).recordResume(time.Now())
+	}
+	d.mu.Unlock()
+	if target == nil {
+		return nil
+	}
+	return d.newSlot(target, r.PromptTokens)
+}
+
 // isEligible reports whether requests may be sent to a target at all. A stalled group
 // delays every request, while a plain server that failed one request may well serve
 // the next.
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -63,8 +64,10 @@
 	// mustFinish reports whether the caller would lose its answer if the attempt ended:
 	// it has a part of it, or the request must not be sent again.
 	mustFinish func() bool
-	// canMove reports whether another engine can take the request now.
-	canMove func() bool
+	// takeOver reports whether another engine has begun to go on with the stream.
+	takeOver func() bool
+	// overtaken reports whether the attempt isn't needed any more; nil if it always is.
+	overtaken func() bool
 	// firstTimeout applies before the first event of the attempt.
 	firstTimeout time.Duration
 	// nextTimeout applies after the first event.
@@ -77,15 +80,14 @@
 	lastAttempt bool
 }
 
-func (h *Handler) newStallMonitor(s *stream, slot *Slot) *stallMonitor {
+func (h *Handler) newStallMonitor(ctx context.Context, s *stream, slot *Slot) *stallMonitor {
 	m := &stallMonitor{
 		load:         slot.Load,
 		peerProgress: func() bool { return h.Peers.Progress(slot.Instance.ID) },
 		mustFinish:   func() bool { return s.begun || !s.route.Repeatable() },
-		canMove:      func() bool { return h.canMove(s) },
-		lastAttempt: s.runs+1 >= s.route.MaxAttempts || s.sends+1 >= s.route.MaxAttempts+maxRefusedSends ||
-			!s.route.Repeatable(),
+		lastAttempt:  s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable(),
 	}
+	m.takeOver = func() bool { return h.takeOver(ctx, s) }
 	m.firstTimeout, m.nextTimeout = stallTimeouts(s.route, s.service.Engine, slot.TimeFactor, s.PromptTokens)
 	if slot.TargetFull() {
 		m.firstTimeout += crowdedSlack
@@ -93,11 +95,6 @@
 	return m
 }
 
-// canMove reports whether another engine can take a stream now.
-func (h *Handler) canMove(s *stream) bool {
-	return h.budget(s.service.Name).Remaining() > 0 && h.Quarantine.Match(s.Prompt) == nil && h.Dispatcher.hasFreeSlot(s.pool(), s.tried)
-}
-
 // event records an event and reports whether it was the first one.
 func (m *stallMonitor) event() bool {
 	first := !m.begun
@@ -118,8 +115,16 @@
 	return b.Reader.Read(p)
 }
 
+// engineProgresses reports whether the engine makes progress on other requests.
+func (m *stallMonitor) engineProgresses() bool {
+	return m.load.HasRecentProgress(time.Now()) || m.peerProgress()
+}
+
 // watch implements upstream.Watch: it returns the remaining time, or errStalled.
 func (m *stallMonitor) watch(sinceProgress time.Duration) (time.Duration, error) {
+	if m.overtaken != nil {
+		return m.watchTakeover(sinceProgress)
+	}
 	limit := m.firstTimeout
 	if m.begun {
 		limit = m.nextTimeout
@@ -130,14 +135,13 @@
 	if sinceProgress < limit {
 		return limit - sinceProgress, nil
 	}
-	now := time.Now()
-	if !m.begun && (m.load.HasRecentProgress(now) || m.peerProgress()) {
+	if !m.begun && m.engineProgresses() {
 		// The engine makes progress on other requests; this one is queued there.
 		return progressWindow, nil
 	}
-	if m.mustFinish() && m.emptyReads < maxEmptyReads && (m.lastAttempt || !m.canMove()) {
+	if m.mustFinish() && m.emptyReads < maxEmptyReads && !m.takeOver() {
 		// A silent engine may go on, while the answer would end for good here.
-		m.load.Suspect(now.Add(suspectDuration))
+		m.load.Suspect(time.Now().Add(suspectDuration))
 		return stallRecheck, nil
 	}
 	return 0, errStalled
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,3 +54,29 @@
 		Entry("after each event", okHead+"id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n", "id: 3\ndata: x\n\n"),
 	)
 })
+
+var _ = Describe("Handler with an engine that falls silent while another one has free slots", func() {
+	DescribeTable("delivers the stream whole if the other one doesn't go on with it", func(script string) {
+		// Guards against answers that are cut because their silent engine was given up before
+		// another one had taken the request. The two are chosen at random.
+		const first, rest = "id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n"
+		var all sync.WaitGroup
+		for range 6 {
+			other := &scriptedServer{scripts: []string{script, script}}
+			node := newScriptedNode(listenPausing(time.Second, okHead+first, rest), other.listen())
+			all.Go(func() {
+				defer GinkgoRecover()
+				status, body, complete := sendScripted(node, "/stream/x", "r")
+				Expect(status).To(Equal(http.StatusOK))
+				Expect(complete).To(BeTrue())
+				Expect(body).To(Equal(first + rest))
+			})
+		}
+		all.Wait()
+	},
+		Entry("but refuses", refusal),
+		Entry("but breaks off", "CLOSE"),
+		Entry("but fails", "HTTP/1.1 500 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n"),
+		Entry("but is silent, too", ""),
+	)
+})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -28,12 +28,17 @@
 	contentType string
 	// events is the number of events sent to the caller.
 	events int
+	// current is the response of the current attempt.
+	current *upstream.Response
+	// next is the attempt that goes on after the current one; nil if there is none yet.
+	next *takeover
 }
 
 // stream answers a request with a stream of events, from several engines in succession
 // if necessary.
 func (h *Handler) stream(ctx context.Context, c *call) {
 	s := &stream{call: c, lastEventID: c.LastEventID, controller: http.NewResponseController(c.writer)}
+	defer s.dropNext()
 	for {
 		err := h.streamAttempt(ctx, s)
 		if err == nil {
@@ -47,7 +52,7 @@
 			h.abandon(c)
 			return
 		}
-		if !h.allowRetry(ctx, c, err) {
+		if ctx.Err() != nil || (s.next == nil && !h.allowRetry(ctx, c, err)) {
 			h.endStream(s, err)
 			return
 		}
@@ -72,6 +77,11 @@
 
 // streamAttempt sends the request to one engine and forwards its events to the caller.
 func (h *Handler) streamAttempt(ctx context.Context, s *stream) *verdict.Error {
+	if next := s.next; next != nil {
+		s.next = nil
+		defer next.slot.Release()
+		return h.finishAttempt(s, next.slot, h.relay(s, next.slot, next.response, next.monitor))
+	}
 	if err := h.checkQuarantine(s.call); err != nil {
 		return err
 	}
@@ -87,11 +97,17 @@
 	if err != nil {
 		return h.noSlotError(s.call, err)
 	}
-	monitor := h.newStallMonitor(s, slot)
+	s.current = nil
+	monitor := h.newStallMonitor(ctx, s, slot)
 	response, failed := h.send(ctx, s.call, slot, s.lastEventID, monitor.watch)
 	if failed == nil {
 		failed = h.relay(s, slot, response, monitor)
 	}
+	return h.finishAttempt(s, slot, failed)
+}
+
+// finishAttempt records the failure of an attempt, if it failed, and returns it.
+func (h *Handler) finishAttempt(s *stream, slot *Slot, failed *verdict.Error) *verdict.Error {
 	if failed != nil && s.request.Context().Err() == nil {
 		h.suspectOnFailure(slot, failed)
 		if s.events == 0 && s.lastEventID == "" {
@@ -124,12 +140,10 @@
 	if response.Status != http.StatusOK && !s.begun {
 		return h.relayError(s, response)
 	}
-	if response.Status != http.StatusOK {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d instead of resuming the stream", response.Status)
-	}
-	if t := mediaType(response.Header); s.begun && t != "" && s.contentType != "" && t != s.contentType {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered with %s instead of resuming the stream of %s", t, s.contentType)
+	if err := s.checkResumed(response); err != nil {
+		return err
 	}
+	s.current = response
 	events := newEventReader(monitor.observe(response.Body))
 	defer events.release()
 	received := 0
@@ -142,6 +156,7 @@
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "stream interrupted after %d events", s.events).WithCause(err)
 		}
 		if event.content {
+			s.dropNext()
 			response.Progress()
 			slot.Load.recordProgress(time.Now())
 			if monitor.event() {
@@ -165,6 +180,17 @@
 	return nil
 }
 
+// checkResumed returns an error if a response can't go on with the stream.
+func (s *stream) checkResumed(response *upstream.Response) *verdict.Error {
+	if response.Status != http.StatusOK {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d instead of resuming the stream", response.Status)
+	}
+	if t := mediaType(response.Header); s.begun && t != "" && s.contentType != "" && t != s.contentType {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered with %s instead of resuming the stream of %s", t, s.contentType)
+	}
+	return nil
+}
+
 // sendHead sends the head of the response to the caller, unless it was already sent.
 func (h *Handler) sendHead(s *stream, response *upstream.Response) {
 	if s.begun {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -191,6 +191,9 @@
 	return r.Length < 0 && !slices.Contains(r.response.TransferEncoding, "chunked")
 }
 
+// Pending reports whether unread bytes have arrived, or the connection ended.
+func (r *Response) Pending() bool { return !r.conn.isQuiet() }
+
 // Abort closes the connection of a response that wasn't read to its end.
 func (r *Response) Abort() {
 	if !r.complete {
