quarantine, forward: refuse a request under which engines crashed

Cause: evidence was kept about shared parts of prompts only, and other requests share all parts of this one. Its sound neighbours cleared them.

Now a second ledger is kept for whole requests, known by method, host, path, query, organisation and body. A request is refused with 422 at all nodes after three engines crashed under it, at two moments or one attempt after the other, and no complete response came since. Crashes in the middle of a response and under plain requests count, too. An expired quarantine is renewed by crashes after its end only. Nodes of earlier builds drop the new scopes of observations.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -44,7 +44,7 @@
 	platformState *PlatformState
 	leases        *lease.Manager
 	formation     *formation.Controller
-	quarantine    *quarantineKeeper
+	quarantine    quarantineKeepers
 	reloader      *reloader
 	inspector     *inspector
 	board         *blackboard.Board
@@ -57,7 +57,7 @@
 }
 
 func newDaemon(s Settings, st *status, h *forward.Handler, d *Documents, f followers, ps *PlatformState, l *lease.Manager,
-	c *formation.Controller, q *quarantineKeeper, r *reloader, i *inspector, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
+	c *formation.Controller, q quarantineKeepers, r *reloader, i *inspector, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
 ) *daemon {
 	return &daemon{settings: s, status: st, handler: h, documents: d, followers: f, platformState: ps, leases: l,
 		formation: c, quarantine: q, reloader: r, inspector: i, board: board, logger: logger, shutdown: shutdown}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -23,7 +23,7 @@
 	Waiting       map[string]int        `json:"waiting"`
 	Targets       map[string]targetDump `json:"targets"`
 	Peers         []*mesh.Node          `json:"peers"`
-	// Quarantines are the parts of prompts that are refused.
+	// Quarantines are the requests and parts of prompts that are refused.
 	Quarantines []quarantineDump `json:"quarantines"`
 	// SilentMs maps documents to the milliseconds since the store last responded.
 	SilentMs map[string]int64 `json:"silentMs"`
@@ -31,6 +31,8 @@
 
 // quarantineDump is a quarantine in a stateDump.
 type quarantineDump struct {
+	// Kind is "part" or "request".
+	Kind string `json:"kind"`
 	// Parts are the hashes of the parts; requests with all of them are refused.
 	Parts       []quarantine.Part `json:"parts"`
 	Crashes     uint16            `json:"crashes"`
@@ -109,7 +111,7 @@
 		d.Waiting[pool.Service+"/"+pool.Model] = n
 	}
 	for _, q := range i.status.quarantine.Current() {
-		d.Quarantines = append(d.Quarantines, quarantineDump{Parts: q.Parts, Crashes: q.Crashes, Prompts: q.Prompts,
+		d.Quarantines = append(d.Quarantines, quarantineDump{Kind: q.Kind.String(), Parts: q.Parts, Crashes: q.Crashes, Prompts: q.Prompts,
 			RemainingMs: time.Until(q.Until).Milliseconds()})
 	}
 	i.status.tables.Load().Each(func(t *forward.Target) {
--- a/entry/module.go
+++ b/entry/module.go
@@ -82,7 +82,7 @@
 		newRelay,
 		newFollowers,
 		newPool,
-		newLedger,
+		newGuard,
 		newThrottle,
 		newPlatformState,
 		newStatus,
@@ -90,7 +90,7 @@
 		newDocuments,
 		newLeaseManager,
 		newFormation,
-		newQuarantineKeeper,
+		newQuarantineKeepers,
 		newReloader,
 		newInspector,
 		newDaemon,
@@ -122,8 +122,8 @@
 
 func newPool() *upstream.Pool { return upstream.NewPool(upstream.Config{}) }
 
-func newLedger(s Settings, logger log.Logger, registry metrics.Registry) *quarantine.Ledger {
-	return quarantine.NewLedger(quarantine.Config{Duration: s.QuarantineTime}, logger, registry)
+func newGuard(s Settings, logger log.Logger, registry metrics.Registry) *quarantine.Guard {
+	return quarantine.NewGuard(quarantine.Config{Duration: s.QuarantineTime}, logger, registry)
 }
 
 func newThrottle(logger log.Logger, registry metrics.Registry) *throttle.Registry {
@@ -136,7 +136,7 @@
 
 // newStatus also creates the components that depend on each other: the mesh sends the
 // state that the status returns, and the status uses the mesh's view of other nodes.
-func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, q *quarantine.Ledger, t *throttle.Registry, logger log.Logger, registry metrics.Registry) *status {
+func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, q *quarantine.Guard, t *throttle.Registry, logger log.Logger, registry metrics.Registry) *status {
 	st := &status{settings: s, platformState: ps, tables: tables, instances: f.instances, quarantine: q}
 	st.mesh = mesh.New(mesh.Config{Node: s.Node, Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, t, logger, registry)
 	r.liveNodes = func() []*mesh.Node { return st.mesh.View().Live }
@@ -186,9 +186,14 @@
 	return formation.Term{Number: held.Epoch}, ok && held.ValidFor(time.Now(), suspend.Total()) > 0
 }
 
-func newQuarantineKeeper(store *platform.Store, st *status, board *blackboard.Board, logger log.Logger) *quarantineKeeper {
-	return &quarantineKeeper{ledger: st.quarantine, store: store, logger: log.With(logger, "component", "quarantine"),
-		holds: func() bool { _, holds := formationTerm(board); return holds }}
+func newQuarantineKeepers(store *platform.Store, st *status, board *blackboard.Board, logger log.Logger) quarantineKeepers {
+	var keepers quarantineKeepers
+	for k, key := range quarantineKeys {
+		keepers[k] = &quarantineKeeper{ledger: st.quarantine.Ledger(quarantine.Kind(k)), key: key, store: store,
+			logger: log.With(logger, "component", "quarantine", "object", key.Name),
+			holds:  func() bool { _, holds := formationTerm(board); return holds }}
+	}
+	return keepers
 }
 
 func newReloader(s Settings, file SettingsFile, st *status, h *forward.Handler, logger log.Logger) *reloader {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
@@ -17,9 +18,24 @@
 // to date, and between two attempts to read them.
 const quarantineInterval = 500 * time.Millisecond
 
-// quarantineKey is the object that holds the quarantines, from which nodes learn them if
-// all have been restarted.
-var quarantineKey = object.Key{Kind: "quarantine", Name: "prompt-parts"}
+// quarantineKeys are the objects that hold the quarantines by kind, from which nodes learn
+// them if all have been restarted.
+var quarantineKeys = [quarantine.KindCount]object.Key{
+	quarantine.Parts:    {Kind: "quarantine", Name: "prompt-parts"},
+	quarantine.Requests: {Kind: "quarantine", Name: "requests"},
+}
+
+// quarantineKeepers are the keepers by kind.
+type quarantineKeepers [quarantine.KindCount]*quarantineKeeper
+
+// run runs the keepers until ctx is cancelled.
+func (k quarantineKeepers) run(ctx context.Context) error {
+	var group errgroup.Group
+	for _, keeper := range k {
+		group.Go(func() error { return keeper.run(ctx) })
+	}
+	return group.Wait()
+}
 
 // objects reads and writes objects of the platform's store.
 type objects interface {
@@ -29,10 +45,11 @@
 	Era() uint64
 }
 
-// quarantineKeeper reads the stored quarantines when the node starts. The holder of the
+// quarantineKeeper reads the stored quarantines of a kind when the node starts. The holder of the
 // lease for forming groups keeps them up to date, so that one node writes.
 type quarantineKeeper struct {
 	ledger *quarantine.Ledger
+	key    object.Key
 	store  objects
 	holds  func() bool
 	logger log.Logger
@@ -73,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	if k.version, err = k.store.Update(ctx, quarantineKey, k.version, value); err != nil {
+	if k.version, err = k.store.Update(ctx, k.key, k.version, value); err != nil {
 		k.known = false
 		return err
 	}
@@ -84,7 +101,7 @@
 // read reads the stored quarantines and adopts them. An object that can't be decoded is
 // replaced by the next write.
 func (k *quarantineKeeper) read(ctx context.Context) error {
-	stored, err := k.store.Get(ctx, quarantineKey)
+	stored, err := k.store.Get(ctx, k.key)
 	if errors.Is(err, object.ErrNotFound) {
 		k.known, k.stored, k.version, k.era = true, nil, 0, stored.Version.Era()
 		return nil
--- a/entry/state.go
+++ b/entry/state.go
@@ -22,7 +22,7 @@
 	dispatcher    *forward.Dispatcher
 	instances     *follow.Follower
 	mesh          *mesh.Mesh
-	quarantine    *quarantine.Ledger
+	quarantine    *quarantine.Guard
 	leaving       atomic.Bool
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -47,8 +47,9 @@
 	Dispatcher    *Dispatcher
 	Connections   *upstream.Pool
 	Peers         Peers
-	// Quarantine holds the parts of prompts that crash engines; nil means an empty one.
-	Quarantine *quarantine.Ledger
+	// Quarantine holds the requests and parts of prompts that crash engines; nil means an
+	// empty one.
+	Quarantine *quarantine.Guard
 	Codec      Codec
 	Logger     log.Logger
 	Registry   metrics.Registry
@@ -75,7 +76,7 @@
 // NewHandler returns a handler.
 func NewHandler(cfg Config, deps Dependencies) *Handler {
 	if deps.Quarantine == nil {
-		deps.Quarantine = quarantine.NewLedger(quarantine.Config{}, deps.Logger, deps.Registry)
+		deps.Quarantine = quarantine.NewGuard(quarantine.Config{}, deps.Logger, deps.Registry)
 	}
 	return &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
 		buffers: newBufferLimit(cfg.MaxBufferedBytes), budgets: map[string]*retry.Budget{}}
@@ -108,8 +109,11 @@
 	service      *catalog.Service
 	target       string
 	body         []byte
-	started      time.Time
-	deadline     time.Time
+	// identity is equal for requests that are the same but for their request ID; empty until
+	// the body was read.
+	identity string
+	started  time.Time
+	deadline time.Time
 	// goalAt is the time after which the response, or its first event, is late.
 	goalAt time.Time
 	// mayHaveRun is true if a backend server may have run the request.
@@ -174,10 +178,14 @@
 	if err := c.readBody(configuration.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
+	c.target = c.request.URL.RequestURI()
+	c.identity = c.identify()
+	if err := h.checkQuarantine(c); err != nil {
+		return err
+	}
 	if c.service = configuration.Service(c.route.PickTarget()); c.service == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "the service of route %s is not configured", c.route.Name)
 	}
-	c.target = c.request.URL.RequestURI()
 	h.budget(c.service.Name).AddRequest()
 	return nil
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -33,23 +33,36 @@
 
 // plainAttempt sends the request to one backend server and delivers its complete response.
 func (h *Handler) plainAttempt(ctx context.Context, c *call) *verdict.Error {
+	if err := h.checkQuarantine(c); err != nil {
+		return err
+	}
 	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: c.pool(), Rank: rank(c.route, c.organisation),
-		Avoid: c.tried, GoalAt: c.goalAt, Until: time.Now().Add(time.Until(c.deadline) / 2)})
+		Avoid: c.tried, GoalAt: c.goalAt, Until: time.Now().Add(time.Until(c.deadline) / 2), Blocked: h.blocked(c)})
+	if err == nil {
+		defer slot.Release()
+	}
+	// The quarantine may have begun while the request waited.
+	if err := h.checkQuarantine(c); err != nil {
+		return err
+	}
 	if err != nil {
 		return h.noSlotError(c, err)
 	}
-	defer slot.Release()
 	response, failed := h.send(ctx, c, slot, "", nil)
 	if failed != nil {
 		h.suspectOnFailure(slot, failed)
+		h.checkCrash(c, slot, failed, false)
 		return failed
 	}
 	body, err := h.buffers.readAll(newRateReader(response.Body))
 	if err != nil {
 		response.Abort()
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
+		failed := verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
+		h.checkCrash(c, slot, failed, true)
+		return failed
 	}
 	defer body.release()
+	h.Quarantine.Answered(c.subject())
 	if response.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe {
 		// Another backend server may succeed. If it doesn't, this response is delivered.
 		own := verdict.New(verdict.Ran, verdict.ReasonBackendFailed, "backend server answered %d", response.Status)
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -32,7 +32,7 @@
 // prompt is in quarantine would crash another engine.
 func (c *call) isRetryable(err *verdict.Error) bool {
 	switch {
-	case err.Reason == verdict.ReasonOverloaded || err.Reason == verdict.ReasonNoServer || err.Reason == verdict.ReasonQuarantined:
+	case err.Reason == verdict.ReasonOverloaded || err.Reason == verdict.ReasonNoServer || err.Reason == verdict.ReasonQuarantined || err.Reason == verdict.ReasonRequestQuarantined:
 		return false
 	case c.runs >= c.route.MaxAttempts || c.sends >= c.route.MaxAttempts+maxRefusedSends:
 		return false
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: s.pool(), Rank: rank(s.route, s.organisation),
-		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: s.waitUntil(), Blocked: s.blocked(h.Quarantine)})
+		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: s.waitUntil(), Blocked: h.blocked(s.call)})
 	if err == nil {
 		defer slot.Release()
 	}
@@ -110,13 +110,14 @@
 func (h *Handler) finishAttempt(s *stream, slot *Slot, failed *verdict.Error) *verdict.Error {
 	if failed != nil && s.request.Context().Err() == nil {
 		h.suspectOnFailure(slot, failed)
-		if s.events == 0 && s.lastEventID == "" {
-			h.checkCrash(s.call, slot, failed)
-		}
+		h.checkCrash(s.call, slot, failed, s.hasEvents())
 	}
 	return failed
 }
 
+// hasEvents reports whether the caller has received an event, also from an earlier request.
+func (s *stream) hasEvents() bool { return s.events > 0 || s.lastEventID != "" }
+
 // firstEventTimeout is the time after which callers leave a stream without events, less
 // the time to a first event from an engine with a free slot.
 const firstEventTimeout = 1600 * time.Millisecond
@@ -163,7 +164,7 @@
 				slot.PromptRead()
 			}
 			if received++; received == soundEvents {
-				h.Quarantine.Sound(s.Prompt)
+				h.Quarantine.Begun(s.subject())
 			}
 		}
 		if err := h.forwardEvent(s, response, event); err != nil {
@@ -174,8 +175,9 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine closed the connection of a stream without a length before an event").WithCause(io.ErrUnexpectedEOF)
 	}
 	if received > 0 && received < soundEvents {
-		h.Quarantine.Sound(s.Prompt)
+		h.Quarantine.Begun(s.subject())
 	}
+	h.Quarantine.Answered(s.subject())
 	h.sendHead(s, response)
 	return nil
 }
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -36,7 +36,7 @@
 	if s.current == nil && s.runs+1 >= s.route.MaxAttempts {
 		return false
 	}
-	if !s.isRetryable(stalled) || h.budget(s.service.Name).Remaining() == 0 || h.Quarantine.Match(s.Prompt) != nil {
+	if !s.isRetryable(stalled) || h.budget(s.service.Name).Remaining() == 0 || h.Quarantine.Match(s.subject()) != nil {
 		return false
 	}
 	slot := h.Dispatcher.TryAcquire(SlotRequest{Pool: s.pool(), PromptTokens: s.PromptTokens, Avoid: s.tried})
@@ -62,6 +62,7 @@
 		slot.Release()
 		if !errors.Is(failed, errOvertaken) {
 			h.suspectOnFailure(slot, failed)
+			h.checkCrash(s.call, slot, failed, s.hasEvents())
 		}
 		_ = level.Info(h.Logger).Log("msg", "the other engine doesn't go on with the stream", "request", s.ID, "sends", s.sends, "err", failed)
 		return false
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -34,6 +34,7 @@
 		datagram{Summary: &Summary{From: node, Total: true, Sum: sum, Members: []Member{member}}},
 		datagram{Summary: &Summary{From: node, Sum: &Sum{}}},
 		partDatagram{Summary: &Summary{From: node, Sum: sum}, Part: Part{Index: 1, Count: 2}},
+		observedDatagram{&Observed{node.PeerAddress, ScopeAll.of(quarantine.Requests), &quarantine.Observations{Strikes: []quarantine.Strike{{Part: 3}}}}},
 		observedDatagram{&Observed{node.PeerAddress, ScopeDomain, &quarantine.Observations{
 			Strikes: []quarantine.Strike{{Engine: 1, Prompt: 2, Part: 3}}, Clearances: []quarantine.Clearance{{Part: 3}},
 			Notices: []quarantine.Notice{{Parts: []quarantine.Part{3}, RemainingMs: 9}}}}},
--- a/mesh/observations.go
+++ b/mesh/observations.go
@@ -9,10 +9,10 @@
 	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
-// Scope says whose observations a message contains.
+// Scope says whose observations a message contains, and of which kind they are.
 type Scope uint8
 
-// Scopes of observations.
+// Scopes of observations of parts. Those of other kinds follow, scopesPerKind apart.
 const (
 	// ScopeNode is the sender itself.
 	ScopeNode Scope = iota
@@ -20,10 +20,15 @@
 	ScopeDomain
 	// ScopeAll is all nodes.
 	ScopeAll
-	scopeCount
+	scopesPerKind
 )
 
-// Observed is the message with observations of prompt parts that crash engines. It takes
+const scopeCount = scopesPerKind * Scope(quarantine.KindCount)
+
+// of returns the scope for observations of a kind.
+func (s Scope) of(k quarantine.Kind) Scope { return s + scopesPerKind*Scope(k) }
+
+// Observed is the message with observations of what crashes engines. It takes
 // the way of states and summaries, in datagrams of its own, and only if there are any.
 type Observed struct {
 	// PeerAddress is the "IP:port" that other nodes use for the sender.
@@ -50,17 +55,17 @@
 	}
 }
 
-// observations returns the union of this node's observations and those received in the
-// scopes, from the nodes that include selects.
-func (m *Mesh) observations(now time.Time, include func(*member) bool, scopes ...Scope) *quarantine.Observations {
-	union := quarantine.Merge(nil, m.latestState.Quarantine, 0)
+// observations returns the union of this node's observations of a kind and those received
+// in the scopes, from the nodes that include selects.
+func (m *Mesh) observations(kind quarantine.Kind, now time.Time, include func(*member) bool, scopes ...Scope) *quarantine.Observations {
+	union := quarantine.Merge(kind, nil, m.latestState.Quarantine[kind], 0)
 	for _, other := range m.byAddress {
 		if !include(other) {
 			continue
 		}
 		for _, scope := range scopes {
-			if r := other.observed[scope]; now.Sub(r.at) <= stateLifetime {
-				union = quarantine.Merge(union, r.Observations, now.Sub(r.at))
+			if r := other.observed[scope.of(kind)]; now.Sub(r.at) <= stateLifetime {
+				union = quarantine.Merge(kind, union, r.Observations, now.Sub(r.at))
 			}
 		}
 	}
@@ -73,19 +78,33 @@
 // that receive its state and, if it is an aggregator, those of its domain for the
 // aggregators of other domains and those of all nodes for the nodes of its domain.
 func (m *Mesh) observationMessages(stateRecipients []netip.AddrPort, live []*member, aggregator bool, now time.Time) []message {
-	messages := m.appendObserved(nil, ScopeNode, m.latestState.Quarantine, stateRecipients, now)
+	var messages []message
+	for k, own := range m.latestState.Quarantine {
+		messages = m.appendObserved(messages, ScopeNode.of(quarantine.Kind(k)), own, stateRecipients, now)
+	}
 	if !aggregator {
 		return messages
 	}
 	sameDomain := func(other *member) bool { return other.Node.FailureDomain == m.latestState.Node.FailureDomain }
-	messages = m.appendObserved(messages, ScopeDomain, m.observations(now, sameDomain, ScopeNode), m.remoteAggregators(live, now), now)
 	var nodes []netip.AddrPort
 	for _, other := range live {
 		if other.wantsSummary && other.hasFreshState(now) {
 			nodes = append(nodes, other.address)
 		}
 	}
-	return m.appendObserved(messages, ScopeAll, m.observations(now, anyMember, ScopeNode, ScopeDomain), nodes, now)
+	for k := range quarantine.KindCount {
+		messages = m.appendObserved(messages, ScopeDomain.of(k), m.observations(k, now, sameDomain, ScopeNode), m.remoteAggregators(live, now), now)
+		messages = m.appendObserved(messages, ScopeAll.of(k), m.observations(k, now, anyMember, ScopeNode, ScopeDomain), nodes, now)
+	}
+	return messages
+}
+
+// allObservations returns what all nodes observed.
+func (m *Mesh) allObservations(now time.Time) (reports quarantine.Reports) {
+	for k := range quarantine.KindCount {
+		reports[k] = m.observations(k, now, anyMember, ScopeNode, ScopeDomain, ScopeAll)
+	}
+	return reports
 }
 
 // noticeInterval is the time between two messages that only repeat quarantines. It is
--- a/mesh/prepare.go
+++ b/mesh/prepare.go
@@ -206,7 +206,7 @@
 	if total := m.bestTotalSum(now); total != nil && total.nodes() > others.nodes() {
 		others = total
 	}
-	view := &View{Others: others, Quarantine: m.observations(now, anyMember, ScopeNode, ScopeDomain, ScopeAll)}
+	view := &View{Others: others, Quarantine: m.allObservations(now)}
 	for _, other := range live {
 		// A domain that is missing from the sums is unreachable as a whole.
 		_, reported := others.Domains[other.Node.FailureDomain]
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -71,9 +71,9 @@
 	// WantsSummary is true if the sender uses the receiver as an aggregator and
 	// expects summaries from it.
 	WantsSummary bool `msgpack:"?"`
-	// Quarantine is what the node observed of prompt parts that crash engines, which is
-	// sent as Observed; nil if that is nothing.
-	Quarantine *quarantine.Observations `msgpack:"-"`
+	// Quarantine is what the node observed of what crashes engines, which is sent as
+	// Observed.
+	Quarantine quarantine.Reports `msgpack:"-"`
 }
 
 // Load is the load of one or several nodes on an instance: the number of requests in
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -14,9 +14,8 @@
 	Live []*Node
 	// Others is the sum of all other nodes.
 	Others *Sum
-	// Quarantine is what all nodes observed of prompt parts that crash engines; nil if
-	// that is nothing.
-	Quarantine *quarantine.Observations
+	// Quarantine is what all nodes observed of what crashes engines.
+	Quarantine quarantine.Reports
 }
 
 func emptyView() *View { return &View{Others: newSum()} }
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -8,10 +8,13 @@
 
 // Conditions of a quarantine.
 const (
-	// minWeight is the sum of the engines that crashed and of the different prompts
+	// minWeight is the sum of the engines that crashed and of the different requests
 	// under which they crashed from which a part is put in quarantine: three engines with
-	// three prompts, four with two, or five with repeats of one.
+	// three requests, or four with two.
 	minWeight = 6
+	// minPrompts is the number of different requests from which a part is to blame, and not
+	// the only request under which engines crashed.
+	minPrompts = 2
 	// minWeightOnceSound replaces minWeight for a part that appeared in sound responses
 	// before: more likely, another part of the same prompts crashes the engines.
 	minWeightOnceSound = 10
@@ -32,6 +35,7 @@
 type strike struct {
 	engine, prompt uint32
 	at             time.Time
+	depth          uint8
 }
 
 // record is the evidence about a part.
@@ -43,7 +47,7 @@
 	soundAt time.Time
 	// struckAt is when the last strike was added.
 	struckAt time.Time
-	// depth is the largest position of the part in a prompt.
+	// depth is the largest depth of its strikes.
 	depth uint8
 }
 
@@ -52,6 +56,8 @@
 	parts            []Part
 	crashes, prompts int
 	engines          []uint32
+	// renewal is true if the subject was in quarantine until recently.
+	renewal bool
 }
 
 // candidate is a part with the strikes that no quarantine explains.
@@ -59,7 +65,7 @@
 	*record
 	// engines are the engines that crashed, in ascending order.
 	engines []uint32
-	// prompts is the smallest number of prompts one of which was at each of the engines.
+	// prompts is the smallest number of requests one of which was at each of the engines.
 	// Others were there by chance.
 	prompts     int
 	unexplained []strike
@@ -67,7 +73,7 @@
 
 func (c *candidate) weight() int { return len(c.engines) + c.prompts }
 
-// decide returns the parts to put in quarantine next, or none. active are the parts of the
+// decideParts returns the parts to put in quarantine next, or none. active are the parts of the
 // current quarantines; expired reports whether a part was in quarantine until recently.
 //
 // The part with the most evidence is chosen, and crashes of engines that also ran a
@@ -75,7 +81,7 @@
 // requests share isn't blamed for the part beside it. Parts that occurred only together
 // can't be distinguished: then only requests that contain all of them are refused, unless
 // some are known to be sound from earlier responses.
-func decide(records map[Part]*record, active [][]Part, expired func(Part) bool, now time.Time) (decision, bool) {
+func decideParts(records map[Part]*record, active [][]Part, expired func(Part) bool, now time.Time) (decision, bool) {
 	candidates := unexplained(records, active)
 	for len(candidates) > 0 {
 		// Parts with the same crashes as the first candidate can't be told apart from it.
@@ -93,7 +99,7 @@
 		if slices.ContainsFunc(active, func(parts []Part) bool { return slices.Equal(parts, d.parts) }) {
 			continue
 		}
-		if together[0].suffices(expired(together[0].part), now) {
+		if d.renewal = expired(together[0].part); together[0].suffices(d.renewal, now) {
 			return d, true
 		}
 	}
@@ -109,7 +115,7 @@
 	if !c.soundAt.IsZero() {
 		required = minWeightOnceSound
 	}
-	return c.weight() >= required && incidents(c.unexplained) >= minIncidents && now.Sub(c.unexplained[0].at) >= settleTime
+	return c.weight() >= required && c.prompts >= minPrompts && incidents(c.unexplained) >= minIncidents && now.Sub(c.unexplained[0].at) >= settleTime
 }
 
 // leastSound returns those of the candidates that never appeared in a sound response if
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -19,6 +19,9 @@
 const (
 	// DefaultDuration is how long a quarantine lasts if Config sets no duration.
 	DefaultDuration = 5 * time.Minute
+	// firstRequestDuration is how long the first quarantine of a request lasts at most. A
+	// sound request that was at several crashed engines by chance is refused no longer.
+	firstRequestDuration = time.Minute
 	// evidenceTime is how long a strike counts.
 	evidenceTime = 2 * time.Minute
 	// reportTime is how long an observation is reported. A node sends several reports in
@@ -26,8 +29,10 @@
 	reportTime = 3 * time.Second
 	// clearanceInterval is the shortest time between two clearances of a part by a node.
 	clearanceInterval = 500 * time.Millisecond
-	// maxRecords is the number of parts with evidence.
-	maxRecords = 256
+	// maxRecords is the number of subjects with evidence. A crashed engine ran many requests,
+	// but these share few parts.
+	maxRecords        = 256
+	maxRequestRecords = 2048
 	// maxRecordStrikes is the number of strikes kept for a part.
 	maxRecordStrikes = 32
 	// maxPromptParts is the number of parts of one prompt that are struck by a crash.
@@ -38,6 +43,8 @@
 
 // Config configures a Ledger.
 type Config struct {
+	// Kind is what the ledger blames for crashes.
+	Kind Kind
 	// Duration is how long a quarantine lasts.
 	Duration time.Duration
 	// Now is the clock; nil means time.Now.
@@ -47,12 +54,16 @@
 // Quarantine is a quarantine that applies to requests.
 type Quarantine struct {
 	Notice
+	Kind      Kind
 	Until     time.Time
 	decidedAt time.Time
 }
 
 // Evidence describes the quarantine for logs and error messages.
 func (q *Quarantine) Evidence() string {
+	if q.Kind == Requests {
+		return fmt.Sprintf("%d engines crashed while they ran it", q.Crashes)
+	}
 	return fmt.Sprintf("%d engines crashed under %d prompts with the parts %v", q.Crashes, q.Prompts, q.Parts)
 }
 
@@ -66,6 +77,8 @@
 	adopted  metrics.Counter
 	lifted   metrics.Counter
 	inEffect blackboard.Section[[]*Quarantine]
+	// onChange is called when the quarantines in effect change; nil if nobody waits.
+	onChange func()
 	now      func() time.Time
 
 	mu      sync.Mutex
@@ -81,6 +94,8 @@
 type notice struct {
 	Notice
 	decidedAt, until time.Time
+	// spent is true once the quarantine has expired and its strikes don't count any more.
+	spent bool
 	// liftedAt is when a sound response contained one of the parts afterwards; zero if
 	// none did.
 	liftedAt time.Time
@@ -97,25 +112,25 @@
 // NewLedger returns an empty ledger.
 func NewLedger(cfg Config, logger log.Logger, registry metrics.Registry) *Ledger {
 	counter := func(name string) metrics.Counter {
-		return metrics.GetOrRegisterCounter("quarantine."+name, registry)
+		return metrics.GetOrRegisterCounter(cfg.Kind.metricPrefix()+name, registry)
 	}
 	cfg.Duration = cmp.Or(cfg.Duration, DefaultDuration)
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Ledger{cfg: cfg, logger: log.With(logger, "component", "quarantine"), now: cfg.Now,
+	return &Ledger{cfg: cfg, logger: log.With(logger, "component", "quarantine", "kind", cfg.Kind), now: cfg.Now,
 		strikes: counter("strikes"), decided: counter("decided"), adopted: counter("adopted"), lifted: counter("lifted"),
 		records: map[Part]*record{}, notices: map[string]*notice{}, ownClearances: map[Part]ownClearance{}}
 }
 
-// Match returns the quarantine that applies to a prompt, or nil. prompt holds the IDs of
-// its parts in order.
-func (l *Ledger) Match(prompt []string) *Quarantine {
+// Match returns the quarantine that applies to a request, or nil. ids are the IDs of the
+// parts of its prompt in order, or the ID of the request.
+func (l *Ledger) Match(ids []string) *Quarantine {
 	current := l.inEffect.Load()
 	if current == nil || len(*current) == 0 {
 		return nil
 	}
-	parts := partsOf(sharedIDs(prompt))
+	parts := partsOf(l.cfg.Kind.subjects(ids))
 	now := l.now()
 	for _, q := range *current {
 		if now.Before(q.Until) && !slices.ContainsFunc(q.Parts, func(p Part) bool { return !slices.Contains(parts, p) }) {
@@ -125,25 +140,21 @@
 	return nil
 }
 
-// Changed returns a channel that is closed when the quarantines in effect change.
-func (l *Ledger) Changed() <-chan struct{} { return l.inEffect.Changed() }
-
-// Crashed records that an engine crashed before it sent the first event of the response to
-// a prompt.
-func (l *Ledger) Crashed(instance string, startedMs int64, prompt []string, at time.Time) {
-	ids := sharedIDs(prompt)
+// Crashed records that an engine crashed while it ran a request.
+func (l *Ledger) Crashed(instance string, startedMs int64, r Request, at time.Time) {
+	ids := l.cfg.Kind.subjects(r.ids(l.cfg.Kind))
 	if len(ids) == 0 {
 		return
 	}
 	parts := partsOf(ids)
-	engine, key := engineKey(instance, startedMs), promptKey(prompt)
+	engine, key := engineKey(instance, startedMs), requestKey(r.ID)
 	l.strikes.Inc(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, i := range l.mostSuspicious(parts) {
-		_ = level.Info(l.logger).Log("msg", "engine crashed before the response began", "instance", instance,
+		_ = level.Info(l.logger).Log("msg", "engine crashed under a request", "instance", instance,
 			"part", parts[i], "id", ids[i], "position", i)
-		s := Strike{Engine: engine, Prompt: key, Part: parts[i], Depth: uint8(min(i, math.MaxUint8))}
+		s := Strike{Engine: engine, Prompt: key, Part: parts[i], Depth: uint8(min(l.cfg.Kind.depth(i, r), math.MaxUint8))}
 		l.addStrike(s, at)
 		l.ownStrikes = append(l.ownStrikes, ownStrike{s, at})
 	}
@@ -163,9 +174,9 @@
 	return indices[:min(len(indices), maxPromptParts)]
 }
 
-// Sound records that an engine was sound while it responded to a prompt.
-func (l *Ledger) Sound(prompt []string) {
-	parts := partsOf(sharedIDs(prompt))
+// Sound records that an engine was sound while it ran a request. ids are as for Match.
+func (l *Ledger) Sound(ids []string) {
+	parts := partsOf(l.cfg.Kind.subjects(ids))
 	if len(parts) == 0 {
 		return
 	}
@@ -245,7 +256,7 @@
 	if r.Empty() {
 		return nil
 	}
-	r.limit()
+	r.limit(l.cfg.Kind.maxNotices())
 	return r
 }
 
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -20,29 +20,20 @@
 	maxOwnStrikes = 12
 	// maxClearances is the number of clearances in a report.
 	maxClearances = 16
-	// maxNotices is the number of quarantines.
-	maxNotices = 8
+	// maxNotices and maxRequestNotices are the numbers of quarantines of parts and of requests.
+	maxNotices        = 8
+	maxRequestNotices = 16
 	// maxNoticeParts is the number of parts of one quarantine.
 	maxNoticeParts = 3
 )
 
-// Part is the hash of the ID of a part of a prompt. Its 64 bits make it improbable that a
-// sound part has the hash of one in quarantine.
+// Part is the hash of the ID of a part of a prompt, or of a request. Its 64 bits make it
+// improbable that a sound one has the hash of one in quarantine.
 type Part uint64
 
 // PartOf returns the hash of the ID of a part.
 func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
 
-// sharedIDs returns the IDs of the parts of a prompt that may be put in quarantine. The
-// last part belongs to the request or its session alone.
-func sharedIDs(prompt []string) []string {
-	if len(prompt) == 0 {
-		return nil
-	}
-	last := prompt[len(prompt)-1]
-	return slices.DeleteFunc(slices.Clone(prompt), func(id string) bool { return id == last })
-}
-
 // partsOf returns the hashes of IDs.
 func partsOf(ids []string) []Part {
 	parts := make([]Part, len(ids))
@@ -52,21 +43,21 @@
 	return parts
 }
 
-// promptKey identifies a prompt by its last part.
-func promptKey(prompt []string) uint32 { return uint32(xxhash.Sum64String(prompt[len(prompt)-1])) }
+// requestKey identifies a request among those at crashed engines.
+func requestKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // engineKey identifies one start of an engine.
 func engineKey(instance string, startedMs int64) uint32 {
 	return uint32(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(instance), uint64(startedMs))))
 }
 
-// Strike means that an engine crashed before it sent the first event of the response to a
-// prompt that contains a part.
+// Strike means that an engine crashed while it ran a request with a part, or the request.
 type Strike struct {
 	Engine uint32 `msgpack:"e"`
+	// Prompt identifies the request.
 	Prompt uint32 `msgpack:"q"`
 	Part   Part   `msgpack:"p"`
-	// Depth is the position of the part in the prompt.
+	// Depth is the position of the part in the prompt, or the EarlierAttempts of a request.
 	Depth uint8 `msgpack:"d"`
 	// AgeMs is the time since the crash, in milliseconds.
 	AgeMs uint16 `msgpack:"a"`
@@ -129,7 +120,7 @@
 		field      string
 		n, maximum int
 	}{
-		{"strikes", len(r.Strikes), maxStrikes}, {"clearances", len(r.Clearances), maxClearances}, {"notices", len(r.Notices), maxNotices},
+		{"strikes", len(r.Strikes), maxStrikes}, {"clearances", len(r.Clearances), maxClearances}, {"notices", len(r.Notices), maxRequestNotices},
 	} {
 		if list.n > list.maximum {
 			return fmt.Errorf("%s of quarantine: %d entries, at most %d are allowed", list.field, list.n, list.maximum)
@@ -143,10 +134,10 @@
 	return nil
 }
 
-// Merge returns the union of two reports, of which other was received some time ago. Both
-// stay unchanged. Beyond the limits it keeps the strikes of the parts that have the most
-// of them, and the newest clearances and notices.
-func Merge(r, other *Observations, ago time.Duration) *Observations {
+// Merge returns the union of two reports of one kind, of which other was received some time
+// ago. Both stay unchanged. Beyond the limits it keeps the strikes of the parts that have
+// the most of them, and the newest clearances and notices.
+func Merge(kind Kind, r, other *Observations, ago time.Duration) *Observations {
 	if other.Empty() {
 		return r
 	}
@@ -177,7 +168,7 @@
 			union.Notices[i] = n
 		}
 	}
-	union.limit()
+	union.limit(kind.maxNotices())
 	return union
 }
 
@@ -187,7 +178,7 @@
 }
 
 // limit truncates the lists to their limits.
-func (r *Observations) limit() {
+func (r *Observations) limit(notices int) {
 	if len(r.Strikes) > maxStrikes {
 		byPart := map[Part]int{}
 		for _, s := range r.Strikes {
@@ -201,5 +192,5 @@
 	slices.SortStableFunc(r.Clearances, func(a, b Clearance) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
 	r.Clearances = r.Clearances[:min(len(r.Clearances), maxClearances)]
 	slices.SortStableFunc(r.Notices, func(a, b Notice) int { return cmp.Compare(b.Since, a.Since) })
-	r.Notices = r.Notices[:min(len(r.Notices), maxNotices)]
+	r.Notices = r.Notices[:min(len(r.Notices), notices)]
 }
--- /dev/null
+++ b/quarantine/requests_test.go
@@ -0,0 +1,173 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+)
+
+// guardBench is a guard with a clock and a counter that makes engines distinct.
+type guardBench struct {
+	*Guard
+	*clock
+	engines int
+}
+
+func newGuardBench() *guardBench {
+	c := &clock{time: time.Unix(1e9, 0)}
+	return &guardBench{clock: c, Guard: newGuard(c)}
+}
+
+func newGuard(c *clock) *Guard {
+	return NewGuard(Config{Now: func() time.Time { return c.time }}, log.NewNopLogger(), metrics.NewRegistry())
+}
+
+// request returns a request with a prompt.
+func request(id string, prompt ...string) Request { return Request{ID: id, Prompt: prompt} }
+
+// crash makes a new engine crash under requests and lets half a second pass.
+func (b *guardBench) crash(requests ...Request) {
+	b.engines++
+	for _, r := range requests {
+		b.Crashed(fmt.Sprint("engine-", b.engines), 1, r, false, b.time)
+	}
+	b.advance(700 * time.Millisecond)
+	b.Report()
+}
+
+func (b *guardBench) refuses(r Request) bool { return b.Match(r) != nil }
+
+var _ = Describe("Guard", func() {
+	var b *guardBench
+	deadly := request("deadly", "shared", "session")
+	BeforeEach(func() { b = newGuardBench() })
+
+	It("refuses a request after three crashes under it, and no other with its parts", func() {
+		// Guards against a request that crashes one engine after the other when it is repeated.
+		for range 3 {
+			Expect(b.refuses(deadly)).To(BeFalse())
+			b.crash(deadly)
+		}
+		Expect(b.refuses(deadly)).To(BeTrue())
+		Expect(b.refuses(request("other", "shared", "session"))).To(BeFalse())
+		Expect(b.refuses(request("", "shared", "session"))).To(BeFalse())
+	})
+
+	It("refuses a request without a prompt, and one that crashes engines after its response began", func() {
+		// Guards against plain requests and streams that crash engines in the middle.
+		for range 3 {
+			b.crash(request("plain"))
+			b.Crashed(fmt.Sprint("begun-", b.engines), 1, request("begun", "shared", "x"), true, b.time)
+		}
+		Expect(b.refuses(request("plain"))).To(BeTrue())
+		Expect(b.refuses(request("begun", "shared", "x"))).To(BeTrue())
+	})
+
+	It("blames no request whose response was sound after the crashes", func() {
+		// Guards against refusing a sound request that is repeated by nature.
+		for range 4 {
+			b.crash(request("poll"))
+			b.crash(request("poll"))
+			b.Answered(request("poll"))
+			b.advance(time.Second)
+		}
+		Expect(b.refuses(request("poll"))).To(BeFalse())
+	})
+
+	It("blames no request for engines that crash at once", func() {
+		// Guards against refusing a repeated request because all servers lost power.
+		for i := range 5 {
+			b.Crashed(fmt.Sprint("engine-", i), 1, request("poll"), false, b.time.Add(time.Duration(i)*10*time.Millisecond))
+		}
+		b.advance(time.Second)
+		b.Report()
+		Expect(b.refuses(request("poll"))).To(BeFalse())
+	})
+
+	It("counts an engine that was sent the request after another had failed by itself", func() {
+		// Guards against a request that is repeated at once, and crashes more engines before
+		// its crashes count as several incidents.
+		again := deadly
+		again.EarlierAttempts = 1
+		for i, r := range []Request{deadly, again, deadly} {
+			b.Crashed(fmt.Sprint("engine-", i), 1, r, false, b.time)
+			b.advance(5 * time.Millisecond)
+		}
+		Expect(b.refuses(deadly)).To(BeTrue())
+	})
+
+	It("doesn't count crashes under a request in quarantine against others at the engines", func() {
+		// Guards against blaming requests that were beside a deadly one.
+		for range 3 {
+			b.crash(deadly)
+		}
+		for range 3 {
+			b.crash(deadly, request("beside", "shared", "x"))
+		}
+		Expect(b.refuses(deadly)).To(BeTrue())
+		Expect(b.refuses(request("beside", "shared", "x"))).To(BeFalse())
+	})
+
+	It("refuses a request by chance for a minute, and one that crashes a further engine for longer", func() {
+		// Guards against refusing an unlucky request for long, and against three further
+		// crashes after each quarantine.
+		for range 3 {
+			b.crash(deadly)
+		}
+		Expect(b.refuses(deadly)).To(BeTrue())
+		b.advance(firstRequestDuration)
+		b.Report()
+		Expect(b.refuses(deadly)).To(BeFalse())
+		b.crash(deadly)
+		Expect(b.refuses(deadly)).To(BeTrue())
+		b.advance(DefaultDuration - 2*time.Second)
+		Expect(b.refuses(deadly)).To(BeTrue())
+	})
+
+	It("refuses what other nodes observed, and keeps it in the store", func() {
+		// Guards against a request that crashes the engines of each node in turn.
+		nodes := []*Guard{b.Guard, newGuard(b.clock), newGuard(b.clock)}
+		for i, n := range nodes {
+			n.Crashed(fmt.Sprint("engine-", i), 1, deadly, false, b.time)
+			b.advance(700 * time.Millisecond)
+			for _, to := range nodes {
+				to.Absorb(n.Report())
+			}
+		}
+		for _, n := range nodes {
+			Expect(n.Match(deadly)).NotTo(BeNil())
+		}
+		data, err := Encode(b.Ledger(Requests).Current())
+		Expect(err).NotTo(HaveOccurred())
+		stored, err := Decode(data, b.time)
+		Expect(err).NotTo(HaveOccurred())
+		restarted := newGuard(b.clock)
+		restarted.Absorb(Reports{Requests: stored})
+		Expect(restarted.Match(deadly)).NotTo(BeNil())
+	})
+
+	It("keeps its size and that of its reports bounded", func() {
+		// Guards against memory and messages that grow with the number of requests at crashed
+		// engines.
+		for i := range 3000 {
+			b.Crashed(fmt.Sprint("engine-", i/17), 1, request(fmt.Sprint(i), "shared", "x"), true, b.time)
+			b.advance(time.Millisecond)
+			if i%100 == 0 {
+				Expect(b.Report()[Requests].Validate()).To(Succeed())
+			}
+		}
+		for i := range 40 {
+			for range 3 {
+				b.crash(request(fmt.Sprint("deadly-", i)))
+			}
+		}
+		Expect(b.Report()[Requests].Validate()).To(Succeed())
+		Expect(len(b.Ledger(Requests).records)).To(BeNumerically("<=", maxRequestRecords))
+		Expect(len(b.Current())).To(BeNumerically("<=", maxRequestNotices))
+		Expect(b.refuses(request("deadly-39"))).To(BeTrue())
+	})
+})
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -26,7 +26,7 @@
 		return
 	}
 	r.depth, r.struckAt = max(r.depth, s.Depth), l.now()
-	r.strikes = append(r.strikes, strike{s.Engine, s.Prompt, at})
+	r.strikes = append(r.strikes, strike{s.Engine, s.Prompt, at, s.Depth})
 	if len(r.strikes) > maxRecordStrikes {
 		r.strikes = r.strikes[1:]
 	}
@@ -42,7 +42,7 @@
 		if n.liftedAt.IsZero() && slices.Contains(n.Parts, p) && at.After(n.decidedAt) {
 			n.liftedAt = at
 			l.lifted.Inc(1)
-			_ = level.Warn(l.logger).Log("msg", "quarantine lifted: a response to a prompt with the part was sound", "part", p,
+			_ = level.Warn(l.logger).Log("msg", "quarantine lifted: a response was sound", "part", p,
 				"parts", fmt.Sprint(n.Parts), "since", n.Since)
 		}
 	}
@@ -68,7 +68,7 @@
 	remaining := min(time.Duration(received.RemainingMs)*time.Millisecond, l.cfg.Duration)
 	l.notices[received.key()] = &notice{Notice: received, decidedAt: decidedAt, until: now.Add(remaining)}
 	l.adopted.Inc(1)
-	_ = level.Warn(l.logger).Log("msg", "prompt part in quarantine, as reported by another node", "parts", fmt.Sprint(received.Parts),
+	_ = level.Warn(l.logger).Log("msg", "quarantine, as reported by another node", "parts", fmt.Sprint(received.Parts),
 		"crashes", received.Crashes, "prompts", received.Prompts, "remaining_ms", remaining.Milliseconds())
 }
 
@@ -84,18 +84,22 @@
 				active = append(active, n.Parts)
 			}
 		}
-		d, found := decide(l.records, active, l.expiredRecently, now)
+		d, found := l.cfg.Kind.decide(l.records, active, l.expiredRecently, now)
 		if !found {
 			break
 		}
+		duration := l.cfg.Duration
+		if l.cfg.Kind == Requests && !d.renewal {
+			duration = min(duration, firstRequestDuration)
+		}
 		n := Notice{Parts: d.parts, Crashes: uint16(d.crashes), Prompts: uint16(d.prompts), Since: now.UnixMilli()}
 		if known := l.notices[n.key()]; known != nil {
 			n.Since = max(n.Since, known.Since+1)
 		}
-		l.notices[n.key()] = &notice{Notice: n, decidedAt: now, until: now.Add(l.cfg.Duration)}
+		l.notices[n.key()] = &notice{Notice: n, decidedAt: now, until: now.Add(duration)}
 		l.decided.Inc(1)
-		_ = level.Warn(l.logger).Log("msg", "prompt part in quarantine: engines crashed before they responded to it", "parts", fmt.Sprint(d.parts),
-			"crashes", d.crashes, "prompts", d.prompts, "engines", fmt.Sprint(d.engines), "duration_ms", l.cfg.Duration.Milliseconds())
+		_ = level.Warn(l.logger).Log("msg", "quarantine: engines crashed under requests", "parts", fmt.Sprint(d.parts),
+			"crashes", d.crashes, "prompts", d.prompts, "engines", fmt.Sprint(d.engines), "duration_ms", duration.Milliseconds())
 	}
 	l.publish(now)
 }
@@ -121,7 +125,7 @@
 			delete(l.records, p)
 		}
 	}
-	removeOldest(l.records, maxRecords)
+	removeOldest(l.records, l.cfg.Kind.maxRecords())
 	var current, past []*notice
 	for key, n := range l.notices {
 		switch {
@@ -136,9 +140,12 @@
 	newestFirst := func(a, b *notice) int { return b.decidedAt.Compare(a.decidedAt) }
 	slices.SortFunc(current, newestFirst)
 	slices.SortFunc(past, newestFirst)
-	for _, n := range current[min(len(current), maxNotices):] {
+	for _, n := range current[min(len(current), l.cfg.Kind.maxNotices()):] {
 		n.until = now
 	}
+	for _, n := range append(past, current[min(len(current), l.cfg.Kind.maxNotices()):]...) {
+		l.spend(n)
+	}
 	for _, n := range past[min(len(past), maxExpired):] {
 		delete(l.notices, n.key())
 	}
@@ -147,6 +154,20 @@
 	maps.DeleteFunc(l.ownClearances, func(_ Part, c ownClearance) bool { return now.Sub(c.reportedSince) > reportTime })
 }
 
+// spend removes the strikes that led to a quarantine that has expired, so that only a
+// further crash renews it.
+func (l *Ledger) spend(n *notice) {
+	if n.spent || !n.liftedAt.IsZero() {
+		return
+	}
+	n.spent = true
+	for _, p := range n.Parts {
+		if r := l.records[p]; r != nil {
+			r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.at.After(n.until) })
+		}
+	}
+}
+
 // removeOldest removes the records that were struck longest ago until at most limit are
 // left.
 func removeOldest(records map[Part]*record, limit int) {
@@ -164,11 +185,14 @@
 	var list []*Quarantine
 	for _, n := range l.notices {
 		if n.inEffect(now) {
-			list = append(list, &Quarantine{Notice: n.Notice, Until: n.until, decidedAt: n.decidedAt})
+			list = append(list, &Quarantine{Notice: n.Notice, Kind: l.cfg.Kind, Until: n.until, decidedAt: n.decidedAt})
 		}
 	}
 	slices.SortFunc(list, func(a, b *Quarantine) int { return strings.Compare(a.key(), b.key()) })
 	if !slices.EqualFunc(list, l.Current(), func(a, b *Quarantine) bool { return a.key() == b.key() && a.Since == b.Since }) {
 		l.inEffect.Publish(&list)
+		if l.onChange != nil {
+			l.onChange()
+		}
 	}
 }
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -51,6 +51,8 @@
 	ReasonDraining Reason = "draining"
 	// ReasonQuarantined means that the prompt contains a part under which engines crashed.
 	ReasonQuarantined Reason = "prompt-quarantined"
+	// ReasonRequestQuarantined means that engines crashed while they ran the same request.
+	ReasonRequestQuarantined Reason = "request-quarantined"
 	// ReasonPlatform means that the platform is needed but not available.
 	ReasonPlatform Reason = "platform-unavailable"
 	// ReasonBackendFailed means that the backend server refused, failed or did not respond.
@@ -66,28 +68,30 @@
 
 // statusByReason maps each reason to the HTTP status of its error response.
 var statusByReason = map[Reason]int{
-	ReasonBadRequest:       http.StatusBadRequest,
-	ReasonUnauthenticated:  http.StatusUnauthorized,
-	ReasonForbidden:        http.StatusForbidden,
-	ReasonNotFound:         http.StatusNotFound,
-	ReasonTooLarge:         http.StatusRequestEntityTooLarge,
-	ReasonConflict:         http.StatusConflict,
-	ReasonKeyReused:        http.StatusUnprocessableEntity,
-	ReasonInProgress:       http.StatusConflict,
-	ReasonOutcomeUnknown:   http.StatusConflict,
-	ReasonNoHealthyGroup:   http.StatusServiceUnavailable,
-	ReasonNoServer:         http.StatusServiceUnavailable,
-	ReasonOverloaded:       http.StatusServiceUnavailable,
-	ReasonLimitExceeded:    http.StatusTooManyRequests,
-	ReasonDeadline:         http.StatusGatewayTimeout,
-	ReasonUnconfirmed:      http.StatusServiceUnavailable,
-	ReasonDraining:         http.StatusServiceUnavailable,
-	ReasonQuarantined:      http.StatusServiceUnavailable,
-	ReasonPlatform:         http.StatusServiceUnavailable,
-	ReasonBackendFailed:    http.StatusBadGateway,
-	ReasonIncompleteAnswer: http.StatusBadGateway,
-	ReasonWrongAnswer:      http.StatusBadGateway,
-	ReasonInternal:         http.StatusInternalServerError,
+	ReasonBadRequest:      http.StatusBadRequest,
+	ReasonUnauthenticated: http.StatusUnauthorized,
+	ReasonForbidden:       http.StatusForbidden,
+	ReasonNotFound:        http.StatusNotFound,
+	ReasonTooLarge:        http.StatusRequestEntityTooLarge,
+	ReasonConflict:        http.StatusConflict,
+	ReasonKeyReused:       http.StatusUnprocessableEntity,
+	ReasonInProgress:      http.StatusConflict,
+	ReasonOutcomeUnknown:  http.StatusConflict,
+	ReasonNoHealthyGroup:  http.StatusServiceUnavailable,
+	ReasonNoServer:        http.StatusServiceUnavailable,
+	ReasonOverloaded:      http.StatusServiceUnavailable,
+	ReasonLimitExceeded:   http.StatusTooManyRequests,
+	ReasonDeadline:        http.StatusGatewayTimeout,
+	ReasonUnconfirmed:     http.StatusServiceUnavailable,
+	ReasonDraining:        http.StatusServiceUnavailable,
+	ReasonQuarantined:     http.StatusServiceUnavailable,
+	// The request is to blame, and a retry with another engine would harm that as well.
+	ReasonRequestQuarantined: http.StatusUnprocessableEntity,
+	ReasonPlatform:           http.StatusServiceUnavailable,
+	ReasonBackendFailed:      http.StatusBadGateway,
+	ReasonIncompleteAnswer:   http.StatusBadGateway,
+	ReasonWrongAnswer:        http.StatusBadGateway,
+	ReasonInternal:           http.StatusInternalServerError,
 }
 
 // Error is the type of all errors that reach a caller or an operator.
