forward: an engine that goes silent under a stream counts as crashed

A request that silences the host of each engine, instead of ending its process, was never refused: a stall blamed nothing, as a sound engine may stand still for a while.

The address of a stalled engine is dialled twice now. If neither dial is answered, the engine counts as crashed under the request; an engine that only stands still is answered for by its kernel. The test with such an address failed before (no report within 3 s).

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -68,23 +68,27 @@
 	}
 }
 
-// checkCrash reports to the quarantine if the engine of a failed attempt crashed. begun is
-// true if the engine had sent a part of the response. A broken connection alone is no crash:
-// it may have been reset, or the engine may have failed only this request.
+// checkCrash reports to the quarantine if the engine of a failed attempt crashed, or fell
+// silent together with its host. begun is true if the engine had sent a part of the response.
+// A broken connection alone is no crash: it may have been reset, or the engine may have
+// failed only this request.
 func (h *Handler) checkCrash(c *call, slot *Slot, failed *verdict.Error, begun bool) {
 	brokeAt := time.Now()
-	endedHere := errors.Is(failed, errStalled) || !brokeAt.Before(c.deadline)
-	if failed.Verdict != verdict.MayHaveRun || failed.Cause == nil || endedHere {
+	if failed.Verdict != verdict.MayHaveRun || failed.Cause == nil || !brokeAt.Before(c.deadline) {
 		return
 	}
+	check, down := "refused ", h.Connections.Refused
+	if errors.Is(failed, errStalled) {
+		check, down = "silent ", h.Connections.Silent
+	}
 	instance, subject := slot.Instance, c.subject()
 	subject.EarlierAttempts = c.runs - 1
 	go func() {
-		refused, _, _ := h.crashChecks.Do(instance.ID, func() (any, error) {
+		crashed, _, _ := h.crashChecks.Do(check+instance.ID, func() (any, error) {
 			time.Sleep(crashCheckDelay)
-			return h.Connections.Refused(context.Background(), instance.Address), nil
+			return down(context.Background(), instance.Address), nil
 		})
-		if refused == true {
+		if crashed == true {
 			h.Quarantine.Crashed(instance.ID, instance.StartedMs, subject, begun, brokeAt)
 		}
 	}()
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -50,6 +50,8 @@
 		status, _, _ := sendScripted(node, "/stream/x", "r")
 		Expect(status).To(Equal(502))
 		ledger := node.Config.Handler.(*Handler).Quarantine
-		Eventually(func() bool { return ledger.Report()[quarantine.Requests].Empty() || ledger.Report()[quarantine.Parts].Empty() }).Should(BeFalse())
+		Eventually(func() bool {
+			return ledger.Report()[quarantine.Requests].Empty() || ledger.Report()[quarantine.Parts].Empty()
+		}).Should(BeFalse())
 	})
 })
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -89,6 +89,26 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// silentDials is the number of dials without an answer from which an address counts as
+// silent. One packet may be lost.
+const silentDials = 2
+
+// Silent reports whether nothing answers at an address: its host has failed or can't be
+// reached. A process that only stands still is not silent, as its kernel answers.
+func (p *Pool) Silent(ctx context.Context, address string) bool {
+	for range silentDials {
+		raw, err := p.dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			_ = raw.Close()
+		}
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() {
+			return false
+		}
+	}
+	return true
+}
+
 // takeIdle returns the most recently used idle connection that is still usable, or nil.
 func (p *Pool) takeIdle(address string) *Conn {
 	for {
