forward: streams that broke off wait for a target

What callers saw: a stream cut at once when its engine failed while the instance list or the configuration had no other target for a moment.

Cause: a request without a target is refused at once. For a stream of which the caller has a part, that is no refusal but the end of its answer.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -150,7 +150,8 @@
 	} else {
 		d.trafficOf(r.Pool).recordArrival(time.Now(), r.PromptTokens)
 	}
-	if len(d.tables.Load().Targets(r.Pool)) == 0 {
+	// A stream that its caller has a part of would be cut; a target may soon be back.
+	if !r.Begun && len(d.tables.Load().Targets(r.Pool)) == 0 {
 		d.trafficOf(r.Pool).recordRefusal(time.Now())
 		d.mu.Unlock()
 		return nil, ErrNoTarget
