forward, entry: answer or refuse each request before a stop ends

Callers saw, in a planned stop of an entry node, the connection end without a response to requests that had come late in the stop and were passed on to slow servers, also those that may run only once.

Cause: a plain request was taken with its whole deadline at any time of the stop, and the end of the stop closed the connections of what was in progress. Only new streams were refused, after three seconds whatever the stop time.

Package drain now decides, from the time since the stop began, the stop time, the kind of the request, its deadline and the usual duration: taken whole, taken with the time that is left as the deadline, or refused as not run, so that the caller goes elsewhere at once. It is asked when the request arrives and again before it is sent, as it may have waited. What is still in progress 0.7 s before the stop time gets a response of the node: 503 if it wasn't sent, else 502.

The decision answers the load of callers who still have a cached address; it takes nothing into account but this node's own stop.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
@@ -29,6 +30,8 @@
 	// shutdownReserve is subtracted from the stop time for the exit of the process
 	// itself.
 	shutdownReserve = 400 * time.Millisecond
+	// answerReserve is the time before that in which the last responses are written.
+	answerReserve = 300 * time.Millisecond
 	// drainTTLs is the number of address TTLs for which the node goes on serving after
 	// its address is no longer handed out: some callers keep an address that long.
 	drainTTLs = 3
@@ -172,7 +175,7 @@
 	started := time.Now()
 	_ = level.Info(d.logger).Log("msg", "stopping", "in_flight", d.handler.InFlight())
 	d.status.leaving.Store(true)
-	d.handler.SetLeaving()
+	d.handler.SetLeaving(drain.Grace{Total: d.settings.StopTime, Answers: d.settings.StopTime - shutdownReserve - answerReserve})
 	ctx, cancel := context.WithDeadline(ctx, started.Add(d.settings.StopTime-shutdownReserve))
 	defer cancel()
 	wait.For(ctx, min(drainTTLs*d.settings.AddressTTL, d.settings.StopTime*3/4))
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -371,6 +371,13 @@
 	d.trafficOf(p).events.add(float64(events))
 }
 
+// holdTime returns the average time for which requests of a pool hold a slot, 0 if unknown.
+func (d *Dispatcher) holdTime(p Pool) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.trafficOf(p).holdTime
+}
+
 // Waiting returns the number of waiting requests by pool.
 func (d *Dispatcher) Waiting() map[Pool]int {
 	d.mu.Lock()
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -62,9 +62,11 @@
 	metrics  handlerMetrics
 	inFlight atomic.Int64
 	buffers  *bufferLimit
-	// leavingSince is when this node began to shut down, in Unix nanoseconds; 0 if it
-	// isn't shutting down.
-	leavingSince atomic.Int64
+	// leaving is set once this node has begun to stop.
+	leaving atomic.Pointer[leaving]
+	// ending is cancelled when each request in progress must be answered.
+	ending context.Context
+	end    context.CancelFunc
 	// crashChecks joins simultaneous checks of one engine.
 	crashChecks singleflight.Group
 
@@ -78,8 +80,10 @@
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewGuard(quarantine.Config{}, deps.Logger, deps.Registry)
 	}
-	return &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
+	h := &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
 		buffers: newBufferLimit(cfg.MaxBufferedBytes), budgets: map[string]*retry.Budget{}}
+	h.ending, h.end = context.WithCancel(context.Background())
+	return h
 }
 
 // SetRetryLimits replaces the configured retry ratio and allowance.
@@ -95,10 +99,6 @@
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
-// SetLeaving starts the shutdown: every response closes its connection from now on, so
-// that callers move to other nodes.
-func (h *Handler) SetLeaving() { h.leavingSince.Store(time.Now().UnixNano()) }
-
 // call is one request in progress.
 type call struct {
 	Meta
@@ -113,7 +113,11 @@
 	// the body was read.
 	identity string
 	started  time.Time
+	// deadline is when the request must be answered: when the caller gives up, or earlier
+	// if the node stops.
 	deadline time.Time
+	// callerDeadline is when the caller gives up.
+	callerDeadline time.Time
 	// goalAt is the time after which the response, or its first event, is late.
 	goalAt time.Time
 	// mayHaveRun is true if a backend server may have run the request.
@@ -132,9 +136,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.leavingSince.Load() != 0 {
-		w.Header().Set("Connection", "close")
-	}
+	h.closeIfLeaving(w)
 	c := &call{Meta: h.Codec.DecodeRequest(r.Header), request: r, writer: w, started: time.Now(),
 		tried: map[string]bool{}}
 	if err := h.admit(c); err != nil {
@@ -143,6 +145,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ending, cancel)()
 	if c.route.Kind == catalog.Streaming {
 		h.stream(ctx, c)
 		return
@@ -162,9 +165,6 @@
 	if c.route = configuration.Route(c.request.Host, path); c.route == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonNotFound, "no route for the host and path")
 	}
-	if c.route.Kind == catalog.Streaming && h.refusesNewStreams(c.started) {
-		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this node is shutting down").WithRetryAfter(drainingRetry)
-	}
 	if err := h.authenticate(c, configuration); err != nil {
 		return err
 	}
@@ -175,6 +175,12 @@
 		return err
 	}
 	c.setTimes()
+	if c.service = configuration.Service(c.route.PickTarget()); c.service == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "the service of route %s is not configured", c.route.Name)
+	}
+	if _, err := h.latestStart(c); err != nil {
+		return err
+	}
 	if err := c.readBody(configuration.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
@@ -183,19 +189,10 @@
 	if err := h.checkQuarantine(c); err != nil {
 		return err
 	}
-	if c.service = configuration.Service(c.route.PickTarget()); c.service == nil {
-		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "the service of route %s is not configured", c.route.Name)
-	}
 	h.budget(c.service.Name).AddRequest()
 	return nil
 }
 
-// refusesNewStreams reports whether a stream that starts now may outlive this node.
-func (h *Handler) refusesNewStreams(now time.Time) bool {
-	since := h.leavingSince.Load()
-	return since != 0 && now.UnixNano()-since > int64(streamCutoff)
-}
-
 func (h *Handler) authenticate(c *call, configuration *catalog.Configuration) *verdict.Error {
 	if c.HasKey {
 		c.organisation = configuration.OrganisationByKey(c.Key)
@@ -215,7 +212,8 @@
 	if c.HasTimeout {
 		limit = min(limit, c.Timeout)
 	}
-	c.deadline = c.started.Add(limit)
+	c.callerDeadline = c.started.Add(limit)
+	c.deadline = c.callerDeadline
 	c.goalAt = c.started.Add(c.route.LatencyGoal)
 }
 
@@ -275,10 +273,6 @@
 	// minBudgetNodes is the smallest number of nodes that the allowance is divided by,
 	// for a node that has discovered few others.
 	minBudgetNodes = 3
-	// streamCutoff is the time after the start of a shutdown from which new streams
-	// are refused. Long streams take about four seconds, and the platform kills a
-	// process after eight.
-	streamCutoff = 3 * time.Second
 	// drainingRetry is the time after which a caller may retry at another node:
 	// almost at once.
 	drainingRetry = 20 * time.Millisecond
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -24,7 +24,7 @@
 			return
 		}
 		if !h.allowRetry(ctx, c, err) {
-			h.respondError(c, c.finalError(err))
+			h.respondError(c, h.endedBy(c.finalError(err)))
 			return
 		}
 		_ = level.Info(h.Logger).Log("msg", "attempt failed; retrying the request", "request", c.ID, "sends", c.sends, "err", err)
@@ -36,18 +36,25 @@
 	if err := h.checkQuarantine(c); err != nil {
 		return err
 	}
-	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: c.pool(), Rank: rank(c.route, c.organisation),
-		Avoid: c.tried, GoalAt: c.goalAt, Until: time.Now().Add(time.Until(c.deadline) / 2), Blocked: h.blocked(c)})
+	latest, refused := h.latestStart(c)
+	if refused != nil {
+		return refused
+	}
+	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: c.pool(), Rank: rank(c.route, c.organisation), Avoid: c.tried,
+		GoalAt: c.goalAt, Until: earlier(latest, time.Now().Add(time.Until(c.deadline)/2)), Blocked: h.blocked(c)})
 	if err == nil {
 		defer slot.Release()
 	}
-	// The quarantine may have begun while the request waited.
+	// The quarantine, or the stop of this node, may have begun while the request waited.
 	if err := h.checkQuarantine(c); err != nil {
 		return err
 	}
 	if err != nil {
 		return h.noSlotError(c, err)
 	}
+	if _, refused := h.latestStart(c); refused != nil {
+		return refused
+	}
 	response, failed := h.send(ctx, c, slot, "", nil)
 	if failed != nil {
 		h.suspectOnFailure(slot, failed)
@@ -88,6 +95,7 @@
 // deliver sends a complete response to the caller.
 func (h *Handler) deliver(c *call, response *upstream.Response, body *bufferedBody) {
 	copyHeader(c.writer.Header(), response.Header)
+	h.closeIfLeaving(c.writer)
 	if c.request.Method != http.MethodHead {
 		setLength(c.writer.Header(), body.length)
 	}
--- a/forward/response.go
+++ b/forward/response.go
@@ -69,6 +69,7 @@
 		"reason", err.Reason, "field", err.Field, "sends", c.sends, "waited_ms", time.Since(c.started).Milliseconds(),
 		"retry_after_ms", err.RetryAfter.Milliseconds(), "err", err)
 	header := c.writer.Header()
+	h.closeIfLeaving(c.writer)
 	h.Codec.EncodeOwnResponse(header, c.ID)
 	if err.RetryAfter > 0 && err.Verdict == verdict.NotRun {
 		header.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 2, 64))
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/go-kit/log/level"
 
@@ -13,6 +14,10 @@
 // backend servers refused.
 const maxRefusedSends = 2
 
+// finalReasons are the reasons of errors after which no other attempt is made.
+var finalReasons = []verdict.Reason{verdict.ReasonOverloaded, verdict.ReasonNoServer, verdict.ReasonQuarantined,
+	verdict.ReasonRequestQuarantined, verdict.ReasonDraining}
+
 // allowRetry reports whether another attempt is allowed after an error. If so, it takes
 // one retry from the budget.
 func (h *Handler) allowRetry(ctx context.Context, c *call, err *verdict.Error) bool {
@@ -29,10 +34,11 @@
 
 // isRetryable reports whether another attempt may succeed and is safe. A request that
 // got no slot was sent nowhere; it has already waited as long as is useful. One whose
-// prompt is in quarantine would crash another engine.
+// prompt is in quarantine would crash another engine, and a node that stops has no time for
+// another attempt.
 func (c *call) isRetryable(err *verdict.Error) bool {
 	switch {
-	case err.Reason == verdict.ReasonOverloaded || err.Reason == verdict.ReasonNoServer || err.Reason == verdict.ReasonQuarantined || err.Reason == verdict.ReasonRequestQuarantined:
+	case slices.Contains(finalReasons, err.Reason):
 		return false
 	case c.runs >= c.route.MaxAttempts || c.sends >= c.route.MaxAttempts+maxRefusedSends:
 		return false
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -65,7 +65,7 @@
 // aborting the connection if a part of the response was sent.
 func (h *Handler) endStream(s *stream, err *verdict.Error) {
 	if !s.begun {
-		h.respondError(s.call, s.finalError(err))
+		h.respondError(s.call, h.endedBy(s.finalError(err)))
 		return
 	}
 	h.metrics.broken.Inc(1)
@@ -85,8 +85,12 @@
 	if err := h.checkQuarantine(s.call); err != nil {
 		return err
 	}
+	until, refused := h.streamUntil(s)
+	if refused != nil {
+		return refused
+	}
 	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: s.pool(), Rank: rank(s.route, s.organisation),
-		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: s.waitUntil(), Blocked: h.blocked(s.call)})
+		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: until, Blocked: h.blocked(s.call)})
 	if err == nil {
 		defer slot.Release()
 	}
@@ -97,6 +101,9 @@
 	if err != nil {
 		return h.noSlotError(s.call, err)
 	}
+	if _, refused := h.streamUntil(s); refused != nil {
+		return refused
+	}
 	s.current = nil
 	monitor := h.newStallMonitor(ctx, s, slot)
 	response, failed := h.send(ctx, s.call, slot, s.lastEventID, monitor.watch)
@@ -135,6 +142,16 @@
 	return at
 }
 
+// streamUntil returns the time until which the stream may wait for an engine, or an error if
+// it may not begin any more because this node stops. One that has begun always goes on.
+func (h *Handler) streamUntil(s *stream) (time.Time, *verdict.Error) {
+	if s.begun {
+		return s.waitUntil(), nil
+	}
+	latest, refused := h.latestStart(s.call)
+	return earlier(latest, s.waitUntil()), refused
+}
+
 // relay forwards the events of one attempt to the caller.
 func (h *Handler) relay(s *stream, slot *Slot, response *upstream.Response, monitor *stallMonitor) *verdict.Error {
 	defer response.Abort()
@@ -201,6 +218,7 @@
 	s.begun, s.status, s.contentType = true, response.Status, mediaType(response.Header)
 	s.firstEventDelay = time.Since(s.started)
 	copyHeader(s.writer.Header(), response.Header)
+	h.closeIfLeaving(s.writer)
 	s.writer.WriteHeader(response.Status)
 	h.metrics.firstEvent.UpdateSince(s.started)
 }
