forward: refuse requests whose bodies don't arrive before a stop ends

Callers who sent their body slowly during a planned stop got status 400, after which no caller tries another node, or, if they came before the stop, a closed connection.

Cause: the read deadline of a body is that of the request, and an end of the stop before it wasn't noticed while the body was read.

The read now ends with the time for answers, and the caller gets 503: the request has not run.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,7 +182,7 @@
 	if _, err := h.latestStart(c); err != nil {
 		return err
 	}
-	if err := c.readBody(configuration.Limits.MaxBodyBytes); err != nil {
+	if err := h.readBody(c, configuration.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
 	c.target = c.request.URL.RequestURI()
@@ -217,7 +218,7 @@
 	c.goalAt = c.started.Add(c.route.LatencyGoal)
 }
 
-func (c *call) readBody(limit int64) *verdict.Error {
+func (h *Handler) readBody(c *call, limit int64) *verdict.Error {
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
@@ -233,11 +234,15 @@
 	if err := control.SetReadDeadline(c.deadline); err != nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "setting the read deadline of the body failed").WithCause(err)
 	}
+	stop := context.AfterFunc(h.ending, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	stopped := !stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the body has more than %d bytes", limit)
+	case stopped || (errors.Is(err, os.ErrDeadlineExceeded) && h.leaving.Load() != nil):
+		return stoppingError().WithCause(err)
 	case err != nil:
 		return verdict.BadField("body", "not readable").WithCause(err)
 	}
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -42,12 +42,17 @@
 	decision := l.grace.Decide(now.Sub(l.since), drain.Request{Kind: drainKind(c.route.Kind),
 		Deadline: c.callerDeadline.Sub(now), Expected: h.expectedDuration(c)})
 	if !decision.Take {
-		return time.Time{}, verdict.New(verdict.NotRun, verdict.ReasonDraining, "this node is stopping").WithRetryAfter(drainingRetry)
+		return time.Time{}, stoppingError()
 	}
 	c.deadline = now.Add(decision.Within)
 	return now.Add(decision.StartWithin), nil
 }
 
+// stoppingError returns the refusal of a request because this node stops.
+func stoppingError() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this node is stopping").WithRetryAfter(drainingRetry)
+}
+
 func drainKind(k catalog.Kind) drain.Kind {
 	switch k {
 	case catalog.Streaming:
