forward: hand no more time to an engine than is left of a stop

A stream that came before a planned stop and was resumed during it gave the next engine the caller's whole deadline, so that the engine worked on after the node had ended.

The time that an attempt is given now ends with the time for answers.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -36,7 +36,7 @@
 	h.Codec.EncodeRequest(header, Attempt{
 		Organisation: c.organisationName(),
 		Instance:     slot.Instance.ID,
-		Remaining:    time.Until(c.deadline),
+		Remaining:    h.remaining(c),
 		LastEventID:  lastEventID,
 		Priority:     noEnginePriority,
 	})
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -53,6 +53,15 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this node is stopping").WithRetryAfter(drainingRetry)
 }
 
+// remaining returns the time until the request must be answered.
+func (h *Handler) remaining(c *call) time.Duration {
+	until := c.deadline
+	if l := h.leaving.Load(); l != nil {
+		until = earlier(until, l.since.Add(l.grace.Answers))
+	}
+	return time.Until(until)
+}
+
 func drainKind(k catalog.Kind) drain.Kind {
 	switch k {
 	case catalog.Streaming:
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -48,4 +49,47 @@
 		Entry("that came before the stop", false),
 		Entry("that came during the stop", true),
 	)
+
+	It("hands no more time to the engine that resumes a stream than is left of the stop", func() {
+		// Guards against an engine that works on a stream after the node has ended.
+		begun, leave := make(chan struct{}), make(chan struct{})
+		remaining := make(chan time.Duration, 2)
+		runs := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			if runs++; runs > 1 {
+				_, _ = fmt.Fprint(w, "id: 2\ndata: x\n\n")
+				return
+			}
+			_, _ = fmt.Fprint(w, "id: 1\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			<-leave
+			panic(http.ErrAbortHandler)
+		}))
+		DeferCleanup(server.Close)
+		address := server.Listener.Addr().String()
+		node := newScriptedNode(address, address)
+		handler, ok := node.Config.Handler.(*Handler)
+		Expect(ok).To(BeTrue())
+		handler.Codec = remainingCodec{remaining: remaining}
+		go func() {
+			<-begun
+			handler.SetLeaving(grace)
+			close(leave)
+		}()
+		status, length := get(node, "/stream/")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(length).To(Equal(2 * len("id: 1\ndata: x\n\n")))
+		Expect(<-remaining).To(BeNumerically(">", answers))
+		Expect(<-remaining).To(BeNumerically("<=", answers))
+	})
 })
+
+// remainingCodec is a headerCodec that reports the time that each attempt is given.
+type remainingCodec struct {
+	headerCodec
+	remaining chan time.Duration
+}
+
+func (c remainingCodec) EncodeRequest(_ http.Header, a Attempt) { c.remaining <- a.Remaining }
