httpdrain: close idle connections only if no request is being read

A caller whose request arrived just when a server for callers stopped saw its connection closed without a response, on a kept connection or on one older than a second. The process could have read the whole request and passed it on.

Cause: SetKeepAlivesEnabled(false) and Close of net/http close each connection that they take for idle, and they do until the head of the request has been parsed. The check whether requests are in progress had the same gap.

Connections now record whether a byte of the next request was read. Responses during the stop close the connection.

The new test sends a head in two parts around the stop.

--- a/internal/httpdrain/listener_test.go
+++ b/internal/httpdrain/listener_test.go
@@ -1,7 +1,9 @@
 package httpdrain_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -52,3 +54,51 @@
 		g.Expect(err).To(HaveOccurred(), "the address is still served after the stop")
 	}
 }
+
+// Guards against a connection that is closed although a request arrives on it just when the
+// server stops and has been read in part: the server took it for idle until the head was
+// complete.
+func TestStopAnswersRequestsThatAreBeingRead(t *testing.T) {
+	for name, kept := range map[string]bool{"kept connection": true, "new connection": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			listener, err := httpdrain.Listen("tcp4", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			server := httpdrain.NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })})
+			go func() { _ = server.Serve(listener) }()
+			dial := func() net.Conn {
+				caller, err := net.Dial("tcp4", listener.Addr().String())
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(caller.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+				return caller
+			}
+			caller, idle := dial(), dial()
+			defer caller.Close()
+			defer idle.Close()
+			reader := bufio.NewReader(caller)
+			answer := func() *http.Response {
+				response, err := http.ReadResponse(reader, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+				return response
+			}
+			if kept {
+				_, _ = fmt.Fprint(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				g.Expect(answer().Close).To(BeFalse())
+			}
+			_, _ = fmt.Fprint(caller, "GET / HTTP/1.1\r\nHo")
+			// A new connection is waited for anyway for a second.
+			time.Sleep(1100 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Stop(ctx) }()
+			time.Sleep(100 * time.Millisecond)
+			_, _ = fmt.Fprint(caller, "st: h\r\n\r\n")
+			g.Expect(answer().Close).To(BeTrue())
+			g.Eventually(stopped).Should(Receive(BeNil()), "the idle connection doesn't delay the stop")
+			g.Expect(ctx.Err()).NotTo(HaveOccurred())
+		})
+	}
+}
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -1,6 +1,7 @@
-// Package httpdrain stops HTTP servers without losing requests. http.Server.Shutdown
-// closes a connection without an answer if it reads a request from it after Shutdown was
-// called, and closing a TCP listener resets the connections that wait in its queue.
+// Package httpdrain stops HTTP servers without losing requests. http.Server closes a
+// connection without an answer if it reads a request from it after Shutdown was called, or
+// is reading one when it closes idle connections; closing a TCP listener resets the
+// connections that wait in its queue.
 package httpdrain
 
 import (
@@ -33,31 +34,59 @@
 	stopping bool
 	// listeners are those passed to Serve.
 	listeners []net.Listener
-	// pending maps the connections that have a request in progress, or have sent none yet,
-	// to their state.
-	pending map[net.Conn]connState
+	// open are the open connections.
+	open map[*conn]struct{}
 }
 
-type connState struct {
-	http.ConnState
-	since time.Time
-}
-
-// NewServer returns a Server. It replaces the ConnState of server.
+// NewServer returns a Server. It replaces the ConnState and the Handler of server.
 func NewServer(server *http.Server) *Server {
-	s := &Server{Server: server, pending: map[net.Conn]connState{}}
+	s := &Server{Server: server, open: map[*conn]struct{}{}}
 	server.ConnState = s.recordState
+	server.Handler = s.closeWhileStopping(server.Handler)
 	return s
 }
 
-func (s *Server) recordState(conn net.Conn, state http.ConnState) {
+// closeWhileStopping makes the responses to requests that arrive during the stop close their
+// connections.
+func (s *Server) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isStopping() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateNew || state == http.StateActive {
-		s.pending[conn] = connState{state, time.Now()}
+	return s.stopping
+}
+
+func (s *Server) recordState(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*conn)
+	if !ok {
 		return
 	}
-	delete(s.pending, conn)
+	switch state {
+	case http.StateActive:
+		// The head may have been read together with the previous request.
+		c.setBusy()
+		return
+	case http.StateIdle:
+		c.setIdle()
+		if s.isStopping() {
+			c.closeIfIdle(time.Now())
+		}
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.open[c] = struct{}{}
+	} else {
+		delete(s.open, c)
+	}
 }
 
 // Serve serves the connections of a listener until Stop is called; it then returns
@@ -72,7 +101,7 @@
 	s.serving.Add(1)
 	s.mu.Unlock()
 	defer s.serving.Done()
-	err := s.Server.Serve(listener)
+	err := s.Server.Serve(connListener{listener})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping && errors.Is(err, net.ErrClosed) {
@@ -95,22 +124,17 @@
 	}
 	s.mu.Unlock()
 	s.serving.Wait()
-	s.SetKeepAlivesEnabled(false)
-	for ctx.Err() == nil && s.hasPending(time.Now()) {
-		wait.For(ctx, pollInterval)
+	for s.closeIdle(time.Now()) > 0 && wait.For(ctx, pollInterval) {
 	}
 	return errors.Join(failed, s.Close())
 }
 
-// hasPending reports whether a connection has a request in progress or is so new that one
-// is expected.
-func (s *Server) hasPending(now time.Time) bool {
+// closeIdle closes the idle connections and returns the number of those that are still open.
+func (s *Server) closeIdle(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, state := range s.pending {
-		if state.ConnState == http.StateActive || now.Sub(state.since) <= maxNewTime {
-			return true
-		}
+	for c := range s.open {
+		c.closeIfIdle(now)
 	}
-	return false
+	return len(s.open)
 }
