gateway, node: answer or refuse each request before a stop ends

Callers of a node whose stop reached drainTimeout saw the connection end without a response to what was in flight, also to calls that may run only once.

Cause: the drain only waited. A request was taken with its whole time limit until addressTtl and a second had passed, and what was still in flight at the end was cut.

The same decision as in entry nodes (package drain) is asked when a request arrives. What is in progress a second before drainTimeout gets an error with its verdict, a begun stream an error event, and a request whose body is still arriving is refused as not run. A duration isn't estimated here: a request is taken if its time limit fits, and any in the first third of drainTimeout.

The nine cases of the new test fail with a SetLeaving that does nothing, as before, and pass.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
@@ -65,7 +66,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(r.ctx.Request.Context(), timeout)
+	kind := drain.Repeatable
+	if params.stream {
+		kind = drain.Stream
+	}
+	if timeout, err = g.limitToStop(kind, timeout); err != nil {
+		return err
+	}
+	ctx, cancel := g.withEnd(r.ctx.Request.Context(), timeout)
 	defer cancel()
 	admission, err := g.Limiter.Admit(ctx, r.organisation.Name, service.Name, params.promptTokens()+params.maxTokens, priority)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,11 @@
 	inFlight atomic.Int64
 	// draining is set by Drain: new requests are refused.
 	draining atomic.Bool
+	// stop is set once this node has begun to stop.
+	stop atomic.Pointer[stop]
+	// ending is cancelled when each request in progress must be answered.
+	ending context.Context
+	end    context.CancelFunc
 	// background tracks the cancel requests of attempts; they may outlive the caller's
 	// request.
 	background sync.WaitGroup
@@ -54,6 +59,7 @@
 func New(config Config, deps Dependencies) *Gateway {
 	releaseMode()
 	g := &Gateway{Dependencies: deps, config: config.withDefaults(), engine: gin.New(), metrics: newGatewayMetrics(deps.Registry)}
+	g.ending, g.end = context.WithCancel(context.Background())
 	g.engine.RedirectTrailingSlash = false
 	g.engine.Use(g.instrument)
 	g.engine.GET("/v1/addresses", g.withChecks(g.handleAddresses))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanlanding/rattanlanding/backend"
 	"github.com/rattanlanding/rattanlanding/claim"
+	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
@@ -89,7 +90,14 @@
 		// that its response can be stored for a repeat.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	kind := drain.Once
+	if p.repeatable {
+		kind = drain.Repeatable
+	}
+	if timeout, err = g.limitToStop(kind, timeout); err != nil {
+		return err
+	}
+	ctx, cancel := g.withEnd(ctx, timeout)
 	defer cancel()
 	p.deadline, _ = ctx.Deadline()
 	admission, err := g.Limiter.Admit(ctx, r.organisation.Name, service.Name, 0, priority)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -83,7 +84,7 @@
 			return
 		}
 		if err := h(r); err != nil {
-			g.fail(c, verdict.Of(err))
+			g.fail(c, g.endedBy(verdict.Of(err)))
 		}
 	}
 }
@@ -93,7 +94,7 @@
 // force on every node that serves.
 func (g *Gateway) checkServing(now time.Time) *verdict.Error {
 	if g.draining.Load() {
-		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "this node is stopping, use another address")
+		return stoppingError()
 	}
 	if !g.confirmed(now) {
 		return g.unconfirmedError()
@@ -154,7 +155,11 @@
 	}
 	control := http.NewResponseController(c.Writer)
 	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
+	stop := context.AfterFunc(g.ending, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, g.config.MaxBodyBytes))
+	if !stop() {
+		return nil, stoppingError()
+	}
 	// net/http keeps reading in the background to detect that the caller disconnects, so
 	// the read deadline is removed.
 	_ = control.SetReadDeadline(time.Time{})
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/claim"
+	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
 	"github.com/rattanlanding/rattanlanding/health"
@@ -33,6 +34,10 @@
 // is leaving, so that responses to address requests no longer include it.
 const leavePropagation = time.Second
 
+// answerReserve is the time before the end of the drain timeout in which the last responses
+// are written. It is below any drain timeout that the settings allow.
+const answerReserve = time.Second
+
 // closeTimeout limits the closing of idle connections after the drain.
 const closeTimeout = 2 * time.Second
 
@@ -152,6 +157,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Bounds.DrainTimeout)
 	defer cancel()
 	_ = level.Info(d.logger).Log("msg", "node leaving, draining", "node", d.settings.Node, "inFlight", d.gateway.InFlight())
+	d.gateway.SetLeaving(drain.Grace{Total: d.settings.Bounds.DrainTimeout, Answers: d.settings.Bounds.DrainTimeout - answerReserve})
 	d.publishLeaving(started)
 	wait.For(ctx, d.settings.Bounds.AddressTTL+leavePropagation)
 	err := d.gateway.Drain(ctx)
