forward: suspect no server because of a node's own end

Found by reading. After a planned stop with requests in progress, other nodes could have avoided sound backend servers, and the holder of the lease could have asked the members of their groups.

Cause: a request that ended because its node stopped counted as a failure of its server, which was marked as suspected and reported to the other nodes.

The new test failed before for plain servers and engines and passes. A case for a body that comes when the node takes no more requests is added to the test of bodies; it passed before.

--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -82,10 +82,17 @@
 	return max(usual, c.route.LatencyGoal)
 }
 
+// ended reports whether the time for answers of a stop is over, at which requests in progress
+// are cancelled or reach their deadline.
+func (h *Handler) ended() bool {
+	l := h.leaving.Load()
+	return l != nil && time.Since(l.since) >= l.grace.Answers
+}
+
 // endedBy returns the error for the caller of a request in progress: if it failed because
 // this node stops, with that reason and without a delay before the caller tries another node.
 func (h *Handler) endedBy(err *verdict.Error) *verdict.Error {
-	if h.ending.Err() == nil {
+	if !h.ended() {
 		return err
 	}
 	changed := *err
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -21,7 +21,7 @@
 	DescribeTable("refuses a request whose body doesn't arrive in time",
 		// Guards against a connection that is closed, or a status after which the caller doesn't
 		// try another node, although the request has not run.
-		func(leaveFirst bool) {
+		func(leaveFirst bool, wait time.Duration) {
 			server := &scriptedServer{}
 			node := newScriptedNode(server.listen())
 			handler, ok := node.Config.Handler.(*Handler)
@@ -29,10 +29,12 @@
 			began := time.Now()
 			if leaveFirst {
 				handler.SetLeaving(grace)
+				time.Sleep(wait)
 			}
 			caller, err := net.Dial("tcp", node.Listener.Addr().String())
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(caller.Close)
+			Expect(caller.SetReadDeadline(time.Now().Add(3 * answers))).To(Succeed())
 			_, err = fmt.Fprint(caller, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nId: r\r\nContent-Length: 9\r\n\r\npart")
 			Expect(err).NotTo(HaveOccurred())
 			if !leaveFirst {
@@ -46,8 +48,29 @@
 			Expect(time.Since(began)).To(BeNumerically("<", 3*answers))
 			Expect(server.ran("r")).To(BeZero())
 		},
-		Entry("that came before the stop", false),
-		Entry("that came during the stop", true),
+		Entry("that came before the stop", false, time.Duration(0)),
+		Entry("that came during the stop", true, time.Duration(0)),
+		Entry("that came too late in the stop", true, answers*3/4),
+	)
+
+	DescribeTable("suspects no backend server because of its own end",
+		// Guards against other nodes that avoid a sound server, or a group that is given up,
+		// because a node has stopped.
+		func(path, instance string) {
+			release := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+			DeferCleanup(server.Close)
+			DeferCleanup(func() { close(release) })
+			node := newScriptedNode(server.Listener.Addr().String())
+			handler, ok := node.Config.Handler.(*Handler)
+			Expect(ok).To(BeTrue())
+			time.AfterFunc(100*time.Millisecond, func() { handler.SetLeaving(grace) })
+			status, _ := get(node, path)
+			Expect(status).To(Equal(http.StatusBadGateway))
+			Expect(handler.Dispatcher.tables.Load().Target(instance).Load.Suspected(time.Now())).To(BeFalse())
+		},
+		Entry("plain", "/safe/", "d0"),
+		Entry("engine", "/stream/", "e0"),
 	)
 
 	It("hands no more time to the engine that resumes a stream than is left of the stop", func() {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -85,9 +85,10 @@
 	return nil
 }
 
-// suspectOnFailure marks a backend server that failed as suspected.
+// suspectOnFailure marks a backend server that failed as suspected, unless this node has
+// ended the request because it stops.
 func (h *Handler) suspectOnFailure(slot *Slot, err *verdict.Error) {
-	if err.Reason == verdict.ReasonBackendFailed {
+	if err.Reason == verdict.ReasonBackendFailed && !h.ended() {
 		slot.Load.Suspect(time.Now().Add(suspectDuration))
 	}
 }
