gateway: ask again before a request is sent during a stop

A caller whose request had waited for a backend server or a claim while its node stopped got 502 with the verdict may-have-run: it was sent with a fraction of its time left, also if it may run only once.

Cause: the decision was asked only when the request arrived, before the stop or early in it.

It is now asked again before each attempt of a request of which the caller has no part yet, with the caller's own time limit, and the caller gets draining and not-run. The new test failed before (502 in both cases) and passes.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -70,7 +70,7 @@
 	if params.stream {
 		kind = drain.Stream
 	}
-	if timeout, err = g.limitToStop(kind, timeout); err != nil {
+	if timeout, err = g.limitToStop(r, kind, timeout); err != nil {
 		return err
 	}
 	ctx, cancel := g.withEnd(r.ctx.Request.Context(), timeout)
@@ -134,7 +134,7 @@
 // waitForRetry reports whether another attempt is allowed, and if so waits for the
 // backoff first. Resuming after progress (no failures) needs no backoff.
 func (c *completion) waitForRetry(ctx context.Context, failures int, err *verdict.Error) bool {
-	if ctx.Err() != nil || failures >= c.gateway.config.MaxAttempts || !retry.Allowed(err, true) {
+	if ctx.Err() != nil || failures >= c.gateway.config.MaxAttempts || !retry.Allowed(err, true) || c.checkStart() != nil {
 		return false
 	}
 	if failures == 0 {
@@ -227,10 +227,20 @@
 	return err
 }
 
+// checkStart returns an error if the request may not end before this node stops. One of which
+// the caller has a part of the response always goes on.
+func (c *completion) checkStart() *verdict.Error {
+	if len(c.delivered) > 0 {
+		return nil
+	}
+	return c.gateway.checkStart(c.request)
+}
+
 // checkBeforeSend compares the expiry of the target's evidence with the clock just
 // before sending: this process may have been paused after it chose the target, so that
 // the evidence is stale. If the configuration is no longer confirmed, a request that
-// certainly has not run yet is not started.
+// certainly has not run yet is not started; nor is one that has waited until it may not end
+// before this node stops.
 func (c *completion) checkBeforeSend(target *route.Target) error {
 	now := time.Now()
 	if !target.Fresh(now) {
@@ -240,6 +250,9 @@
 	if !c.mayHaveRun && !c.gateway.confirmed(now) {
 		return c.gateway.unconfirmedError()
 	}
+	if err := c.checkStart(); err != nil {
+		return err
+	}
 	return nil
 }
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -23,18 +23,32 @@
 
 // limitToStop returns the time that a request may take, at most timeout, or an error if it
 // may not end before this node stops.
-func (g *Gateway) limitToStop(kind drain.Kind, timeout time.Duration) (time.Duration, error) {
+func (g *Gateway) limitToStop(r *request, kind drain.Kind, timeout time.Duration) (time.Duration, error) {
+	r.kind, r.callerDeadline = kind, time.Now().Add(timeout)
 	s := g.stop.Load()
 	if s == nil {
 		return timeout, nil
 	}
-	decision := s.grace.Decide(time.Since(s.since), drain.Request{Kind: kind, Deadline: timeout})
+	decision := s.decide(r)
 	if !decision.Take {
 		return 0, stoppingError()
 	}
 	return decision.Within, nil
 }
 
+// checkStart returns an error if a request that was taken has waited so long that it may not
+// end before this node stops.
+func (g *Gateway) checkStart(r *request) *verdict.Error {
+	if s := g.stop.Load(); s != nil && !s.decide(r).Take {
+		return stoppingError()
+	}
+	return nil
+}
+
+func (s *stop) decide(r *request) drain.Decision {
+	return s.grace.Decide(time.Since(s.since), drain.Request{Kind: r.kind, Deadline: time.Until(r.callerDeadline)})
+}
+
 // withEnd returns a context that ends with the time for answers, and a function that releases
 // its resources.
 func (g *Gateway) withEnd(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/drain"
 )
 
@@ -23,6 +24,7 @@
 	BeforeEach(func() {
 		e = newTestEnv()
 		e.settings.PlainTimeout, e.settings.CompletionTimeout, e.settings.BodyTimeout = 5*answers, 5*answers, 5*answers
+		e.settings.PickWait = 5 * answers
 		runs.Store(0)
 		e.addServer(func(_ http.ResponseWriter, r *http.Request) {
 			runs.Add(1)
@@ -84,6 +86,27 @@
 		Entry("completion", "POST", "/v1/completions", `{"model":"llm","prompt":"x","max_tokens":4}`),
 	)
 
+	DescribeTable("refuses a request that has waited for a backend server until it can't end in time",
+		// Guards against requests that are sent too late because they were taken before the stop.
+		func(path, body string) {
+			evidence := e.evidence
+			e.evidence = map[string]blackboard.Observation{}
+			e.publish()
+			time.AfterFunc(answers/6, func() { e.gateway.SetLeaving(grace) })
+			time.AfterFunc(answers/6+grace.Total/3+50*time.Millisecond, func() {
+				e.evidence = evidence
+				e.publish()
+			})
+			got := e.do("POST", path, body)
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(got.verdict).To(Equal("not-run"))
+			Expect(got.body).To(ContainSubstring(`"draining"`))
+			Expect(runs.Load()).To(BeZero())
+		},
+		Entry("non-idempotent", "/services/desk/charges", "5"),
+		Entry("completion", "/v1/completions", `{"model":"llm","prompt":"x","max_tokens":4}`),
+	)
+
 	It("refuses a request whose body doesn't arrive in time", func() {
 		// Guards against a connection that is closed without an answer.
 		caller, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -94,7 +94,7 @@
 	if p.repeatable {
 		kind = drain.Repeatable
 	}
-	if timeout, err = g.limitToStop(kind, timeout); err != nil {
+	if timeout, err = g.limitToStop(r, kind, timeout); err != nil {
 		return err
 	}
 	ctx, cancel := g.withEnd(ctx, timeout)
@@ -189,7 +189,7 @@
 		p.mayHaveRun = p.mayHaveRun || lastErr.Verdict != verdict.NotRun
 		tried = append(tried, target.Name)
 		if ctx.Err() != nil || len(tried) >= g.config.MaxAttempts || !retry.Allowed(lastErr, p.repeatable) ||
-			!g.Budget.Take() {
+			g.checkStart(p.request) != nil || !g.Budget.Take() {
 			return backend.Response{}, p.callError(lastErr)
 		}
 		g.metrics.retries.Inc(1)
@@ -209,6 +209,9 @@
 	if !p.mayHaveRun && !g.confirmed(now) {
 		return backend.Response{}, g.unconfirmedError()
 	}
+	if err := g.checkStart(p.request); err != nil {
+		return backend.Response{}, err
+	}
 	header := p.header.Clone()
 	header.Set(backend.HeaderDeadline, strconv.FormatInt(max(p.deadline.Sub(now).Milliseconds(), 0), 10))
 	url := *p.ctx.Request.URL
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rattanlanding/rattanlanding/backend"
+	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -27,6 +28,9 @@
 	ctx           *gin.Context
 	configuration *fleet.Configuration
 	organisation  *fleet.Organisation
+	// kind and callerDeadline decide whether the request may start while this node stops.
+	kind           drain.Kind
+	callerDeadline time.Time
 }
 
 // handler serves one kind of request. A returned error is written as the response
