forward: a takeover that ends with the node suspects no engine

The rule of the commit on a node's own end, for the attempt that takes a silent engine's stream over.

--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -60,7 +60,7 @@
 			response.Abort()
 		}
 		slot.Release()
-		if !errors.Is(failed, errOvertaken) {
+		if !errors.Is(failed, errOvertaken) && !h.ended() {
 			h.suspectOnFailure(slot, failed)
 			h.checkCrash(s.call, slot, failed, s.hasEvents())
 		}
