follow: pause after changes that are all ignored

A watch whose only changes are of objects that can't be decoded returns at once and without any, and the follower called the store again at once. Another writer that keeps storing such objects made every node that watches the store call it as fast as it responds. The follower now pauses after a watch that returns early, as after any change. The test failed before with 1000 calls in no time; now there are at most 18 a second.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -185,3 +185,31 @@
 func (c followerSource) Changes(ctx context.Context, _ string, cursor object.Version, wait time.Duration) (follow.Delta, error) {
 	return c.Since(ctx, cursor, wait)
 }
+
+// hastySource responds to a watch at once and without a change: the only ones were of
+// objects that can't be decoded. It ends the test after too many calls.
+type hastySource struct {
+	*fakeStore
+	calls  int
+	cancel context.CancelFunc
+}
+
+func (s *hastySource) Changes(context.Context, string, object.Version, time.Duration) (follow.Delta, error) {
+	if s.calls++; s.calls >= 1000 {
+		s.cancel()
+	}
+	return follow.Delta{Cursor: object.Version(s.calls)}, nil
+}
+
+// Guards against a loop of calls to the store, each of which costs money, while another
+// writer keeps storing objects that can't be decoded.
+func TestPausesAfterChangesThatAreAllIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s := &hastySource{fakeStore: newFakeStore(), cancel: cancel}
+		f := follow.New(follow.Config{Kind: "k", Wait: time.Second}, s, log.NewNopLogger())
+		_ = f.Run(ctx)
+		NewWithT(t).Expect(s.calls).To(BeNumerically("<=", 18))
+	})
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -107,6 +107,7 @@
 	for ctx.Err() == nil {
 		var changed bool
 		var err error
+		started := time.Now()
 		if listed {
 			changed, err = f.watch(ctx)
 		} else {
@@ -116,8 +117,10 @@
 		pause := coalesceDelay
 		switch {
 		case err == nil:
+			// The changes of a watch that returns early without any were ignored.
+			ignored := listed && time.Since(started) < coalesceDelay
 			listed = true
-			if !changed {
+			if !changed && !ignored {
 				continue
 			}
 		case errors.Is(err, ErrHistoryGone):
