--- a/engine/roster.go
+++ b/engine/roster.go
@@ -23,6 +23,18 @@
 	Broken Phase = "broken"
 )
 
+// Valid reports whether p is one of the phases.
+func (p Phase) Valid() bool {
+	switch p {
+	case Joining, Ready, Open, Closing, Broken:
+		return true
+	}
+	return false
+}
+
+// MaxEpoch is the largest valid epoch, which leaves room for the following ones.
+const MaxEpoch = 1 << 62
+
 // Membership is the membership of an instance in a group. The zero value means that the
 // instance is in no group.
 type Membership struct {
