formation: next epochs follow only plausible ones

The holder's next epoch was one above the highest that is listed, whoever listed it. An entry of another writer with the epoch 2^64-2 made the next groups take 2^64-1 and then 0, which engines refuse; any other absurd one left engines with a fence that no later term passes. And where terms count anew because the record of the lease was lost, groups of an earlier holder had epochs of this term, and would have been opened as formed in it.

The first epoch of a term is now above those that are listed when it begins. An epoch that no term can have reached counts only for a group with the name that the controller gives. Terms can't overflow either.

--- a/formation/controller.go
+++ b/formation/controller.go
@@ -36,6 +36,8 @@
 	demandSmoothing = 0.06
 	// epochsPerTerm is the number of epochs reserved for one lease term.
 	epochsPerTerm = 1 << 20
+	// maxTermEpoch is above the epochs of all terms.
+	maxTermEpoch = 1 << 53
 )
 
 // Term identifies one period during which a node holds the lease.
@@ -89,8 +91,10 @@
 type termState struct {
 	term uint64
 	// since is when this node became the lease holder.
-	since     time.Time
-	nextEpoch uint64
+	since time.Time
+	// firstEpoch is the lowest epoch of the groups that are formed in this term.
+	firstEpoch uint64
+	nextEpoch  uint64
 	// pendingCommands are commands whose effect isn't listed yet, by instance ID.
 	pendingCommands map[string]pendingCommand
 	// pendingLoads are loads onto a host that aren't listed yet, by instance ID.
@@ -121,9 +125,25 @@
 	lastProbed map[string]time.Time
 }
 
-func newTermState(term uint64, now time.Time) termState {
+// nextEpochAfter returns the first epoch from next on that is above those of the listed
+// groups. An epoch that no term can have reached counts only if its group has the name that
+// this controller gives; the entry of another writer must not leave no epochs to engines.
+func nextEpochAfter(next uint64, groups []*engine.Group) uint64 {
+	for _, g := range groups {
+		plausible := g.ID.Epoch < maxTermEpoch || (g.ID.Epoch < engine.MaxEpoch && g.ID.Name == groupName(g.ID.Epoch))
+		if plausible {
+			next = max(next, g.ID.Epoch+1)
+		}
+	}
+	return next
+}
+
+// newTermState returns the state at the start of a term. Its epochs are above those of the
+// listed groups even if the record of the lease was lost and terms count anew.
+func newTermState(term uint64, listed []*engine.Group, now time.Time) termState {
+	first := nextEpochAfter(min(term, maxTermEpoch/epochsPerTerm)*epochsPerTerm, listed)
 	return termState{
-		term: term, since: now, nextEpoch: term * epochsPerTerm,
+		term: term, since: now, firstEpoch: first, nextEpoch: first,
 		pendingCommands: map[string]pendingCommand{}, pendingLoads: map[string]pendingLoad{},
 		unansweredJoins: map[string]unansweredJoin{}, reservations: map[string]Reservation{},
 		formed:           map[engine.GroupID]FormedGroup{},
@@ -171,14 +191,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	groups := roster.Groups[service.Name]
 	if c.term != term.Number {
-		c.termState = newTermState(term.Number, now)
+		c.termState = newTermState(term.Number, groups, now)
 		_ = level.Info(c.Logger).Log("msg", "lease acquired; forming groups in this term", "term", term.Number,
 			"instances", len(roster.ByService[service.Name]))
 	}
-	for _, g := range roster.Groups[service.Name] {
-		c.nextEpoch = max(c.nextEpoch, g.ID.Epoch+1)
-	}
+	c.nextEpoch = nextEpochAfter(c.nextEpoch, groups)
 	s := c.snapshot(service, roster, now)
 	if (now.Sub(c.since) < takeoverDelay && len(s.Groups) > 0) || c.awaitingInstances(s) {
 		return
@@ -208,7 +227,7 @@
 	s := &Snapshot{
 		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
 		Demand: c.averageDemand(), CommandPending: map[string]bool{}, Formed: c.formed,
-		FirstEpoch: c.term * epochsPerTerm, UnansweredEpochs: c.unansweredEpochs(now),
+		FirstEpoch: c.firstEpoch, UnansweredEpochs: c.unansweredEpochs(now),
 		Reservations: c.reservations, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seenSince, Now: now,
 	}
 	if len(s.Demand) > 0 && c.demandSince.IsZero() {
