lease: treat an odd record like that of an unknown holder

A record of another writer could keep every node from the lease for good: a duration of years was waited for, and the epoch 2^64-1 made the next one 0. One without a holder but with 'released' was acquired at once, while the holder could still act. A record now has ranges, and one outside counts as that of an unknown holder: it is replaced once it hasn't changed for the lease duration, with an epoch above those that this process knows. The line that says so names the field and appears once for each version of the record. With the ranges taken out, the test fails (no holder for 20 s).

--- a/lease/record.go
+++ b/lease/record.go
@@ -1,10 +1,14 @@
 package lease
 
 import (
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/internal/logsink"
+	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/rendezvous"
 )
 
@@ -31,6 +35,38 @@
 	Released bool `json:"released,omitempty"`
 }
 
+// Ranges of the fields of a valid record.
+const (
+	maxHolderBytes = 256
+	// maxEpoch is far above the epochs of all eras, and leaves room for those that are
+	// derived from it.
+	maxEpoch = 1 << 40
+	// maxDuration is above the duration of any lease; a longer one would keep all nodes
+	// from acquiring it.
+	maxDuration = time.Minute
+)
+
+// decodeRecord decodes a stored record. Its errors name the invalid field.
+func decodeRecord(value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, fmt.Errorf("lease record: %s", logsink.Shorten(err.Error()))
+	}
+	switch {
+	case r.Holder == "" || len(r.Holder) > maxHolderBytes:
+		return Record{}, fmt.Errorf("lease record: holder: %d bytes, 1 to %d are allowed", len(r.Holder), maxHolderBytes)
+	case len(r.Boot) > maxHolderBytes:
+		return Record{}, fmt.Errorf("lease record: boot: %d bytes, at most %d are allowed", len(r.Boot), maxHolderBytes)
+	case r.Epoch == 0 || r.Epoch > maxEpoch:
+		return Record{}, fmt.Errorf("lease record: epoch: %d is not between 1 and %d", r.Epoch, int64(maxEpoch))
+	case r.DurationMs <= 0 || r.DurationMs > maxDuration.Milliseconds():
+		return Record{}, fmt.Errorf("lease record: durationMs: %d is not between 1 and %d", r.DurationMs, maxDuration.Milliseconds())
+	case r.Era > object.MaxEra:
+		return Record{}, fmt.Errorf("lease record: era: %d exceeds %d", r.Era, int64(object.MaxEra))
+	}
+	return r, nil
+}
+
 const (
 	// eraShift is the number of low bits of an epoch that count the holders within an era of
 	// the platform.
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +120,46 @@
 		stopNodes(n)
 	})
 }
+
+// Guards against nodes that never acquire a lease again because another writer left an odd
+// record, against a lease that they take from a holder that may still act, and against a
+// term that wraps around.
+func TestOddRecordOfAnotherWriterIsReplacedAfterTheDuration(t *testing.T) {
+	for _, record := range []string{
+		`{"holder":"x","boot":"1","epoch":18446744073709551615,"durationMs":4000}`,
+		`{"holder":"x","boot":"1","epoch":2,"durationMs":9000000000000}`,
+		`{"holder":"x","boot":"1","epoch":2,"durationMs":-9223372036854775808}`,
+		`{"holder":"` + strings.Repeat("x", 1<<20) + `","epoch":2,"durationMs":4000}`,
+		`{"released":true}`, `{"released":true,"epoch":1e999}`, `null`, `[]`, ``,
+		strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			s := &fakeStore{}
+			holder, other := startPair(g, s)
+			before, _ := holder.heldShard()
+			s.mu.Lock()
+			s.current.Version, s.current.Value = s.current.Version+1, []byte(record)
+			s.mu.Unlock()
+			writtenAt := time.Now()
+			for {
+				_, a := holder.heldShard()
+				_, b := other.heldShard()
+				g.Expect(a && b).To(BeFalse(), "holders at the same time")
+				if held, ok := other.heldShard(); !ok {
+					held, ok = holder.heldShard()
+					if ok && held.Epoch > before.Epoch {
+						break
+					}
+				} else if held.Epoch > before.Epoch {
+					break
+				}
+				g.Expect(time.Since(writtenAt)).To(BeNumerically("<", 20*time.Second), "time without a holder")
+				time.Sleep(10 * time.Millisecond)
+			}
+			g.Expect(time.Since(writtenAt)).To(BeNumerically(">=", lease.DefaultDuration-lease.DefaultRenewInterval))
+			g.Expect(s.record().Epoch).To(Equal(before.Epoch + 1))
+			stopNodes(holder, other)
+		})
+	}
+}
--- a/lease/shard.go
+++ b/lease/shard.go
@@ -159,10 +159,10 @@
 	case err != nil:
 		return false
 	default:
-		if err := json.Unmarshal(o.Value, &record); err != nil {
-			// A record that cannot be decoded is treated like that of an unknown
-			// holder: it is replaced if it has not changed for the lease duration.
-			level.Error(m.logger).Log("msg", "lease record cannot be decoded; treating its holder as unknown", "shard", s.name, "err", err)
+		if record, err = decodeRecord(o.Value); err != nil && o.Version != s.version {
+			// An invalid record is treated like that of an unknown holder: it is replaced
+			// if it has not changed for the lease duration.
+			_ = level.Error(m.logger).Log("msg", "invalid lease record; treating its holder as unknown", "shard", s.name, "revision", o.Version.Revision(), "err", err)
 		}
 	}
 	now := time.Now()
