entry: log an odd entry or configuration once, not at each change

An invalid configuration was decoded and logged again at each change of the instance list, many times a second, and an invalid entry at each of its changes, which another writer decides. A configuration is now tried once for each version of its object, and an invalid entry of an instance is logged every 10 s at most.

--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -44,8 +44,15 @@
 	history *engine.History
 	// decoded maps instance IDs to the entries of the last update.
 	decoded map[string]decodedInstance
+	// tried is the version of the last configuration of the store that was applied or
+	// refused.
+	tried object.Version
 }
 
+// invalidEntryLogInterval is the time between two log lines about invalid entries of the
+// same instance, which another writer may keep changing.
+const invalidEntryLogInterval = 10 * time.Second
+
 // configurationDocument is a configuration as stored, for nodes that lack it.
 type configurationDocument struct {
 	Version uint64
@@ -57,6 +64,8 @@
 	version object.Version
 	// instance is nil if the entry couldn't be decoded.
 	instance *engine.Instance
+	// loggedAt is when an invalid entry was last logged.
+	loggedAt time.Time
 }
 
 // Run updates the state whenever a document changes, until ctx is cancelled.
@@ -124,7 +133,8 @@
 		return
 	}
 	for _, o := range s.Objects {
-		if o.Key.Name == platform.ConfigurationName {
+		if o.Key.Name == platform.ConfigurationName && o.Version != ps.tried {
+			ps.tried = o.Version
 			ps.apply(o.Value, "store", o.Version)
 		}
 	}
@@ -168,7 +178,7 @@
 	for _, o := range s.Objects {
 		d, known := ps.decoded[o.Key.Name]
 		if !known || d.version != o.Version {
-			d = ps.decodeObject(o)
+			d = ps.decodeObject(o, d.loggedAt)
 		}
 		next[o.Key.Name] = d
 		if d.instance != nil {
@@ -179,11 +189,13 @@
 	return instances
 }
 
-func (ps *PlatformState) decodeObject(o object.Object) decodedInstance {
+// decodeObject decodes an entry. An invalid one of the same instance was last logged at
+// loggedAt.
+func (ps *PlatformState) decodeObject(o object.Object, loggedAt time.Time) decodedInstance {
 	in, err := platform.DecodeInstance(o.Key.Name, o.Value)
-	if err != nil {
+	if err != nil && time.Since(loggedAt) >= invalidEntryLogInterval {
+		loggedAt = time.Now()
 		_ = level.Warn(ps.logger).Log("msg", "invalid entry of the instance list ignored", "err", err)
-		return decodedInstance{version: o.Version}
 	}
-	return decodedInstance{version: o.Version, instance: in}
+	return decodedInstance{o.Version, in, loggedAt}
 }
