quarantine, entry: an odd item costs no other stored quarantine

One item of another writer among the stored quarantines, or more items than a node keeps, lost them all: nodes that started adopted none, and logged so twice a second. Each item is now decoded on its own; an invalid one is left out and named with its field, and the holder's next write removes it. A decision that lies in the future is refused, and ages no longer wrap around.

The error about an item without parts now names the item in the stored list (quarantines[0].parts in place of notices[0], which counted only those that hadn't expired), so its test expects that.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -98,8 +98,8 @@
 	return err
 }
 
-// read reads the stored quarantines and adopts them. An object that can't be decoded is
-// replaced by the next write.
+// read reads the stored quarantines and adopts them. Those that can't be decoded are removed
+// by the next write.
 func (k *quarantineKeeper) read(ctx context.Context) error {
 	stored, err := k.store.Get(ctx, k.key)
 	if errors.Is(err, object.ErrNotFound) {
@@ -110,10 +110,13 @@
 		return err
 	}
 	k.known, k.version, k.era = true, stored.Version, stored.Version.Era()
-	if k.stored, err = quarantine.Decode(stored.Value, time.Now()); err != nil {
+	decoded, err := quarantine.Decode(stored.Value, time.Now())
+	if k.stored = decoded; err != nil {
+		_ = level.Warn(k.logger).Log("msg", "stored quarantines that can't be decoded are left out", "err", err)
 		k.stored = nil
-		return err
 	}
-	k.ledger.Absorb(k.stored)
+	if decoded != nil {
+		k.ledger.Absorb(decoded)
+	}
 	return nil
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(stored.Notices).To(HaveLen(1))
 }
+
+// Guards against a node that starts without the stored quarantines, and reads them again and
+// again, because another writer left an odd item among them.
+func TestAdoptsStoredQuarantinesBesideAnOddOne(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now().UnixMilli()
+	store := &fakeObjects{era: 1, current: object.Object{Version: 1<<48 + 5, Value: fmt.Appendf(nil, `{"quarantines":[{"parts":"odd"},{"parts":["7"],"since":%d,"until":%d}]}`, now, now+60_000)}}
+	holds := false
+	k := &quarantineKeeper{ledger: quarantine.NewLedger(quarantine.Config{}, log.NewNopLogger(), metrics.NewRegistry()), store: store,
+		holds: func() bool { return holds }, logger: log.NewNopLogger()}
+	g.Expect(k.update(context.Background())).To(Succeed())
+	g.Expect(k.ledger.Current()).To(HaveLen(1))
+	holds = true
+	g.Expect(k.update(context.Background())).To(Succeed())
+	g.Expect(string(store.current.Value)).NotTo(ContainSubstring("odd"), "the holder removes it")
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -283,8 +284,30 @@
 		_, err := Decode([]byte(`{"quarantines":[{"parts":["xyz"],"until":99999999999999}]}`), b.time)
 		Expect(err).To(MatchError(ContainSubstring("quarantines[0].parts[0]")))
 		_, err = Decode([]byte(`{"quarantines":[{"parts":[],"until":99999999999999}]}`), b.time)
-		Expect(err).To(MatchError(ContainSubstring("notices[0]")))
+		Expect(err).To(MatchError(ContainSubstring("quarantines[0].parts: 0")))
 		_, err = Decode([]byte(`[`), b.time)
 		Expect(err).To(HaveOccurred())
 	})
+
+	It("loses no other stored quarantine because of an odd one", func() {
+		// Guards against nodes that forget what crashes engines because another writer
+		// left an odd item among the quarantines.
+		for range 4 {
+			b.crash(b.prompt("shared", "deadly"))
+		}
+		data, err := Encode(b.Current())
+		Expect(err).NotTo(HaveOccurred())
+		sound := strings.TrimSuffix(strings.TrimPrefix(string(data), `{"quarantines":[`), `]}`)
+		for _, odd := range []string{
+			`7`, `null`, `{"parts":["xyz"],"until":99999999999999}`, `{"parts":["7"],"until":1e999}`, `{"parts":["7"],"crashes":-1,"until":99999999999999}`,
+			`{"parts":["7"],"since":99999999999999,"until":99999999999999}`, `{"parts":["7"],"since":-9223372036854775808,"until":99999999999999}`,
+			`{"parts":["1","2","3","4"],"until":99999999999999}`, strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+			`{"parts":["` + strings.Repeat("x", 1<<20) + `"],"until":99999999999999}`,
+		} {
+			report, err := Decode([]byte(`{"quarantines":[`+odd+`,`+sound+`,`+odd+`],"more":`+odd+`}`), b.time)
+			Expect(err).To(MatchError(ContainSubstring("quarantines[0].")))
+			Expect(len(err.Error())).To(BeNumerically("<", 1000))
+			Expect(SameParts(b.Current(), report)).To(BeTrue())
+		}
+	})
 })
