forward: a stream whose engine is silent waits in the queue

With all slots in use, each released one went to a request in the queue, and the stream never moved.

Change: it waits for a slot as a stream that broke off does, ahead of requests whose callers have no part of an answer, while its engine is kept. The wait ends, and the slot is released, when the engine goes on.

Test: "Handler with a silent engine and no free slot".

--- a/entry/changes_node_test.go
+++ b/entry/changes_node_test.go
@@ -25,6 +25,7 @@
 	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
+	"github.com/rattanlanding/rattanlanding/platform/platformtest"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
@@ -124,7 +125,7 @@
 
 // serve records which requests were read whole.
 func (n *changesNode) serve(w http.ResponseWriter, r *http.Request) {
-	body := &recordedBody{ReadCloser: r.Body, node: n, id: r.Header.Get("X-Rattanlanding-Request-Id")}
+	body := &recordedBody{ReadCloser: r.Body, node: n, id: platformtest.RequestID(r.Header)}
 	n.record(body.id, r.Body == http.NoBody)
 	r.Body = body
 	n.handler.ServeHTTP(w, r)
--- a/entry/changes_server_test.go
+++ b/entry/changes_server_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/rattanlanding/rattanlanding/platform/platformtest"
 )
 
 // manner is how a backend server answers a request. Callers choose it, and send it in
@@ -114,7 +116,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
 	time.Sleep(workTime)
-	first := s.requests.isFirst(r.Header.Get("X-Rattanlanding-Request-Id"))
+	first := s.requests.isFirst(platformtest.RequestID(r.Header))
 	if !first && how == silentOnce {
 		how = busy
 	} else if !first && (how == busy || how == misdirected || how == breaking || how == cutting) {
@@ -123,12 +125,12 @@
 	if how == silentHead {
 		time.Sleep(silence)
 	}
-	a := &changesAnswer{conn: conn, how: how, id: r.Header.Get("X-Rattanlanding-Request-Id")}
+	a := &changesAnswer{conn: conn, how: how, id: platformtest.RequestID(r.Header)}
 	switch how {
 	case breaking:
 		return false
 	case busy:
-		return a.head(http.StatusServiceUnavailable, "X-Rattanlanding-Not-Executed: 1\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n")
+		return a.head(http.StatusServiceUnavailable, platformtest.NotRun+"Retry-After: 0.1\r\nContent-Length: 0\r\n")
 	case misdirected:
 		return a.head(http.StatusMisdirectedRequest, "Content-Length: 0\r\n")
 	}
@@ -158,7 +160,7 @@
 }
 
 func (a *changesAnswer) head(status int, fields string) bool {
-	return a.write(fmt.Sprintf("HTTP/1.1 %d x\r\nX-Rattanlanding-Request-Id: %s\r\nX-Rattanlanding-Server-Signature: s\r\n%s\r\n", status, a.id, fields))
+	return a.write(platformtest.ResponseHead(status, a.id, "s") + fields + "\r\n")
 }
 
 // statements returns the headers in which the server states something about itself.
@@ -177,7 +179,7 @@
 	half := len(a.id) / 2
 	switch a.how {
 	case withChunks:
-		return a.head(200, "Transfer-Encoding: chunked\r\n") && a.write(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(a.id), a.id))
+		return a.head(200, "Transfer-Encoding: chunked\r\n") && a.write(chunk(a.id)+"0\r\n\r\n")
 	case untilClosed:
 		return a.head(200, "") && a.write(a.id)
 	case silentBody:
@@ -212,7 +214,7 @@
 			event = event[:len(event)/2]
 		}
 		if chunked {
-			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+			event = chunk(event)
 		}
 		if !a.write(event) || (middle && a.how == cutting) {
 			return false
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -9,11 +9,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httputil"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/platform/platformtest"
 )
 
 var (
@@ -153,32 +155,41 @@
 }
 
 func (r changesRequest) send(conn net.Conn) error {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Rattanlanding-Request-Id: %s\r\nX-Rattanlanding-Model: m\r\nX-Rattanlanding-Deadline-Ms: %d\r\nX-Rattanlanding-Prompt-Prefix: %s:10,%s:10\r\nAuthorization: Token %s\r\n%s: %s\r\n",
-		r.method, r.path, r.id, r.timeout.Milliseconds(), changesPart, r.id, changesKey, mannerHeader, r.how)
+	header := http.Header{mannerHeader: {string(r.how)}}
+	platformtest.SetRequestHeaders(header, r.id, changesKey, r.timeout)
+	platformtest.SetPrompt(header, changesPart, r.id)
 	switch {
 	case r.chunked:
-		head += "Transfer-Encoding: chunked\r\n"
+		header.Set("Transfer-Encoding", "chunked")
 	case r.length > 0:
-		head += fmt.Sprintf("Content-Length: %d\r\n", r.length)
+		header.Set("Content-Length", strconv.Itoa(r.length))
 	}
-	if _, err := io.WriteString(conn, head+"\r\n"); err != nil || r.length == 0 {
+	var head strings.Builder
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: h\r\n", r.method, r.path)
+	if err := header.Write(&head); err != nil {
 		return err
 	}
-	body := io.Writer(conn)
+	half := strings.Repeat("x", r.length/2)
+	rest := strings.Repeat("x", r.length-r.length/2)
 	if r.chunked {
-		body = httputil.NewChunkedWriter(conn)
+		half, rest = chunk(half), chunk(rest)+"0\r\n\r\n"
 	}
-	_, err := io.WriteString(body, strings.Repeat("x", r.length/2))
-	time.Sleep(r.pause)
-	if err == nil {
-		_, err = io.WriteString(body, strings.Repeat("x", r.length-r.length/2))
-	}
-	if err == nil && r.chunked {
-		_, err = io.WriteString(conn, "0\r\n\r\n")
+	if _, err := io.WriteString(conn, head.String()+"\r\n"+half); err != nil || r.length == 0 {
+		return err
 	}
+	time.Sleep(r.pause)
+	_, err := io.WriteString(conn, rest)
 	return err
 }
 
+// chunk returns a chunk of a body; none for no bytes.
+func chunk(data string) string {
+	if data == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(data), data)
+}
+
 // check returns an error if an answer isn't the complete one to the request, or no refusal.
 func (r changesRequest) check(response *http.Response, body string) error {
 	switch response.StatusCode {
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -77,20 +77,6 @@
 	return s.targets[best]
 }
 
-// TryAcquire returns a slot for the request if one is free now, and nil otherwise.
-func (d *Dispatcher) TryAcquire(r SlotRequest) *Slot {
-	d.mu.Lock()
-	target := d.candidates(r.Pool).pick(&waiter{avoid: r.Avoid, promptTokens: r.PromptTokens})
-	if target != nil {
-		d.trafficOf(r.Pool).recordResume(time.Now())
-	}
-	d.mu.Unlock()
-	if target == nil {
-		return nil
-	}
-	return d.newSlot(target, r.PromptTokens)
-}
-
 // isEligible reports whether requests may be sent to a target at all. A stalled group
 // delays every request, while a plain server that failed one request may well serve
 // the next.
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -31,7 +31,7 @@
 	stallGaps = 6
 	// stallRecheck is the time between two checks whether another engine can take a
 	// stalled stream.
-	stallRecheck = 100 * time.Millisecond
+	stallRecheck = 20 * time.Millisecond
 	// maxEmptyReads is the number of reads without an event with content from which an
 	// engine counts as faulty and not as silent.
 	maxEmptyReads = 8
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -9,8 +9,12 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanlanding/rattanlanding/catalog"
 )
 
 // listenPausing starts a server that writes the parts of its response to one request with a
@@ -94,3 +98,31 @@
 		slot.Release()
 	})
 })
+
+var _ = Describe("Handler with a silent engine and no free slot", func() {
+	It("gets the next slot for the stream, and returns it if the engine goes on", func() {
+		// Guards against streams that never move because each slot goes to a request in the
+		// queue, and against a slot that leaks.
+		tables, pool := newTables(1, 1)
+		h := NewHandler(Config{}, Dependencies{Dispatcher: NewDispatcher(tables, &fakePeers{}, "", newThrottle()), Logger: log.NewNopLogger(), Registry: metrics.NewRegistry()})
+		until := time.Now().Add(5 * time.Second)
+		request := SlotRequest{Pool: pool, GoalAt: until, Until: until}
+		held, err := h.Dispatcher.Acquire(context.Background(), request)
+		Expect(err).NotTo(HaveOccurred())
+		served := make(chan *Slot, 1)
+		go func() {
+			slot, _ := h.Dispatcher.Acquire(context.Background(), request)
+			served <- slot
+		}()
+		waiting := func() int { return h.Dispatcher.Waiting()[pool] }
+		Eventually(waiting).Should(Equal(1))
+		s := &stream{call: &call{route: &catalog.Route{}, service: &catalog.Service{Name: pool.Service}, deadline: until}}
+		Expect(h.slotForNext(context.Background(), s)).To(BeNil())
+		Eventually(waiting).Should(Equal(2))
+		held.Release()
+		Eventually(func() int { return len(s.slotWait.result) }).Should(Equal(1))
+		Consistently(served, 100*time.Millisecond).ShouldNot(Receive())
+		s.dropNext()
+		Eventually(served).Should(Receive(Not(BeNil())))
+	})
+})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -32,6 +32,10 @@
 	current *upstream.Response
 	// next is the attempt that goes on after the current one; nil if there is none yet.
 	next *takeover
+	// slotWait is the request for a slot for it; nil if there is none.
+	slotWait *slotWait
+	// slotRefusedAt is when the last such request was refused.
+	slotRefusedAt time.Time
 }
 
 // stream answers a request with a stream of events, from several engines in succession
@@ -82,6 +86,7 @@
 		defer next.slot.Release()
 		return h.finishAttempt(s, next.slot, h.relay(s, next.slot, next.response, next.monitor))
 	}
+	s.endSlotWait()
 	if err := h.checkQuarantine(s.call); err != nil {
 		return err
 	}
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -11,8 +12,12 @@
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
-// overtakenCheck is the time between two checks whether the silent engine went on.
-const overtakenCheck = 20 * time.Millisecond
+const (
+	// overtakenCheck is the time between two checks whether the silent engine went on.
+	overtakenCheck = 20 * time.Millisecond
+	// slotRetryDelay is the time after which a slot that was refused is asked for again.
+	slotRetryDelay = 500 * time.Millisecond
+)
 
 // errOvertaken is returned if an attempt isn't needed any more.
 var errOvertaken = errors.New("the silent engine went on")
@@ -24,6 +29,67 @@
 	monitor  *stallMonitor
 }
 
+// slotWait is a request for a slot that is made while the engine of a stream is silent.
+type slotWait struct {
+	cancel context.CancelFunc
+	// result receives the slot, or nil if there is none.
+	result chan *Slot
+}
+
+// waitForSlot asks for a slot for a stream, which goes before all requests whose callers
+// have no part of an answer.
+func (h *Handler) waitForSlot(ctx context.Context, s *stream) *slotWait {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &slotWait{cancel: cancel, result: make(chan *Slot, 1)}
+	r := SlotRequest{Pool: s.pool(), Rank: rank(s.route, s.organisation), PromptTokens: s.PromptTokens, Avoid: maps.Clone(s.tried), Begun: true,
+		GoalAt: s.goalAt, Until: s.deadline, Blocked: h.blocked(s.call)}
+	go func() {
+		slot, err := h.Dispatcher.Acquire(ctx, r)
+		if err != nil {
+			_ = level.Debug(h.Logger).Log("msg", "no slot for a stream whose engine is silent", "request", s.ID, "err", err)
+		}
+		w.result <- slot
+	}()
+	return w
+}
+
+// slotForNext returns the slot for the attempt that is to go on with a stream, or nil if
+// there is none yet.
+func (h *Handler) slotForNext(ctx context.Context, s *stream) *Slot {
+	if s.slotWait == nil {
+		if time.Since(s.slotRefusedAt) < slotRetryDelay {
+			return nil
+		}
+		s.slotWait = h.waitForSlot(ctx, s)
+	}
+	select {
+	case slot := <-s.slotWait.result:
+		s.slotWait.cancel()
+		s.slotWait = nil
+		if slot == nil {
+			s.slotRefusedAt = time.Now()
+		}
+		return slot
+	default:
+		return nil
+	}
+}
+
+// endSlotWait ends the wait for a slot, and releases the slot if there is one.
+func (s *stream) endSlotWait() {
+	w := s.slotWait
+	if w == nil {
+		return
+	}
+	s.slotWait = nil
+	w.cancel()
+	go func() {
+		if slot := <-w.result; slot != nil {
+			slot.Release()
+		}
+	}()
+}
+
 // takeOver sends a stream whose engine is silent to another one, and reports whether that
 // one has begun to answer. Until it has, the answer isn't given up: the other engine may
 // refuse the request, and the silent one may go on.
@@ -37,9 +103,10 @@
 		return false
 	}
 	if !s.isRetryable(stalled) || h.budget(s.service.Name).Remaining() == 0 || h.Quarantine.Match(s.subject()) != nil {
+		s.endSlotWait()
 		return false
 	}
-	slot := h.Dispatcher.TryAcquire(SlotRequest{Pool: s.pool(), PromptTokens: s.PromptTokens, Avoid: s.tried})
+	slot := h.slotForNext(ctx, s)
 	if slot == nil {
 		return false
 	}
@@ -72,8 +139,9 @@
 	return true
 }
 
-// dropNext ends an attempt that has begun to go on with the stream and isn't needed.
+// dropNext ends the search for an engine that goes on with the stream.
 func (s *stream) dropNext() {
+	s.endSlotWait()
 	if s.next != nil {
 		s.next.response.Abort()
 		s.next.slot.Release()
