forward: go on with a stream that fails late in a stop before its first event

A caller got 502 for a stream that came in time, if its engine failed before the first event after a third of the stop: the decision on new requests was asked again although the stream had been sent.

A stream that may have run now goes on at another engine, as one that has begun does, until the end of the time for answers. The new case failed before (502) and passes.

--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -73,40 +73,48 @@
 		Entry("engine", "/stream/", "e0"),
 	)
 
-	It("hands no more time to the engine that resumes a stream than is left of the stop", func() {
-		// Guards against an engine that works on a stream after the node has ended.
-		begun, leave := make(chan struct{}), make(chan struct{})
-		remaining := make(chan time.Duration, 2)
-		runs := 0
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("Id", r.Header.Get("Id"))
-			if runs++; runs > 1 {
-				_, _ = fmt.Fprint(w, "id: 2\ndata: x\n\n")
-				return
-			}
-			_, _ = fmt.Fprint(w, "id: 1\ndata: x\n\n")
-			_ = http.NewResponseController(w).Flush()
-			close(begun)
-			<-leave
-			panic(http.ErrAbortHandler)
-		}))
-		DeferCleanup(server.Close)
-		address := server.Listener.Addr().String()
-		node := newScriptedNode(address, address)
-		handler, ok := node.Config.Handler.(*Handler)
-		Expect(ok).To(BeTrue())
-		handler.Codec = remainingCodec{remaining: remaining}
-		go func() {
-			<-begun
-			handler.SetLeaving(grace)
-			close(leave)
-		}()
-		status, length := get(node, "/stream/")
-		Expect(status).To(Equal(http.StatusOK))
-		Expect(length).To(Equal(2 * len("id: 1\ndata: x\n\n")))
-		Expect(<-remaining).To(BeNumerically(">", answers))
-		Expect(<-remaining).To(BeNumerically("<=", answers))
-	})
+	DescribeTable("goes on with a stream at another engine, with no more time than is left of the stop",
+		// Guards against a stream that ends because it fails late in the stop, and against an
+		// engine that works on it after the node has ended.
+		func(events int) {
+			begun, leave := make(chan struct{}), make(chan struct{})
+			remaining := make(chan time.Duration, 2)
+			runs := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				if runs++; runs > 1 {
+					_, _ = fmt.Fprint(w, "id: 2\ndata: x\n\n")
+					return
+				}
+				for range events {
+					_, _ = fmt.Fprint(w, "id: 1\ndata: x\n\n")
+				}
+				_ = http.NewResponseController(w).Flush()
+				close(begun)
+				<-leave
+				panic(http.ErrAbortHandler)
+			}))
+			DeferCleanup(server.Close)
+			address := server.Listener.Addr().String()
+			node := newScriptedNode(address, address)
+			handler, ok := node.Config.Handler.(*Handler)
+			Expect(ok).To(BeTrue())
+			handler.Codec = remainingCodec{remaining: remaining}
+			go func() {
+				<-begun
+				handler.SetLeaving(drain.Grace{Total: answers, Answers: answers})
+				time.Sleep(answers / 2)
+				close(leave)
+			}()
+			status, length := get(node, "/stream/")
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(length).To(Equal((events + 1) * len("id: 1\ndata: x\n\n")))
+			Expect(<-remaining).To(BeNumerically(">", answers))
+			Expect(<-remaining).To(BeNumerically("<=", answers/2))
+		},
+		Entry("that has begun", 1),
+		Entry("whose first engine failed before an event", 0),
+	)
 })
 
 // remainingCodec is a headerCodec that reports the time that each attempt is given.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -148,9 +148,10 @@
 }
 
 // streamUntil returns the time until which the stream may wait for an engine, or an error if
-// it may not begin any more because this node stops. One that has begun always goes on.
+// it may not begin any more because this node stops. One that an engine may have run goes on:
+// its caller can't be told that it has not run.
 func (h *Handler) streamUntil(s *stream) (time.Time, *verdict.Error) {
-	if s.begun {
+	if s.begun || s.mayHaveRun {
 		return s.waitUntil(), nil
 	}
 	latest, refused := h.latestStart(s.call)
