throttle: log rates of other nodes as they were stated

Notices carry the rate as a 32-bit float, and it was converted as it is. Now it becomes the shortest decimal with the same 32-bit value. No other value that nodes tell each other is logged as a float.

--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -182,7 +182,7 @@
 		}
 		r.received.Inc(1)
 		known.sentAt = at
-		r.limit(known, float64(n.Rate), at, now, "another node")
+		r.limit(known, n.rate(), at, now, "another node")
 	}
 }
 
--- a/throttle/statement.go
+++ b/throttle/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,6 +57,14 @@
 // valid reports whether the values of a notice are in range. NaN fails both comparisons.
 func (n *Notice) valid() bool { return n.Rate >= 0 && n.Rate <= MaxRate }
 
+// rate returns the rate as the decimal that the server stated. A plain conversion of 2.4
+// would be 2.4000000953674316 in logs.
+func (n *Notice) rate() float64 {
+	// The text is a number, so there is no error.
+	rate, _ := strconv.ParseFloat(strconv.FormatFloat(float64(n.Rate), 'g', -1, 32), 64)
+	return rate
+}
+
 func (n *Notice) at(now time.Time) time.Time {
 	return now.Add(-time.Duration(n.AgeMs) * time.Millisecond)
 }
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -223,3 +224,16 @@
 	}
 	g.Expect(used).To(BeNumerically("~", 60, 2), "permits used in two minutes")
 }
+
+// Guards against logs that state the rate 2.4 of another node as 2.4000000953674316.
+func TestLogsRatesOfOtherNodesAsStated(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	r := NewRegistry(Config{}, log.NewLogfmtLogger(&out), metrics.NewRegistry())
+	r.Absorb([]Notice{{Server: 1, Limited: true, Rate: 2.4}})
+	r.Absorb([]Notice{{Server: 2, Limited: true, Rate: 0.1}})
+	g.Expect(out.String()).To(And(ContainSubstring("per_second=2.4 "), ContainSubstring("per_second=0.1 ")))
+	rate, limited := r.Rate(1)
+	g.Expect(limited).To(BeTrue())
+	g.Expect(rate).To(Equal(2.4))
+}
