standin: engines and servers crash under requests, and answer unframed or early

The control call of an engine or a plain server takes a marker: each request whose body has it crashes the server before the first byte, after the head or after half of the events, and the server is unreachable until it starts again with a new boot ID. Responses may have neither a Content-Length nor chunks, and those of plain servers may begin before the body of the request is read. A silence that goes on was there (freezeMs) and now has a test.

--- a/internal/standin/events.go
+++ b/internal/standin/events.go
@@ -106,7 +106,7 @@
 		holds bool
 	}{
 		{"cross", d.cross && other}, {"cross-body", d.crossBody && other}, {"double", d.double},
-		{"double-events", d.doubleEvents && stream}, {"truncate", d.truncate}, {"lose", d.lose},
+		{"double-events", d.doubleEvents && stream}, {"truncate", d.truncate}, {"lose", d.lose}, {"unframed", d.unframed},
 	} {
 		if f.holds {
 			l.add(Event{Kind: EventFault, Instance: instance, Fault: f.name, Attempt: attempt})
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,11 +34,36 @@
 	Truncate int `json:"truncate,omitempty"`
 	// Lose runs the request and closes the connection without a response.
 	Lose int `json:"lose,omitempty"`
+	// Unframed sends a response with neither a Content-Length nor chunks, which ends with
+	// its connection.
+	Unframed int `json:"unframed,omitempty"`
+	// Early sends the head of a plain server's response before the body of the request
+	// is read.
+	Early bool `json:"early,omitempty"`
+	// DeadlyMarker crashes an engine or a server under each request whose body contains
+	// it, at CrashPoint; empty means none. It starts again after RestartMs.
+	DeadlyMarker string     `json:"deadlyMarker,omitempty"`
+	CrashPoint   CrashPoint `json:"crashPoint,omitempty"`
+	RestartMs    int64      `json:"restartMs,omitempty"`
 }
 
+// CrashPoint is the point of a response at which a server crashes.
+type CrashPoint string
+
+// Points of a response.
+const (
+	// CrashAtStart is before the first byte; it is the default.
+	CrashAtStart CrashPoint = "start"
+	// CrashAfterHead is after the status and the headers.
+	CrashAfterHead CrashPoint = "head"
+	// CrashAfterEvents is after half of the events of a stream. For any other response it
+	// is CrashAfterHead.
+	CrashAfterEvents CrashPoint = "events"
+)
+
 // distortion is the set of faults that change one response.
 type distortion struct {
-	cross, crossBody, double, doubleEvents, truncate, lose bool
+	cross, crossBody, double, doubleEvents, truncate, lose, unframed bool
 }
 
 // faultState holds the injected faults of one engine or plain server.
@@ -45,6 +72,8 @@
 	faults BackendFaults
 	// frozenUntil is the end of the current freeze, or a time in the past.
 	frozenUntil time.Time
+	// downUntil is when a crashed server starts again, or a time in the past.
+	downUntil time.Time
 }
 
 func (f *faultState) set(next BackendFaults) {
@@ -77,11 +106,14 @@
 	}
 }
 
-// withDelay wraps a handler with the freeze and the delay. A request whose sender
+// withDelay wraps a handler with the freeze, the crash and the delay. A request whose sender
 // gave up is still handled afterwards, as a paused process would do.
 func (f *faultState) withDelay(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f.waitWhileFrozen(context.Background())
+		if f.isDown() {
+			abortConnection()
+		}
 		f.mu.Lock()
 		delay := time.Duration(f.faults.DelayMs) * time.Millisecond
 		f.mu.Unlock()
@@ -92,6 +124,37 @@
 	}
 }
 
+// isDown reports whether the server has crashed and not started again.
+func (f *faultState) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.downUntil)
+}
+
+// crashPoint returns the point at which a request crashes the server, or an empty one if it
+// doesn't.
+func (f *faultState) crashPoint(body string) CrashPoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.DeadlyMarker == "" || !strings.Contains(body, f.faults.DeadlyMarker) {
+		return ""
+	}
+	return cmp.Or(f.faults.CrashPoint, CrashAtStart)
+}
+
+// crash makes the server unreachable until it starts again.
+func (f *faultState) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.downUntil = time.Now().Add(time.Duration(f.faults.RestartMs) * time.Millisecond)
+}
+
+func (f *faultState) answersEarly() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults.Early
+}
+
 func (f *faultState) failsSteps() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -111,7 +174,7 @@
 		holds *bool
 	}{
 		{&f.faults.Cross, &d.cross}, {&f.faults.CrossBody, &d.crossBody}, {&f.faults.Double, &d.double},
-		{&f.faults.DoubleEvents, &d.doubleEvents}, {&f.faults.Truncate, &d.truncate}, {&f.faults.Lose, &d.lose},
+		{&f.faults.DoubleEvents, &d.doubleEvents}, {&f.faults.Truncate, &d.truncate}, {&f.faults.Lose, &d.lose}, {&f.faults.Unframed, &d.unframed},
 	} {
 		if *choice.count > *most {
 			most, holds = choice.count, choice.holds
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -104,10 +105,17 @@
 
 // call handles a call of any path and method.
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	if s.faults.answersEarly() {
+		maps.Copy(w.Header(), attemptHeaders(r.Header))
+		// The server of net/http always supports both.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = http.NewResponseController(w).Flush()
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 4<<20))
 	if err != nil {
 		return
 	}
+	point := s.faults.crashPoint(string(body))
 	response, other := s.recordCall(r, body)
 	d := s.faults.next()
 	s.platform.events.addFaults(s.instance.ID, r.Header.Get(HeaderAttempt), d, other != nil, false)
@@ -116,6 +124,9 @@
 		s.running--
 		s.mu.Unlock()
 	}()
+	if point != "" {
+		s.crashUnder(w, response, point)
+	}
 	if d.lose {
 		abortConnection()
 	}
@@ -128,6 +139,20 @@
 	writeWithFaults(w, response, d)
 }
 
+// crashUnder crashes the server under a call, whose response may have a head.
+func (s *Server) crashUnder(w http.ResponseWriter, response *plainResponse, point CrashPoint) {
+	s.platform.events.add(Event{Kind: EventFault, Instance: s.instance.ID, Fault: "crash", Attempt: response.header.Get(HeaderAttempt)})
+	if point != CrashAtStart {
+		maps.Copy(w.Header(), response.header)
+		_ = http.NewResponseController(w).Flush()
+	}
+	s.faults.crash()
+	s.mu.Lock()
+	s.boot = uuid.NewString()
+	s.mu.Unlock()
+	abortConnection()
+}
+
 // recordCall records the call and returns its response and that of the call
 // before, which is nil for the first call.
 func (s *Server) recordCall(r *http.Request, body []byte) (own, other *plainResponse) {
@@ -175,7 +200,11 @@
 		body = append(append([]byte{}, body...), body...)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if d.unframed {
+		omitFraming(w)
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	if d.truncate {
 		_, _ = w.Write(body[:len(body)/2])
 		_ = http.NewResponseController(w).Flush()
@@ -184,6 +213,12 @@
 	_, _ = w.Write(body)
 }
 
+// omitFraming makes a response end with its connection, without a Content-Length or chunks.
+func omitFraming(w http.ResponseWriter) {
+	// The server of net/http removes this header and sends no chunks.
+	w.Header().Set("Transfer-Encoding", "identity")
+}
+
 // writeNotRun refuses a request with the verdict "not run".
 func writeNotRun(w http.ResponseWriter, status int, reason verdict.Reason, message string) {
 	w.Header().Set(verdict.Header, verdict.NotRun.String())
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -67,6 +68,28 @@
 	return into
 }
 
+// begin opens a connection and sends the head of a request to group g and generation 5.
+func begin(address, path, attempt string, length int) net.Conn {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n%s: %s\r\n%s: g\r\n%s: 5\r\nContent-Length: %d\r\n\r\n",
+		path, standin.HeaderAttempt, attempt, standin.HeaderGroup, standin.HeaderGeneration, length)
+	Expect(err).NotTo(HaveOccurred())
+	return conn
+}
+
+// exchange sends a request and returns all bytes that come until the connection ends.
+func exchange(address, path, body, attempt string) string {
+	GinkgoHelper()
+	conn := begin(address, path, attempt, len(body))
+	defer conn.Close()
+	_, err := io.WriteString(conn, body)
+	Expect(err).NotTo(HaveOccurred())
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
 func report(address string) fleet.Report { return get[fleet.Report](address, "/v1/status") }
 
 func sendCommand(address string, c fleet.Command) int {
@@ -266,6 +289,62 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 	})
 
+	DescribeTable("crashes under a request with the marker, and starts again", func(point standin.CrashPoint, whole, stream string) {
+		// Guards against tests of deadly requests whose engine doesn't crash, crashes at
+		// another point, or stays away.
+		formGroup("g", 5, engineAddresses[0])
+		boot := report(engineAddresses[0]).Boot
+		setFaults(engineAddresses[0], standin.BackendFaults{DeadlyMarker: "the lodge", CrashPoint: point, RestartMs: 300})
+		answer := exchange(engineAddresses[0], "/v1/completions", `{"prompt":"where is the lodge","max_tokens":4,"stream":true}`, "a1")
+		Expect(answer).To(MatchRegexp("(?s)^%s$", stream))
+		response, _ := send(http.MethodGet, engineAddresses[0], "/v1/status", nil)
+		Expect(response).To(BeNil(), "while the engine is down")
+		Eventually(func() *http.Response {
+			response, _ := send(http.MethodGet, engineAddresses[0], "/v1/status", nil)
+			return response
+		}, eventuallyTimeout).ShouldNot(BeNil())
+		Expect(report(engineAddresses[0])).To(And(HaveField("Boot", Not(Equal(boot))), HaveField("Group", "")))
+		Expect(get[standin.EngineRecord](engineAddresses[0], "/record").Requests).To(HaveExactElements(HaveField("Error", ContainSubstring("crashed"))))
+
+		setFaults(serverAddress, standin.BackendFaults{DeadlyMarker: "the lodge", CrashPoint: point, RestartMs: 300})
+		Expect(exchange(serverAddress, "/charge", "to the lodge", "a2")).To(MatchRegexp("(?s)^%s$", whole))
+		Expect(exchange(serverAddress, "/charge", "sound", "a3")).To(BeEmpty())
+		Eventually(exchange, eventuallyTimeout).WithArguments(serverAddress, "/charge", "sound", "a4").Should(HavePrefix("HTTP/1.1 200"))
+	},
+		Entry("at the start", standin.CrashAtStart, "", ""),
+		Entry("after the head", standin.CrashAfterHead, "HTTP/1.1 200 OK.*\r\n\r\n", "HTTP/1.1 200 OK.*\r\n\r\n"),
+		Entry("after some events", standin.CrashAfterEvents, "HTTP/1.1 200 OK.*\r\n\r\n", `HTTP/1.1 200 OK.*"position":1,[^D]*`),
+	)
+
+	It("goes on after a freeze, and sends responses without a length or early", func() {
+		// Guards against tests of silent engines and of unframed and early responses whose
+		// fault has no effect or breaks the response.
+		formGroup("g", 5, engineAddresses[0])
+		time.AfterFunc(50*time.Millisecond, func() { setFaults(engineAddresses[0], standin.BackendFaults{FreezeMs: 1000}) })
+		started := time.Now()
+		_, stream := complete("a1", standin.CompletionRequest{MaxTokens: 40, Stream: true})
+		_, ends := streamText(stream)
+		Expect(ends).To(Equal(1))
+		Expect(time.Since(started)).To(BeNumerically(">", time.Second))
+
+		setFaults(engineAddresses[0], standin.BackendFaults{Unframed: 1})
+		answer := exchange(engineAddresses[0], "/v1/completions", `{"prompt":"p","max_tokens":2,"stream":true}`, "a2")
+		Expect(answer).To(And(ContainSubstring("[DONE]"), Not(MatchRegexp("Content-Length|Transfer-Encoding"))))
+		setFaults(serverAddress, standin.BackendFaults{Unframed: 1})
+		answer = exchange(serverAddress, "/charge", "x", "a3")
+		Expect(answer).To(And(ContainSubstring(`"call":1`), Not(MatchRegexp("Content-Length|Transfer-Encoding"))))
+
+		setFaults(serverAddress, standin.BackendFaults{Early: true})
+		conn := begin(serverAddress, "/charge", "a4", 1)
+		defer conn.Close()
+		Expect(conn.SetReadDeadline(time.Now().Add(eventuallyTimeout))).To(Succeed())
+		_, err := io.ReadFull(conn, make([]byte, len("HTTP/1.1 200 OK")))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(io.ReadAll(conn)).To(ContainSubstring(`"call":2`))
+	})
+
 	It("records every plain call, including one whose response is lost", func() {
 		// Guards against a test of requirement R5 that counts calls wrongly because the
 		// server doesn't record those whose response is lost.
