soak: deadly requests, engines that fall silent, answers without a length

Deadly requests come from a client of their own, the same again by path, caller and body, at any node. Their outcomes are checked for what doesn't depend on an engine that serves them: unsafe ones run once at most, refused ones never ran, an answer is an engine's and to its own request, and a process without trouble gives a final answer in time. An engine that has started again states no limit, so the check of the limit ends with the start.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -26,7 +26,8 @@
 )
 
 // violations returns the violated guarantees: those that the fleet detected, those of
-// each call, the recovery at the end of the run, and processes that exited unasked.
+// each call, the recovery at the end of the run, and processes that exited unasked. For
+// deadly requests those hold that don't depend on an engine that serves them.
 func (d *deployment) violations(calls []*call, ended time.Time) []string {
 	d.mu.Lock()
 	found := append(d.fleet.Violations(), d.found...)
@@ -47,6 +48,11 @@
 			}
 		}
 	}
+	for _, c := range d.deadly.finished() {
+		found = append(found, d.checkExecutions(c)...)
+		found = append(found, c.checkResponse()...)
+		found = append(found, c.checkResponseTime()...)
+	}
 	if float64(served) < minRecoveredFraction*float64(sent) || sent == 0 {
 		found = append(found, fmt.Sprintf("recovery: %d of %d requests served in the last %s", served, sent, recoveryWindow))
 	}
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -65,6 +65,8 @@
 	copies []*platformtest.StoreCopy
 	// found are violations that were detected during the run.
 	found []string
+	// deadly sends requests that crash engines.
+	deadly *deadlyCaller
 	// revokedAt is the time at which key k2 was revoked, or zero.
 	revokedAt time.Time
 }
@@ -99,6 +101,7 @@
 		}
 		d.nodes = append(d.nodes, n)
 	}
+	d.deadly = newDeadlyCaller(d.fleet.Deadly(), d.nodes)
 	return d, nil
 }
 
@@ -110,6 +113,11 @@
 	d.enginesStarted++
 	var err error
 	e.Engine, err = d.fleet.Start(fmt.Sprint("i-", d.enginesStarted), service, domain, events, func(address string) (string, error) {
+		if e.link != nil {
+			// The engine starts again.
+			e.link.setTarget(address)
+			return e.link.address(), nil
+		}
 		l, err := newLink("127.0.0.1:0", address)
 		if err != nil {
 			return "", err
@@ -226,6 +234,8 @@
 		d.revokedAt = time.Now()
 		d.mu.Unlock()
 		return noop
+	case deadlyRequest:
+		return d.deadly.begin(f)
 	case storeRestored:
 		d.store.SetDown(true)
 		return func() { d.restoreStore(f.target) }
@@ -271,11 +281,21 @@
 	case engineLimited:
 		e, rate := d.selectEngine(f.target), 1+f.target%maxLimit
 		e.SetLimit(strconv.Itoa(rate))
-		started := time.Now()
+		started, born := time.Now(), e.Born()
 		return func() {
-			d.checkLimit(e, float64(rate), started)
+			if e.Born() == born {
+				// An engine that has started again states no limit.
+				d.checkLimit(e, float64(rate), started)
+			}
 			e.SetLimit("")
 		}
+	case engineSilent:
+		d.selectEngine(f.target).Silence(min(f.duration, maxSilence))
+		return func() {}
+	case engineUnframed:
+		e := d.selectEngine(f.target)
+		e.SetUnframed(true)
+		return func() { e.SetUnframed(false) }
 	case engineLost:
 		e := d.selectEngine(f.target)
 		e.SetLossRate(lostResponseFraction)
@@ -291,6 +311,9 @@
 // ordersLate.
 const lateOrderFraction = 0.4
 
+// maxSilence is the longest silence of an engine that goes on.
+const maxSilence = 1200 * time.Millisecond
+
 // lostResponseFraction is the fraction of responses that an engine loses during a fault
 // of kind engineLost.
 const lostResponseFraction = 0.3
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -31,9 +31,9 @@
 // link is a TCP proxy in front of a target that can inject network faults.
 type link struct {
 	listener net.Listener
-	target   string
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	target string
 	// faults counts the overlapping faults of each mode.
 	faults map[mode]int
 	// changed is closed and replaced when faults change.
@@ -55,6 +55,13 @@
 // address returns the address on which the link listens.
 func (l *link) address() string { return l.listener.Addr().String() }
 
+// setTarget changes the target of new connections.
+func (l *link) setTarget(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
 // begin starts a fault. Faults of one link may overlap.
 func (l *link) begin(m mode) { l.adjust(m, 1) }
 
@@ -134,7 +141,10 @@
 		abort(conn)
 		return
 	}
-	out, err := net.Dial("tcp", l.target)
+	l.mu.Lock()
+	target := l.target
+	l.mu.Unlock()
+	out, err := net.Dial("tcp", target)
 	if err != nil {
 		abort(conn)
 		return
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -19,7 +19,7 @@
 
 // call is one request of a caller and its outcome.
 type call struct {
-	id, path, key, address string
+	id, path, method, key, body, address string
 	// node is the node at address.
 	node           *node
 	started, ended time.Time
@@ -102,7 +102,10 @@
 		key := []string{"k1", "k2"}[rng.IntN(2)]
 		disconnects := rng.IntN(12) == 0
 		addressChoice := rng.IntN(1 << 16)
-		requests.Go(func() { g.send(fmt.Sprintf("r%d", i), kind.path, kind.method, key, addressChoice, disconnects) })
+		requests.Go(func() {
+			id := fmt.Sprintf("r%d", i)
+			g.send(&call{id: id, path: kind.path, method: kind.method, key: key, body: "body of " + id}, addressChoice, disconnects)
+		})
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(rng.ExpFloat64() * float64(meanInterval))):
@@ -112,14 +115,14 @@
 
 // send sends one request and records its outcome. If disconnects is true, the caller
 // gives up after 60 ms.
-func (g *loadGenerator) send(id, path, method, key string, addressChoice int, disconnects bool) {
+func (g *loadGenerator) send(pending *call, addressChoice int, disconnects bool) {
 	g.mu.Lock()
 	if len(g.addresses) == 0 {
 		g.mu.Unlock()
 		return
 	}
-	address := g.addresses[addressChoice%len(g.addresses)]
-	pending := &call{id: id, path: path, key: key, address: address, node: g.nodes[address], started: time.Now()}
+	pending.address = g.addresses[addressChoice%len(g.addresses)]
+	pending.node, pending.started = g.nodes[pending.address], time.Now()
 	g.calls = append(g.calls, pending)
 	g.mu.Unlock()
 	timeout := requestTimeout + requestTimeout/2
@@ -129,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	c := *pending
-	g.exchange(ctx, &c, method)
+	g.exchange(ctx, &c)
 	c.ended = time.Now()
 	if disconnects && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.err = errCallerDisconnected
@@ -143,8 +146,8 @@
 var errCallerDisconnected = errors.New("caller disconnected early on purpose")
 
 // exchange sends the request and reads the response.
-func (g *loadGenerator) exchange(ctx context.Context, c *call, method string) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+c.path, strings.NewReader("body of "+c.id))
+func (g *loadGenerator) exchange(ctx context.Context, c *call) {
+	r, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.address+c.path, strings.NewReader(c.body))
 	if err != nil {
 		c.err = err
 		return
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,13 @@
 	// engineLimited makes an engine state a request rate. It lasts longer than other faults.
 	engineLimited kind = "engine-limited"
 	ordersLate    kind = "orders-late"
+	// engineSilent makes an engine send nothing for a while and then go on.
+	// engineUnframed makes its responses end with their connection, without a length.
+	engineSilent   kind = "engine-silent"
+	engineUnframed kind = "engine-unframed"
+	// deadlyRequest is a request that crashes each engine that runs it, and that its caller
+	// sends again and again. It lasts longer than other faults.
+	deadlyRequest kind = "deadly-request"
 	// keyRevoked revokes one of the two keys; a plan has it at most once.
 	keyRevoked kind = "key-revoked"
 )
@@ -57,6 +64,7 @@
 	{nodeKill, 4}, {nodePause, 3}, {nodeStop, 3}, {nodeHangUp, 1}, {allKill, 1},
 	{storeDown, 2}, {storeForget, 2}, {storeRestored, 2}, {storeReset, 2}, {storeSilent, 2}, {storeMute, 1}, {storeSlow, 1},
 	{engineCrash, 6}, {engineDrain, 2}, {engineReset, 2}, {engineMute, 2}, {engineDeaf, 1}, {engineSlow, 1}, {engineLost, 2}, {engineLimited, 3}, {ordersLate, 5},
+	{engineSilent, 3}, {engineUnframed, 3}, {deadlyRequest, 3},
 	{keyRevoked, 1},
 }
 
@@ -66,8 +74,8 @@
 	minFaultDuration = 300 * time.Millisecond
 	// maxFaultDuration is the longest duration of a fault.
 	maxFaultDuration = 3 * time.Second
-	// limitedFactor multiplies the duration of engineLimited.
-	limitedFactor = 4
+	// longFactor multiplies the duration of engineLimited and deadlyRequest.
+	longFactor = 4
 	// faultsPerSecond is the mean number of faults that begin in a second.
 	faultsPerSecond = 1.2
 	// recoveryPeriod is the time without faults at the end of a run, in which the system
@@ -110,8 +118,8 @@
 				break
 			}
 		}
-		if f.kind == engineLimited {
-			f.duration = max(min(limitedFactor*f.duration, length-f.start), minFaultDuration)
+		if f.kind == engineLimited || f.kind == deadlyRequest {
+			f.duration = max(min(longFactor*f.duration, length-f.start), minFaultDuration)
 		}
 		if f.kind == keyRevoked && revoked {
 			continue
