--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -236,6 +236,8 @@
 		return noop
 	case deadlyRequest:
 		return d.deadly.begin(f)
+	case storeOdd:
+		return d.addOddEntry(f.target)
 	case storeRestored:
 		d.store.SetDown(true)
 		return func() { d.restoreStore(f.target) }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -26,6 +26,8 @@
 	storeDown     kind = "store-down"
 	storeForget   kind = "store-forget"
 	storeRestored kind = "store-restored"
+	// storeOdd adds an entry of another writer among those of the engines.
+	storeOdd kind = "store-odd"
 	// The others are faults of one node's link to the store; see storeModes.
 	storeReset  kind = "store-reset"
 	storeSilent kind = "store-silent"
@@ -42,7 +44,7 @@
 	// engineLost makes an engine lose a fraction of its responses, and ordersLate
 	// delays a fraction of the orders to all engines.
 	engineLost kind = "engine-lost"
-	// engineLimited makes an engine state a request rate. It lasts longer than other faults.
+	// engineLimited makes an engine state a request rate.
 	engineLimited kind = "engine-limited"
 	ordersLate    kind = "orders-late"
 	// engineSilent makes an engine send nothing for a while and then go on.
@@ -50,7 +52,7 @@
 	engineSilent   kind = "engine-silent"
 	engineUnframed kind = "engine-unframed"
 	// deadlyRequest is a request that crashes each engine that runs it, and that its caller
-	// sends again and again. It lasts longer than other faults.
+	// sends again and again.
 	deadlyRequest kind = "deadly-request"
 	// keyRevoked revokes one of the two keys; a plan has it at most once.
 	keyRevoked kind = "key-revoked"
@@ -62,19 +64,22 @@
 	weight int
 }{
 	{nodeKill, 4}, {nodePause, 3}, {nodeStop, 3}, {nodeHangUp, 1}, {allKill, 1},
-	{storeDown, 2}, {storeForget, 2}, {storeRestored, 2}, {storeReset, 2}, {storeSilent, 2}, {storeMute, 1}, {storeSlow, 1},
+	{storeDown, 2}, {storeForget, 2}, {storeRestored, 2}, {storeReset, 2}, {storeSilent, 2}, {storeMute, 1}, {storeSlow, 1}, {storeOdd, 3},
 	{engineCrash, 6}, {engineDrain, 2}, {engineReset, 2}, {engineMute, 2}, {engineDeaf, 1}, {engineSlow, 1}, {engineLost, 2}, {engineLimited, 3}, {ordersLate, 5},
 	{engineSilent, 3}, {engineUnframed, 3}, {deadlyRequest, 3},
 	{keyRevoked, 1},
 }
 
+// longKinds last longer than others, because their effects take some time to begin.
+var longKinds = map[kind]bool{engineLimited: true, deadlyRequest: true, storeOdd: true}
+
 // Times of a plan.
 const (
 	// minFaultDuration is the shortest duration of a fault.
 	minFaultDuration = 300 * time.Millisecond
 	// maxFaultDuration is the longest duration of a fault.
 	maxFaultDuration = 3 * time.Second
-	// longFactor multiplies the duration of engineLimited and deadlyRequest.
+	// longFactor multiplies the duration of longKinds.
 	longFactor = 4
 	// faultsPerSecond is the mean number of faults that begin in a second.
 	faultsPerSecond = 1.2
@@ -118,7 +123,7 @@
 				break
 			}
 		}
-		if f.kind == engineLimited || f.kind == deadlyRequest {
+		if longKinds[f.kind] {
 			f.duration = max(min(longFactor*f.duration, length-f.start), minFaultDuration)
 		}
 		if f.kind == keyRevoked && revoked {
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/platform/platformtest"
@@ -54,6 +55,18 @@
 	d.fleet.Republish()
 }
 
+// addOddEntry adds the odd entry that a fault's target selects among those of the engines,
+// and returns the function that removes it. Half of the targets select entries that stay.
+func (d *deployment) addOddEntry(target int) (end func()) {
+	entries := platformtest.OddEntries(strconv.Itoa(target))
+	odd := entries[target%len(entries)]
+	d.store.AddOddEntry(odd)
+	if target/len(entries)%2 == 0 {
+		return func() {}
+	}
+	return func() { d.store.RemoveOddEntry(odd) }
+}
+
 // Limits of the requests to an engine that states a rate, from the users' requirements.
 const (
 	// maxLimit is the highest rate that an engine states, in requests per second.
