--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -41,11 +41,12 @@
 	c.markers = append(c.markers, marker)
 	c.requests.Add(marker, points[f.target/len(requestKinds)%len(points)])
 	ctx, cancel := context.WithCancel(context.Background())
+	rng := newRandom(uint64(f.target))
 	c.sending.Go(func() {
-		for i := f.target; ctx.Err() == nil; i++ {
+		for i := 0; ctx.Err() == nil; i++ {
 			request := &call{id: fmt.Sprint(marker, i), path: kind.path, method: kind.method, key: "k1", body: "body of " + marker}
-			// The node is drawn by the count, in another order than the nodes'.
-			c.sending.Go(func() { c.send(request, i*i+i/2, false) })
+			addressChoice := rng.IntN(1 << 16)
+			c.sending.Go(func() { c.send(request, addressChoice, false) })
 			select {
 			case <-ctx.Done():
 			case <-time.After(deadlyInterval):
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -365,5 +365,5 @@
 	}
 }
 
-// newRandom returns the random source of a run's load.
+// newRandom returns the random source of a load.
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0x10ad)) }
