--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -53,6 +53,7 @@
 		found = append(found, c.checkResponse()...)
 		found = append(found, c.checkResponseTime()...)
 	}
+	found = append(found, d.deadly.violations()...)
 	if float64(served) < minRecoveredFraction*float64(sent) || sent == 0 {
 		found = append(found, fmt.Sprintf("recovery: %d of %d requests served in the last %s", served, sent, recoveryWindow))
 	}
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -9,8 +9,14 @@
 	"github.com/rattanlanding/rattanlanding/platform/platformtest"
 )
 
-// deadlyInterval is the time between two sendings of a deadly request.
-const deadlyInterval = 300 * time.Millisecond
+const (
+	// deadlyInterval is the time between two sendings of a deadly request.
+	deadlyInterval = 300 * time.Millisecond
+	// maxDeadlyCrashes is the number of engines that one deadly request may crash.
+	maxDeadlyCrashes = 6
+	// deadlySettleTime is the time after the third crash from which it crashes none.
+	deadlySettleTime = 3 * time.Second
+)
 
 // deadlyCaller sends requests that crash engines: each again and again at any node, with the
 // same path, key and body under new IDs. Their outcomes are kept apart from those of sound
@@ -61,3 +67,26 @@
 	c.sending.Wait()
 	return c.calls
 }
+
+// violations returns the violated limits of the engines that deadly requests crashed.
+func (c *deadlyCaller) violations() (found []string) {
+	for _, marker := range c.markers {
+		found = append(found, checkCrashes(marker, c.requests.Crashes(marker))...)
+	}
+	return found
+}
+
+// checkCrashes checks the times at which a deadly request crashed engines.
+func checkCrashes(marker string, crashes []time.Time) (found []string) {
+	if len(crashes) > maxDeadlyCrashes {
+		found = append(found, fmt.Sprintf("request %q crashed %d engines", marker, len(crashes)))
+	}
+	if len(crashes) < 3 {
+		return found
+	}
+	last := crashes[len(crashes)-1]
+	if late := last.Sub(crashes[2]); late > deadlySettleTime {
+		found = append(found, fmt.Sprintf("request %q crashed an engine %s after the third crash", marker, late.Round(time.Millisecond)))
+	}
+	return found
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -138,4 +138,13 @@
 	revoked := ok()
 	revoked.key = "k2"
 	g.Expect(w.checkAuthorization(revoked)).NotTo(BeEmpty())
+	crashes := func(seconds ...float64) (times []time.Time) {
+		for _, s := range seconds {
+			times = append(times, now.Add(time.Duration(s*float64(time.Second))))
+		}
+		return times
+	}
+	g.Expect(checkCrashes("m", crashes(0, 0, 1, 2, 3, 3.9))).To(BeEmpty())
+	g.Expect(checkCrashes("m", crashes(0, 0, 0, 0, 0, 0, 0))).To(HaveLen(1), "too many crashes")
+	g.Expect(checkCrashes("m", crashes(0, 0, 1, 4.1))).To(HaveLen(1), "a late crash")
 }
