gateway: a completion ends after three attempts under which engines crashed

A completion that crashes each engine after its first token took up to 17 engines in one request: callers of the other streams on them saw those broken off and resumed elsewhere.

Cause: progress reset the count of failures and the groups that were tried, and a resumption takes nothing from the retry budget. Only the limit of 16 resumptions was left, which is meant for streams that break for other reasons.

Now the members of the target are asked for their reports after an attempt that may have run failed: one that refuses connections, or responds with another boot than before the attempt, has crashed. Any member of a group may be the one. A connection that was reset, a host that doesn't respond and a caller that left are no crashes. A completion isn't continued after the third crash, with or without new tokens; broken streams keep their limit. Resumptions after a crash still take nothing from the budget, or the loss of one failure domain would end most of its streams.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,13 +16,8 @@
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
-const (
-	// maxResumes is the largest number of times that one completion resumes on another
-	// group.
-	maxResumes = 16
-	// cancelTimeout is the time limit for cancelling an abandoned attempt at its engine.
-	cancelTimeout = 2 * time.Second
-)
+// cancelTimeout is the time limit for cancelling an abandoned attempt at its engine.
+const cancelTimeout = 2 * time.Second
 
 // completion is the state of one completion request across its attempts.
 type completion struct {
@@ -42,6 +38,9 @@
 	// mayHaveRun is true once an attempt got a stream, or failed without proof that it
 	// was not run.
 	mayHaveRun bool
+	history    history
+	// crashes is the number of crashes found; a check may end while another attempt is under way.
+	crashes atomic.Int32
 }
 
 // handleCompletions serves POST /v1/completions.
@@ -101,7 +100,6 @@
 // run makes attempts until the completion is delivered or no attempt is left.
 func (c *completion) run(ctx context.Context) error {
 	c.gateway.Budget.AddRequest()
-	failures, resumes := 0, 0
 	var lastErr *verdict.Error
 	for {
 		target := c.pickTarget(ctx)
@@ -115,28 +113,28 @@
 		}
 		lastErr = verdict.Of(err)
 		c.mayHaveRun = c.mayHaveRun || lastErr.Verdict != verdict.NotRun
-		if len(c.delivered) > deliveredBefore {
-			// Resuming a stream that made progress does not multiply the load as a
-			// retry does, so it takes nothing from the retry budget.
-			failures, c.tried = 0, c.tried[:0]
-			resumes++
+		progress := len(c.delivered) > deliveredBefore
+		c.history.add(progress)
+		c.history.crashes = int(c.crashes.Load())
+		if progress {
+			c.tried = c.tried[:0]
 			c.gateway.metrics.resumes.Inc(1)
-		} else {
-			failures++
 		}
 		c.tried = append(c.tried, target.Name)
-		if resumes > maxResumes || !c.waitForRetry(ctx, failures, lastErr) {
+		if !c.waitForRetry(ctx, lastErr) {
 			return c.fail(ctx, lastErr)
 		}
 	}
 }
 
 // waitForRetry reports whether another attempt is allowed, and if so waits for the
-// backoff first. Resuming after progress (no failures) needs no backoff.
-func (c *completion) waitForRetry(ctx context.Context, failures int, err *verdict.Error) bool {
-	if ctx.Err() != nil || failures >= c.gateway.config.MaxAttempts || !retry.Allowed(err, true) || c.checkStart() != nil {
+// backoff first. Resuming after progress (no failures) needs no backoff and takes nothing from
+// the retry budget.
+func (c *completion) waitForRetry(ctx context.Context, err *verdict.Error) bool {
+	if ctx.Err() != nil || !c.history.allowsAttempt(c.gateway.config.MaxAttempts) || !retry.Allowed(err, true) || c.checkStart() != nil {
 		return false
 	}
+	failures := c.history.failures
 	if failures == 0 {
 		return true
 	}
@@ -202,6 +200,7 @@
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "request can't be encoded").WithCause(err)
 	}
+	requestCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	attempt := backend.Attempt{
@@ -214,7 +213,7 @@
 		return err
 	}
 	target.Tracker.Add(c.params.promptTokens() + c.params.maxTokens)
-	start := time.Now()
+	sent, start := g.newSending(target), time.Now()
 	stream, err := g.Engines.Complete(ctx, attempt)
 	if err == nil {
 		c.mayHaveRun = true
@@ -224,6 +223,9 @@
 	if err != nil && verdict.Of(err).Verdict != verdict.NotRun {
 		g.cancelAttempt(attempt)
 	}
+	if mayHaveCrashed(requestCtx, err) {
+		g.checkCrash(sent, func([]string) { c.crashes.Add(1) })
+	}
 	return err
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/retry"
@@ -25,6 +26,7 @@
 	Limiter   Limiter
 	Claims    Claims
 	Refresher Refresher
+	Statuses  StatusSource
 	Budget    *retry.Budget
 	Logger    log.Logger
 	Registry  metrics.Registry
@@ -46,10 +48,12 @@
 	// ending is cancelled when each request in progress must be answered.
 	ending context.Context
 	end    context.CancelFunc
-	// background tracks the cancel requests of attempts; they may outlive the caller's
-	// request.
+	// background tracks the cancel requests and crash checks of attempts; they may outlive
+	// the caller's request.
 	background sync.WaitGroup
-	metrics    gatewayMetrics
+	// crashChecks shares concurrent checks whether a backend server has crashed.
+	crashChecks singleflight.Group
+	metrics     gatewayMetrics
 }
 
 // releaseMode switches off gin's debug messages, which it prints on standard output.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,6 +45,7 @@
 	claims    claim.Fake
 	settings  gateway.Config
 	refresher gateway.Refresher
+	statuses  gateway.StatusSource
 	admitter  gateway.Limiter
 	gateway   *gateway.Gateway
 	url       string
@@ -68,7 +69,7 @@
 }
 
 func newTestEnv() *testEnv {
-	e := &testEnv{evidence: make(map[string]blackboard.Observation), refresher: gateway.Unlimited{}, admitter: gateway.Unlimited{}}
+	e := &testEnv{evidence: make(map[string]blackboard.Observation), refresher: gateway.Unlimited{}, statuses: gateway.Unlimited{}, admitter: gateway.Unlimited{}}
 	e.settings = gateway.Config{RefreshAge: time.Hour, PickWait: time.Millisecond, ResumeWait: time.Millisecond,
 		Groups: &route.RoundRobin{}, Servers: &route.RoundRobin{}}
 	hash := func(key string) []string {
@@ -150,7 +151,7 @@
 	registry := metrics.NewRegistry()
 	e.gateway = gateway.New(e.settings, gateway.Dependencies{Board: &e.board, Table: &e.builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: e.admitter,
-		Claims: &e.claims, Refresher: e.refresher, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
+		Claims: &e.claims, Refresher: e.refresher, Statuses: e.statuses, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = e.gateway.Server()
 	server.Start()
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -5,6 +5,7 @@
 
 	"github.com/rattanlanding/rattanlanding/backend"
 	"github.com/rattanlanding/rattanlanding/claim"
+	"github.com/rattanlanding/rattanlanding/fleet"
 )
 
 // Limiter performs admission control. Its errors are *verdict.Error values with
@@ -33,6 +34,11 @@
 	Refresh(ctx context.Context, target string)
 }
 
+// StatusSource requests the report of the backend server at an address.
+type StatusSource interface {
+	Status(ctx context.Context, address string) (fleet.Report, error)
+}
+
 // Engines is the subset of backend.EngineClient that the gateway uses.
 type Engines interface {
 	Complete(ctx context.Context, attempt backend.Attempt) (backend.Stream, error)
@@ -45,8 +51,8 @@
 	DoOnce(ctx context.Context, call backend.Call) (backend.Response, error)
 }
 
-// Unlimited is a Limiter that admits every request, and a Refresher that does nothing.
-// It is for tests and for nodes without limits.
+// Unlimited is a Limiter that admits every request, a Refresher that does nothing, and a
+// StatusSource for which no backend server has crashed. It is for tests and for nodes without limits.
 type Unlimited struct{}
 
 // Admit implements Limiter.
@@ -59,3 +65,6 @@
 
 // Refresh implements Refresher and does nothing.
 func (Unlimited) Refresh(context.Context, string) {}
+
+// Status implements StatusSource.
+func (Unlimited) Status(context.Context, string) (fleet.Report, error) { return fleet.Report{}, nil }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 	replayed   metrics.Counter
 	refreshes  metrics.Counter
 	tokens     metrics.Counter
+	crashes    metrics.Counter
 	firstToken metrics.Timer
 }
 
@@ -28,7 +29,8 @@
 	return gatewayMetrics{
 		registry: registry, requests: counter("requests"), retries: counter("retries"),
 		resumes: counter("resumes"), replayed: counter("replayed"), refreshes: counter("refreshes"),
-		tokens: counter("tokens"), firstToken: metrics.GetOrRegisterTimer("gateway.first_token", registry),
+		tokens: counter("tokens"), crashes: counter("crashes"),
+		firstToken: metrics.GetOrRegisterTimer("gateway.first_token", registry),
 	}
 }
 
--- a/internal/measure/capacity_addresses.go
+++ b/internal/measure/capacity_addresses.go
@@ -69,6 +69,6 @@
 	builder := route.NewBuilder(route.Config{}, board, registry)
 	return gateway.New(gateway.Config{}, gateway.Dependencies{Board: board, Table: &builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: gateway.Unlimited{},
-		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
+		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
 		Logger: log.NewNopLogger(), Registry: registry}).Handler()
 }
--- a/internal/measure/retries_resume.go
+++ b/internal/measure/retries_resume.go
@@ -80,7 +80,7 @@
 	t.builder.Build()
 	t.gatewayServer = httptest.NewServer(gateway.New(gateway.Config{RefreshAge: time.Hour}, gateway.Dependencies{Board: &t.board, Table: &t.builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: gateway.Unlimited{},
-		Claims: claims, Refresher: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
+		Claims: claims, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
 		Logger: log.NewNopLogger(), Registry: registry}).Handler())
 	return t
 }
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -90,7 +90,7 @@
 }
 
 // statusSource probes engines and plain servers, which have different status
-// paths. It implements health.StatusSource.
+// paths. It implements health.StatusSource and gateway.StatusSource.
 type statusSource struct {
 	board   *blackboard.Board
 	engines *backend.EngineClient
--- a/node/controllers.go
+++ b/node/controllers.go
@@ -75,10 +75,13 @@
 	}, store, instances, documents, confirmer, board, logger)
 }
 
-func newProber(s settings.Settings, board *blackboard.Board, table *health.Table, engines *backend.EngineClient,
-	servers *backend.PlainClient, node *peer.Node, logger log.Logger, registry metrics.Registry,
+func newStatusSource(board *blackboard.Board, engines *backend.EngineClient, servers *backend.PlainClient) *statusSource {
+	return &statusSource{board: board, engines: engines, servers: servers}
+}
+
+func newProber(s settings.Settings, board *blackboard.Board, table *health.Table, source *statusSource, node *peer.Node,
+	logger log.Logger, registry metrics.Registry,
 ) *health.Prober {
-	source := &statusSource{board: board, engines: engines, servers: servers}
 	return health.NewProber(health.Config{
 		Node:     s.Node,
 		Interval: s.Bounds.ProbeInterval,
--- a/node/serving.go
+++ b/node/serving.go
@@ -47,7 +47,7 @@
 
 func newGateway(s settings.Settings, board *blackboard.Board, builder *route.Builder, engines *backend.EngineClient,
 	servers *backend.PlainClient, limiter *limit.Limiter, claims *claim.Registry, prober *health.Prober,
-	logger log.Logger, registry metrics.Registry,
+	statuses *statusSource, logger log.Logger, registry metrics.Registry,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		MaxBodyBytes:  s.Limits.MaxBodyBytes,
@@ -62,6 +62,7 @@
 		Limiter:   admitter{limiter: limiter},
 		Claims:    claims,
 		Refresher: refresher{board: board, prober: prober},
+		Statuses:  statuses,
 		Budget:    retry.NewBudget(int(s.Limits.RetryBudgetRatio*percent), retryBurst),
 		Logger:    logger,
 		Registry:  registry,
