gateway: refuse a request under which engines crashed

Callers of nodes in run mode had the streams of their requests broken off again and again by one request that crashed engine after engine: each time it was sent again, its attempts crashed up to three more, for as long as it came.

Cause: nothing was remembered about a request after its attempts had failed.

Now the gateway has the quarantine of requests that entry nodes have. A request is known by its organisation and the fields of a completion without `stream`, or service, method, path, query and body. A crash under it is reported once the processes of the target have been seen to end; a group counts as one engine. A request in quarantine is refused at once with 422, not run unless an attempt may have, with the evidence in the error: when it arrives, before each send, and while it waits for a target. A call with an idempotency key is refused only after its claim showed that there is no stored response; the claim is released. A response by one engine from the first token to the last counts as sound; the rest that another engine adds to a stream after a crash doesn't, or a completion could crash one engine with each arrival. The caller library and the gateway don't repeat a request that is refused so.

--- a/caller/client.go
+++ b/caller/client.go
@@ -150,7 +150,8 @@
 func repeatable(err *verdict.Error, r nodeRequest) bool {
 	switch err.Reason {
 	case verdict.ReasonBadRequest, verdict.ReasonUnauthenticated, verdict.ReasonForbidden,
-		verdict.ReasonNotFound, verdict.ReasonTooLarge, verdict.ReasonKeyReused, verdict.ReasonDeadline:
+		verdict.ReasonNotFound, verdict.ReasonTooLarge, verdict.ReasonKeyReused, verdict.ReasonDeadline,
+		verdict.ReasonRequestQuarantined:
 		return false
 	}
 	return r.idempotent || err.Verdict == verdict.NotRun
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -11,6 +11,7 @@
 	"github.com/rattanlanding/rattanlanding/backend"
 	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 	"github.com/rattanlanding/rattanlanding/verdict"
@@ -39,6 +40,10 @@
 	// was not run.
 	mayHaveRun bool
 	history    history
+	// subject is the request as far as it may be put in quarantine.
+	subject quarantine.Request
+	// runs is the number of attempts that may have run.
+	runs int
 	// crashes is the number of crashes found; a check may end while another attempt is under way.
 	crashes atomic.Int32
 }
@@ -65,6 +70,13 @@
 	if err != nil {
 		return err
 	}
+	c := &completion{request: r, gateway: g, params: params, priority: priority}
+	if c.subject.ID, err = params.identify(r.organisation.Name); err != nil {
+		return err
+	}
+	if refused := g.checkQuarantine(c.subject); refused != nil {
+		return refused
+	}
 	kind := drain.Repeatable
 	if params.stream {
 		kind = drain.Stream
@@ -78,7 +90,6 @@
 	if err != nil {
 		return err
 	}
-	c := &completion{request: r, gateway: g, params: params, priority: priority}
 	c.deadline, _ = ctx.Deadline()
 	defer func() { admission.Done(c.tokensUsed()) }()
 	if params.stream {
@@ -152,7 +163,7 @@
 	if len(c.delivered) > 0 {
 		wait = c.gateway.config.ResumeWait
 	}
-	return c.gateway.pickTarget(ctx, c.gateway.config.Groups, c.params.model, c.tried, c.routeRequest(), wait)
+	return c.gateway.pickTarget(ctx, c.gateway.config.Groups, c.params.model, c.tried, c.routeRequest(), c.subject, wait)
 }
 
 // routeRequest returns what the routing policy needs to choose a target. A request with
@@ -172,6 +183,9 @@
 		lastErr = verdict.New(verdict.NotRun, verdict.ReasonNoHealthyGroup, "no group may receive the request").
 			WithRetryAfter(time.Second)
 	}
+	if refused := c.gateway.checkQuarantine(c.subject); refused != nil {
+		lastErr = refused
+	}
 	e := *lastErr
 	if ctx.Err() == context.DeadlineExceeded {
 		e.Reason, e.Message = verdict.ReasonDeadline, "the deadline passed"
@@ -223,8 +237,17 @@
 	if err != nil && verdict.Of(err).Verdict != verdict.NotRun {
 		g.cancelAttempt(attempt)
 	}
+	if err == nil && from == 0 {
+		// The last part of a resumed completion doesn't show that an engine can run the whole.
+		g.Quarantine.Answered(c.subject)
+	}
 	if mayHaveCrashed(requestCtx, err) {
-		g.checkCrash(sent, func([]string) { c.crashes.Add(1) })
+		subject := c.subject
+		subject.EarlierAttempts = c.runs
+		g.checkCrash(c.request, sent, subject, func() { c.crashes.Add(1) })
+	}
+	if err != nil && verdict.Of(err).Verdict != verdict.NotRun {
+		c.runs++
 	}
 	return err
 }
@@ -238,12 +261,16 @@
 	return c.gateway.checkStart(c.request)
 }
 
-// checkBeforeSend compares the expiry of the target's evidence with the clock just
-// before sending: this process may have been paused after it chose the target, so that
+// checkBeforeSend refuses a request that was put in quarantine, and compares the expiry of
+// the target's evidence with the clock just before sending: this process may have been
+// paused after it chose the target, so that
 // the evidence is stale. If the configuration is no longer confirmed, a request that
 // certainly has not run yet is not started; nor is one that has waited until it may not end
 // before this node stops.
 func (c *completion) checkBeforeSend(target *route.Target) error {
+	if refused := c.gateway.checkQuarantine(c.subject); refused != nil {
+		return refused
+	}
 	now := time.Now()
 	if !target.Fresh(now) {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoHealthyGroup, "the group's evidence expired").
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/route"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -61,6 +67,16 @@
 	return list
 }
 
+// startKey returns a number that changes when one of the processes is started again. A group
+// counts as one engine, however many of its members end with it.
+func startKey(processes []process) int64 {
+	d := xxhash.New()
+	for _, p := range processes {
+		_, _ = d.WriteString(strconv.Quote(p.instance) + strconv.Quote(p.boot))
+	}
+	return int64(d.Sum64())
+}
+
 // group returns the group that is the target, or nil.
 func (s *sending) group() *fleet.PlacedGroup {
 	if s.placements == nil || s.target.Generation == 0 {
@@ -90,18 +106,24 @@
 	return err != nil && ctx.Err() == nil && verdict.Of(err).Verdict != verdict.NotRun
 }
 
-// checkCrash calls onCrash with the instances whose processes ended while the attempt was under
-// way, if there are any. It returns once that is known, at the latest after crashCheckWait;
-// onCrash may be called later.
-func (g *Gateway) checkCrash(s *sending, onCrash func(instances []string)) {
-	done := make(chan struct{})
+// checkCrash reports to the quarantine and calls onCrash if processes ended while the attempt
+// was under way. It returns once that is known, at the latest after crashCheckWait; onCrash may
+// be called later.
+func (g *Gateway) checkCrash(r *request, s *sending, subject quarantine.Request, onCrash func()) {
+	brokeAt, done := time.Now(), make(chan struct{})
 	g.background.Go(func() {
 		defer close(done)
 		time.Sleep(crashCheckDelay)
-		if ended := g.findEnded(s.processes()); len(ended) > 0 {
-			g.metrics.crashes.Inc(1)
-			onCrash(ended)
+		processes := s.processes()
+		ended := g.findEnded(processes)
+		if len(ended) == 0 {
+			return
 		}
+		g.metrics.crashes.Inc(1)
+		_ = level.Warn(g.Logger).Log("msg", "backend servers crashed under a request", "request", r.id,
+			"organisation", r.organisation.Name, "target", s.target.Name, "instances", fmt.Sprint(ended), "id", subject.ID)
+		g.Quarantine.Crashed(s.target.Name, startKey(processes), subject, true, brokeAt)
+		onCrash()
 	})
 	timer := time.NewTimer(crashCheckWait)
 	defer timer.Stop()
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -17,7 +17,9 @@
 // statusFunc implements gateway.StatusSource by a function.
 type statusFunc func(address string) (fleet.Report, error)
 
-func (f statusFunc) Status(_ context.Context, address string) (fleet.Report, error) { return f(address) }
+func (f statusFunc) Status(_ context.Context, address string) (fleet.Report, error) {
+	return f(address)
+}
 
 // breakOff sends one token and closes the connection.
 func breakOff(a attempt) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
@@ -27,9 +28,11 @@
 	Claims    Claims
 	Refresher Refresher
 	Statuses  StatusSource
-	Budget    *retry.Budget
-	Logger    log.Logger
-	Registry  metrics.Registry
+	// Quarantine refuses requests that crash engines.
+	Quarantine *quarantine.Guard
+	Budget     *retry.Budget
+	Logger     log.Logger
+	Registry   metrics.Registry
 }
 
 // Gateway serves the callers' HTTP API.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"github.com/rattanlanding/rattanlanding/claim"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
@@ -47,6 +48,7 @@
 	refresher gateway.Refresher
 	statuses  gateway.StatusSource
 	admitter  gateway.Limiter
+	guard     *quarantine.Guard
 	gateway   *gateway.Gateway
 	url       string
 
@@ -81,6 +83,7 @@
 	e.config.Organisations = []fleet.Organisation{{Name: "o1", KeyHashes: hash("k1")},
 		{Name: "o2", KeyHashes: hash("k2"), Services: []string{"other"}}, {Name: "o3", KeyHashes: hash("k3")}}
 	e.builder = route.NewBuilder(route.Config{Lifetime: time.Hour}, &e.board, metrics.NewRegistry())
+	e.guard = quarantine.NewGuard(quarantine.Config{}, log.NewNopLogger(), metrics.NewRegistry())
 	return e
 }
 
@@ -151,7 +154,7 @@
 	registry := metrics.NewRegistry()
 	e.gateway = gateway.New(e.settings, gateway.Dependencies{Board: &e.board, Table: &e.builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: e.admitter,
-		Claims: &e.claims, Refresher: e.refresher, Statuses: e.statuses, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
+		Claims: &e.claims, Refresher: e.refresher, Statuses: e.statuses, Quarantine: e.guard, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = e.gateway.Server()
 	server.Start()
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/route"
 )
 
@@ -23,13 +24,16 @@
 
 // pickTarget chooses a target for a new attempt and waits up to wait for one. It
 // returns nil if no target may receive work by then, or at once if the service was
-// withdrawn. Targets in tried are chosen only
+// withdrawn or the request is put in quarantine. Targets in tried are chosen only
 // if there is no other.
-func (g *Gateway) pickTarget(ctx context.Context, policy route.Policy, service string, tried []string, wanted route.Request, wait time.Duration) *route.Target {
+func (g *Gateway) pickTarget(ctx context.Context, policy route.Policy, service string, tried []string, wanted route.Request, subject quarantine.Request, wait time.Duration) *route.Target {
 	deadline := time.Now().Add(wait)
 	var refreshed time.Time
 	for {
-		changed := g.Table.Changed()
+		changed, quarantined := g.Table.Changed(), g.Quarantine.Changed()
+		if g.Quarantine.Match(subject) != nil {
+			return nil
+		}
 		for _, maxAge := range []time.Duration{g.config.RefreshAge, math.MaxInt64} {
 			for _, excluded := range [][]string{tried, nil} {
 				if target := g.chooseTarget(policy, service, excluded, wanted, maxAge); target != nil {
@@ -45,7 +49,7 @@
 			}
 		}
 		remaining := time.Until(deadline)
-		if remaining <= 0 || g.withdrawn(service) || !waitForChange(ctx, changed, remaining) {
+		if remaining <= 0 || g.withdrawn(service) || !waitForChange(ctx, changed, quarantined, remaining) {
 			return nil
 		}
 	}
@@ -105,16 +109,17 @@
 	defer cancel()
 	changed := g.Table.Changed()
 	g.Refresher.Refresh(ctx, name)
-	waitForChange(ctx, changed, rebuildWait)
+	waitForChange(ctx, changed, nil, rebuildWait)
 }
 
-// waitForChange waits for changed to be closed, up to limit. It reports whether ctx is
-// still active.
-func waitForChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+// waitForChange waits for one of the channels to be closed, up to limit. It reports whether
+// ctx is still active.
+func waitForChange(ctx context.Context, changed, quarantined <-chan struct{}, limit time.Duration) bool {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-changed:
+	case <-quarantined:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -17,6 +17,7 @@
 	"github.com/rattanlanding/rattanlanding/claim"
 	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 	"github.com/rattanlanding/rattanlanding/verdict"
@@ -48,6 +49,10 @@
 	repeatable bool
 	// mayHaveRun is true once an attempt failed without proof that it was not run.
 	mayHaveRun bool
+	// subject is the call as far as it may be put in quarantine.
+	subject quarantine.Request
+	// runs is the number of attempts that may have run.
+	runs int
 }
 
 // handlePlain serves /services/<service>/<path> for all methods.
@@ -84,6 +89,11 @@
 	// A caller that sends an idempotency key expects at most one run, so the key also
 	// takes effect on calls that the configuration does not list as non-idempotent.
 	needsClaim := key != "" && !p.repeatable
+	p.subject.ID = p.identify()
+	// A call with a claim may have a stored response. If not, it is refused before it is sent.
+	if refused := g.checkQuarantine(p.subject); refused != nil && !needsClaim {
+		return refused
+	}
 	ctx := r.ctx.Request.Context()
 	if needsClaim {
 		// A call that runs at most once continues after its caller has disconnected, so
@@ -177,7 +187,7 @@
 	var tried []string
 	var lastErr *verdict.Error
 	for {
-		target := g.pickTarget(ctx, g.config.Servers, p.service.Name, tried, route.Request{}, g.config.PickWait)
+		target := g.pickTarget(ctx, g.config.Servers, p.service.Name, tried, route.Request{}, p.subject, g.config.PickWait)
 		if target == nil {
 			return backend.Response{}, p.callError(lastErr)
 		}
@@ -199,10 +209,13 @@
 	}
 }
 
-// attempt sends the call to target once, after checking that the target's evidence and
-// the configuration are still valid.
+// attempt sends the call to target once, after checking that it isn't in quarantine, and that
+// the target's evidence and the configuration are still valid.
 func (p *plainCall) attempt(ctx context.Context, target *route.Target) (backend.Response, error) {
 	g, now := p.gateway, time.Now()
+	if refused := g.checkQuarantine(p.subject); refused != nil {
+		return backend.Response{}, refused
+	}
 	if !target.Fresh(now) {
 		return backend.Response{}, verdict.New(verdict.NotRun, verdict.ReasonNoServer, "the server's evidence expired")
 	}
@@ -221,10 +234,24 @@
 	call := backend.Call{ID: uuid.NewString(), Address: target.Address, Method: p.ctx.Request.Method,
 		URL: &url, Header: header, Body: p.body}
 	target.Tracker.Add(1)
+	sent, send := g.newSending(target), g.Servers.DoOnce
 	if p.repeatable {
-		return g.Servers.Do(ctx, call)
+		send = g.Servers.Do
+	}
+	response, err := send(ctx, call)
+	if err == nil {
+		g.Quarantine.Answered(p.subject)
+		return response, nil
 	}
-	return g.Servers.DoOnce(ctx, call)
+	if mayHaveCrashed(ctx, err) {
+		subject := p.subject
+		subject.EarlierAttempts = p.runs
+		g.checkCrash(p.request, sent, subject, func() {})
+	}
+	if verdict.Of(err).Verdict != verdict.NotRun {
+		p.runs++
+	}
+	return response, err
 }
 
 // callError returns the error of the whole call. The verdict is NotRun only if that of
@@ -234,6 +261,9 @@
 		lastErr = verdict.New(verdict.NotRun, verdict.ReasonNoServer, "no server may receive the request").
 			WithRetryAfter(time.Second)
 	}
+	if refused := p.gateway.checkQuarantine(p.subject); refused != nil {
+		lastErr = refused
+	}
 	e := *lastErr
 	if p.mayHaveRun {
 		e.Verdict = verdict.MayHaveRun
--- a/internal/measure/capacity_addresses.go
+++ b/internal/measure/capacity_addresses.go
@@ -15,6 +15,7 @@
 	"github.com/rattanlanding/rattanlanding/claim"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
@@ -69,6 +70,7 @@
 	builder := route.NewBuilder(route.Config{}, board, registry)
 	return gateway.New(gateway.Config{}, gateway.Dependencies{Board: board, Table: &builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: gateway.Unlimited{},
-		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
+		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{},
+		Quarantine: quarantine.NewGuard(quarantine.Config{}, log.NewNopLogger(), metrics.NewRegistry()), Budget: retry.NewBudget(0, 0),
 		Logger: log.NewNopLogger(), Registry: registry}).Handler()
 }
--- a/internal/measure/path_testbed.go
+++ b/internal/measure/path_testbed.go
@@ -21,6 +21,7 @@
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
 	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
@@ -91,7 +92,8 @@
 	// The memory case holds more concurrent streams than a node admits by default.
 	g := gateway.New(gateway.Config{RefreshAge: time.Hour, MaxConcurrent: 4096}, gateway.Dependencies{Board: board, Table: &builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: pathLimiter{limiter},
-		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{}, Budget: retry.NewBudget(10, 10),
+		Claims: &claim.Fake{}, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{},
+		Quarantine: quarantine.NewGuard(quarantine.Config{}, log.NewNopLogger(), metrics.NewRegistry()), Budget: retry.NewBudget(10, 10),
 		Logger: log.NewNopLogger(), Registry: registry})
 	var err error
 	t.node, err = t.listen(g.Server())
--- a/internal/measure/retries_resume.go
+++ b/internal/measure/retries_resume.go
@@ -20,6 +20,7 @@
 	"github.com/rattanlanding/rattanlanding/claim"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
@@ -80,7 +81,8 @@
 	t.builder.Build()
 	t.gatewayServer = httptest.NewServer(gateway.New(gateway.Config{RefreshAge: time.Hour}, gateway.Dependencies{Board: &t.board, Table: &t.builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: gateway.Unlimited{},
-		Claims: claims, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{}, Budget: retry.NewBudget(0, 0),
+		Claims: claims, Refresher: gateway.Unlimited{}, Statuses: gateway.Unlimited{},
+		Quarantine: quarantine.NewGuard(quarantine.Config{}, log.NewNopLogger(), metrics.NewRegistry()), Budget: retry.NewBudget(0, 0),
 		Logger: log.NewNopLogger(), Registry: registry}).Handler())
 	return t
 }
--- a/node/serving.go
+++ b/node/serving.go
@@ -15,6 +15,7 @@
 	"github.com/rattanlanding/rattanlanding/limit"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/operator"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/release"
 	"github.com/rattanlanding/rattanlanding/replica"
 	"github.com/rattanlanding/rattanlanding/retry"
@@ -45,9 +46,13 @@
 	return claim.NewRegistry(store, claim.Config{Retention: s.Bounds.ClaimRetention}, logger, registry)
 }
 
+func newGuard(logger log.Logger, registry metrics.Registry) *quarantine.Guard {
+	return quarantine.NewGuard(quarantine.Config{}, logger, registry)
+}
+
 func newGateway(s settings.Settings, board *blackboard.Board, builder *route.Builder, engines *backend.EngineClient,
 	servers *backend.PlainClient, limiter *limit.Limiter, claims *claim.Registry, prober *health.Prober,
-	statuses *statusSource, logger log.Logger, registry metrics.Registry,
+	statuses *statusSource, guard *quarantine.Guard, logger log.Logger, registry metrics.Registry,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		MaxBodyBytes:  s.Limits.MaxBodyBytes,
@@ -55,17 +60,18 @@
 		AddressTTL:    s.Bounds.AddressTTL,
 		MaxAttempts:   s.Limits.MaxAttempts,
 	}, gateway.Dependencies{
-		Board:     board,
-		Table:     &builder.Table,
-		Engines:   engines,
-		Servers:   servers,
-		Limiter:   admitter{limiter: limiter},
-		Claims:    claims,
-		Refresher: refresher{board: board, prober: prober},
-		Statuses:  statuses,
-		Budget:    retry.NewBudget(int(s.Limits.RetryBudgetRatio*percent), retryBurst),
-		Logger:    logger,
-		Registry:  registry,
+		Board:      board,
+		Table:      &builder.Table,
+		Engines:    engines,
+		Servers:    servers,
+		Limiter:    admitter{limiter: limiter},
+		Claims:     claims,
+		Refresher:  refresher{board: board, prober: prober},
+		Statuses:   statuses,
+		Quarantine: guard,
+		Budget:     retry.NewBudget(int(s.Limits.RetryBudgetRatio*percent), retryBurst),
+		Logger:     logger,
+		Registry:   registry,
 	})
 }
 
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -14,7 +14,7 @@
 	switch err.Reason {
 	case verdict.ReasonBadRequest, verdict.ReasonForbidden, verdict.ReasonUnauthenticated,
 		verdict.ReasonTooLarge, verdict.ReasonDeadline, verdict.ReasonLimitExceeded,
-		verdict.ReasonUnconfirmed, verdict.ReasonKeyReused:
+		verdict.ReasonUnconfirmed, verdict.ReasonKeyReused, verdict.ReasonRequestQuarantined:
 		return false
 	}
 	return err.Verdict == verdict.NotRun || (repeatable && err.Verdict == verdict.MayHaveRun)
