peer: nodes exchange what they observe about requests that crash engines

A request that crashes engines was refused only by the node that had seen three crashes itself, so callers could take it to three crashes at each node, and again at a node that was restarted.

Cause: the quarantine of the gateway had no exchange.

Now requests and responses of an exchange carry the node's own observations of the last three seconds, and responses all quarantines that the node knows, from which a node that starts learns them. An observation starts an extra round with all members, as a loss does, at most five a second. The reports are bounded by number; in a gossip response of bounded size they take at most half of what is left.

--- a/node/controllers.go
+++ b/node/controllers.go
@@ -16,6 +16,7 @@
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/peer"
 	"github.com/rattanlanding/rattanlanding/placement"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/replica"
 	"github.com/rattanlanding/rattanlanding/settings"
 )
@@ -40,7 +41,7 @@
 }
 
 func newPeer(s settings.Settings, self fleet.Member, documents *replica.Documents, table *health.Table,
-	limiter *limit.Limiter, confirmer *replica.Confirmer, board *blackboard.Board,
+	limiter *limit.Limiter, confirmer *replica.Confirmer, guard *quarantine.Guard, board *blackboard.Board,
 	logger log.Logger, registry metrics.Registry,
 ) (*peer.Node, error) {
 	node, err := peer.New(peer.Config{
@@ -57,6 +58,7 @@
 		Demand:             limiter,
 		ConfirmationSource: confirmer,
 		ConfirmationSink:   confirmer,
+		Quarantine:         guard,
 	}, board, logger, registry)
 	if err != nil {
 		return nil, err
--- a/peer/dependencies.go
+++ b/peer/dependencies.go
@@ -6,6 +6,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/quarantine"
 )
 
 // DocumentVersion identifies a version of a document.
@@ -91,8 +92,18 @@
 	ObservePending(pending PendingRevision)
 }
 
+// Quarantine finds requests that crash engines from what all nodes observe.
+type Quarantine interface {
+	// Report returns what this node has to tell other nodes.
+	Report() quarantine.Reports
+	// Absorb records what a peer has reported.
+	Absorb(reports quarantine.Reports)
+	// Observed returns a channel that is closed when this node observes something.
+	Observed() <-chan struct{}
+}
+
 // Dependencies are the components of the process that a Node reads from and reports
-// to. All are required.
+// to. All but Quarantine are required.
 type Dependencies struct {
 	// Documents provides the documents of this node and receives the offers of peers.
 	Documents Documents
@@ -104,4 +115,7 @@
 	ConfirmationSource ConfirmationSource
 	// ConfirmationSink receives the confirmations of peers.
 	ConfirmationSink ConfirmationSink
+	// Quarantine provides the observations to pass on and receives those of peers; nil if
+	// none are exchanged.
+	Quarantine Quarantine
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -197,8 +197,8 @@
 	return n.mergeResponse(response.Msg, address, sentAt), nil
 }
 
-// buildRequest returns an exchange request with this node's heartbeat, document versions
-// and recent losses.
+// buildRequest returns an exchange request with this node's heartbeat, document versions,
+// recent losses and observations.
 func (n *Node) buildRequest(now time.Time) *peerpb.ExchangeRequest {
 	request := &peerpb.ExchangeRequest{Sender: trimSender(n.roster.nextHeartbeat())}
 	for _, v := range n.deps.Documents.Versions() {
@@ -207,6 +207,7 @@
 	for _, loss := range n.losses.recent(now) {
 		request.Losses = append(request.Losses, encodeLoss(&loss, now))
 	}
+	request.Observations = n.requestObservations()
 	return request
 }
 
@@ -238,6 +239,7 @@
 	for _, loss := range response.GetLosses() {
 		n.deps.Evidence.RecordLoss(decodeLoss(loss, received))
 	}
+	n.absorbObservations(responder.GetNode(), response.GetObservations())
 	unknown = append(unknown, n.mergeEvidence(response, sentAt, received)...)
 	for _, d := range response.GetDemand() {
 		if d.GetNode() != n.config.Self.Node {
--- a/peer/node.go
+++ b/peer/node.go
@@ -79,6 +79,7 @@
 	group.Go(func() error { n.runRounds(ctx); return nil })
 	group.Go(func() error { n.runExtraRounds(ctx); return nil })
 	group.Go(func() error { n.contactCandidates(ctx); return nil })
+	group.Go(func() error { n.announceObservations(ctx); return nil })
 	group.Go(func() error { n.runRelay(ctx); return nil })
 	err = group.Wait()
 	n.background.Wait()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -36,13 +36,20 @@
 
 // startNode starts a node, which stops at the end of the test.
 func startNode(name string, listener net.Listener, key string, seeds ...string) *runningNode {
+	return startNodeWith(name, listener, key, 100*time.Millisecond, nil, seeds...)
+}
+
+// startNodeWith is startNode with the given exchange interval and quarantine.
+func startNodeWith(name string, listener net.Listener, key string, interval time.Duration, quarantine Quarantine, seeds ...string) *runningNode {
 	r := &runningNode{fake: &Fake{}, board: &blackboard.Board{}, registry: metrics.NewRegistry()}
+	deps := r.fake.Dependencies()
+	deps.Quarantine = quarantine
 	var err error
 	r.Node, err = New(Config{
 		Self:  fleet.Member{Node: name, Boot: NewBoot(time.Now()), PeerAddress: listener.Addr().String()},
 		Seeds: seeds, Key: key, Listener: listener,
-		ExchangeInterval: 100 * time.Millisecond,
-	}, r.fake.Dependencies(), r.board, log.NewNopLogger(), r.registry)
+		ExchangeInterval: interval,
+	}, deps, r.board, log.NewNopLogger(), r.registry)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/peer/response_builder.go
+++ b/peer/response_builder.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// minObservationBytes is the size from which a bounded response has room for a quarantine.
+const minObservationBytes = 128
+
+// addObservations adds observations, which encode returns in at most the given number of
+// bytes; 0 means no limit. They take at most half of the remaining bytes.
+func (b *responseBuilder) addObservations(encode func(limit int) []byte) {
+	limit := 0
+	if b.limit > 0 {
+		if limit = (b.limit - b.size - fieldHeaderBytes) / 2; limit < minObservationBytes {
+			return
+		}
+	}
+	if b.response.Observations = encode(limit); len(b.response.Observations) > 0 {
+		b.size += len(b.response.Observations) + fieldHeaderBytes
+	}
+}
+
 // addDemand adds the demand at one node if it fits.
 func (b *responseBuilder) addDemand(node string, demand *blackboard.NodeDemand, now time.Time) {
 	m := encodeDemand(node, demand, now)
--- a/peer/server.go
+++ b/peer/server.go
@@ -104,6 +104,7 @@
 	for _, loss := range request.Msg.GetLosses() {
 		n.deps.Evidence.RecordLoss(decodeLoss(loss, received))
 	}
+	n.absorbObservations(sender.GetNode(), request.Msg.GetObservations())
 	n.offerAll(sender.GetNode(), sender.GetPeerAddress(), request.Msg.GetDocuments())
 	if sender.GetLeaving() {
 		n.publishMembers()
@@ -171,6 +172,7 @@
 	// losses.
 	b.addDocuments(n.deps.Documents.Versions(), request.GetKnownDocuments())
 	b.addLosses(n.losses.recent(now), now)
+	b.addObservations(n.responseObservations)
 	own := n.deps.Demand.LocalDemand()
 	own.ReceivedAt = now
 	b.addDemand(n.config.Self.Node, &own, now)
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -43,6 +43,8 @@
 	ledgers [KindCount]*Ledger
 	// changes is published when the quarantines of any ledger change.
 	changes blackboard.Section[struct{}]
+	// observations is published when this node has observed something to be reported.
+	observations blackboard.Section[struct{}]
 }
 
 // NewGuard returns a guard with empty ledgers. It ignores the kind in cfg.
@@ -52,6 +54,7 @@
 		cfg.Kind = Kind(k)
 		g.ledgers[k] = NewLedger(cfg, logger, registry)
 		g.ledgers[k].onChange = func() { g.changes.Publish(&struct{}{}) }
+		g.ledgers[k].onObserve = func() { g.observations.Publish(&struct{}{}) }
 	}
 	return g
 }
@@ -67,6 +70,10 @@
 // Changed returns a channel that is closed when the quarantines in effect change.
 func (g *Guard) Changed() <-chan struct{} { return g.changes.Changed() }
 
+// Observed returns a channel that is closed when this node observes a crash, or a sound response
+// to a request that is suspected.
+func (g *Guard) Observed() <-chan struct{} { return g.observations.Changed() }
+
 // Crashed records that an engine crashed while it ran a request. begun is true if the
 // engine had sent a part of the response, so that no part of the prompt is to blame.
 func (g *Guard) Crashed(instance string, startedMs int64, r Request, begun bool, at time.Time) {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -79,7 +79,10 @@
 	inEffect blackboard.Section[[]*Quarantine]
 	// onChange is called when the quarantines in effect change; nil if nobody waits.
 	onChange func()
-	now      func() time.Time
+	// onObserve is called when this node has observed something to be reported; nil if nobody
+	// waits.
+	onObserve func()
+	now       func() time.Time
 
 	mu      sync.Mutex
 	records map[Part]*record
@@ -159,6 +162,7 @@
 		l.ownStrikes = append(l.ownStrikes, ownStrike{s, at})
 	}
 	l.decide()
+	l.observed()
 }
 
 // mostSuspicious returns the indices of the parts to strike: those that never appeared in
@@ -194,6 +198,13 @@
 	}
 	if changed {
 		l.decide()
+		l.observed()
+	}
+}
+
+func (l *Ledger) observed() {
+	if l.onObserve != nil {
+		l.onObserve()
 	}
 }
 
