gateway: test that a crash is found with the client that nodes use

The tests of crashes used a stand-in for the client that asks for reports. This one closes an engine's listener and uses the client itself, so that an error which hides the refused connection is noticed.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/rattanlanding/rattanlanding/backend"
 	"github.com/rattanlanding/rattanlanding/fleet"
 )
 
@@ -70,4 +73,20 @@
 		}, 17),
 		Entry("hosts lost", func(string) (fleet.Report, error) { return fleet.Report{}, context.DeadlineExceeded }, 17),
 	)
+
+	It("are found by their address, which no process listens on", func() {
+		// Guards against crashes that are not found because the client hides the refused
+		// connection.
+		var servers [4]*httptest.Server
+		for i := range servers {
+			servers[i] = e.addEngine(func(a attempt) {
+				_ = servers[i].Listener.Close()
+				breakOff(a)
+			})
+		}
+		e.statuses = backend.NewEngineClient(metrics.NewRegistry())
+		e.start()
+		Expect(e.do("POST", "/v1/completions", longRequest).body).To(ContainSubstring("request-quarantined"))
+		Expect(e.receivedAttempts()).To(HaveLen(3))
+	})
 })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -94,8 +94,9 @@
 	return slices.Clone(e.attempts)
 }
 
-// addEngine adds a group of one engine, which handles each attempt with serve.
-func (e *testEnv) addEngine(serve func(a attempt)) {
+// addEngine adds a group of one engine, which handles each attempt with serve, and returns its
+// server.
+func (e *testEnv) addEngine(serve func(a attempt)) *httptest.Server {
 	name := fmt.Sprintf("g%d", len(e.placement.Groups))
 	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodDelete {
@@ -123,6 +124,7 @@
 	e.config.Groups = append(e.config.Groups, fleet.Group{Name: name, Service: "llm"})
 	e.evidence[name] = blackboard.Observation{ObservedAt: time.Now(), Report: fleet.Report{Instance: name, Group: name,
 		Generation: 1, Size: 1, Service: "llm", State: fleet.EngineReady}}
+	return server
 }
 
 // addServer adds a plain server with handler h.
