mesh: release the address before Run returns

The test "keep to what was confirmed and apply the next change" failed now and then: the node that was stopped and started again still accepted a key which the newest configuration had removed.

Cause: the socket was closed by a goroutine that starts when the context is cancelled, and Run didn't wait for it. A node that was started in the same process right after Stop had returned could find its address in use; its mesh ended, and without other nodes it kept the older configuration of the restored store. A process that shuts down on such an error exits, and its address is released at the latest then, so callers of real deployments saw nothing of it. The restart in the tests of quarantines is open to the same.

Run closes the socket itself. Close returns when the descriptor is released.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// Run exchanges states until ctx is cancelled.
+// Run exchanges states until ctx is cancelled. The address is released when it returns.
 func (m *Mesh) Run(ctx context.Context) error {
 	address, err := net.ResolveUDPAddr("udp4", m.cfg.Address)
 	if err != nil {
@@ -128,8 +128,7 @@
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
+	defer func() { _ = conn.Close() }()
 	go m.receive(conn)
 	for ctx.Err() == nil {
 		m.round(conn, time.Now())
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -46,6 +47,21 @@
 		Eventually(func() int { return second.Running("i-1") }, time.Second).Should(Equal(1))
 	})
 
+	It("has released its address when it returns", func() {
+		// Guards against a node that is stopped and started again in one process, and can't
+		// open its socket.
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := conn.LocalAddr().String()
+		Expect(conn.Close()).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		for range 100 {
+			m := New(Config{Address: address}, nil, nil, log.NewNopLogger(), metrics.NewRegistry())
+			Expect(m.Run(ctx)).To(Succeed())
+		}
+	})
+
 	It("rejects an older state of the same process, and accepts a restarted node whatever its clock", func() {
 		// Guards against datagrams that arrive out of order, and against the rejection of
 		// a node that restarted after its clock was set back.
