--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -48,22 +48,20 @@
 	return f
 }
 
-// choose returns the index of a target with a free slot that isn't to be avoided, or -1.
-func (s *candidateSet) choose(avoid map[string]bool) int {
+// pick chooses a target for a waiter and counts the request there, or returns nil. The
+// caller holds the lock.
+func (s *candidateSet) pick(w *waiter) *Target {
+	if len(s.targets) == 0 {
+		return nil
+	}
 	candidates := s.candidates
-	if len(avoid) > 0 {
+	if len(w.avoid) > 0 {
 		candidates = slices.Clone(candidates)
 		for i, t := range s.targets {
-			candidates[i].Excluded = candidates[i].Excluded || avoid[t.Instance.ID]
+			candidates[i].Excluded = candidates[i].Excluded || w.avoid[t.Instance.ID]
 		}
 	}
-	return Choose(candidates, s.unreported, rand.IntN)
-}
-
-// pick chooses a target for a waiter and counts the request there, or returns nil. The
-// caller holds the lock.
-func (s *candidateSet) pick(w *waiter) *Target {
-	best := s.choose(w.avoid)
+	best := Choose(candidates, s.unreported, rand.IntN)
 	if best < 0 {
 		return nil
 	}
