forward: the end of a crashed engine isn't the end of a response without a length

A crash under a response with neither a length nor chunks closed the connection like the end of the response. The caller got a part as a whole, and the request that had crashed the engine was cleared by it, so it was never refused.

After such an end the engine's address is dialled before the response counts as complete. If it refuses, the attempt broke off: a stream is resumed or aborted, a body is retried or answered with 502, and the crash is reported.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -4,13 +4,16 @@
 	"context"
 	"encoding/hex"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rattanlanding/rattanlanding/engine"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/upstream"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -82,14 +85,31 @@
 		check, down = "silent ", h.Connections.Silent
 	}
 	instance, subject := slot.Instance, c.subject()
-	subject.EarlierAttempts = c.runs - 1
+	subject.EarlierAttempts = c.brokenAttempts
+	c.brokenAttempts++
 	go func() {
-		crashed, _, _ := h.crashChecks.Do(check+instance.ID, func() (any, error) {
-			time.Sleep(crashCheckDelay)
-			return down(context.Background(), instance.Address), nil
-		})
-		if crashed == true {
+		if h.isDown(check, instance, down) {
 			h.Quarantine.Crashed(instance.ID, instance.StartedMs, subject, begun, brokeAt)
 		}
 	}()
 }
+
+// isDown reports whether an engine whose connection ended has crashed. Concurrent checks of
+// one engine by the same name share their result.
+func (h *Handler) isDown(check string, instance *engine.Instance, down func(context.Context, string) bool) bool {
+	crashed, _, _ := h.crashChecks.Do(check+instance.ID, func() (any, error) {
+		time.Sleep(crashCheckDelay)
+		return down(context.Background(), instance.Address), nil
+	})
+	return crashed == true
+}
+
+// brokenOff returns an error if the end of a response that ends with its connection is that
+// of a crashed engine, so that the response may be incomplete.
+func (h *Handler) brokenOff(slot *Slot, response *upstream.Response) *verdict.Error {
+	if !response.EndsWithConnection() || !h.isDown("refused ", slot.Instance, h.Connections.Refused) {
+		return nil
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "backend server ended during a response without a length").
+		WithCause(io.ErrUnexpectedEOF)
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -129,6 +129,8 @@
 	firstEventDelay time.Duration
 	// runs is the number of attempts that may have run.
 	runs int
+	// brokenAttempts is the number of attempts whose connection broke or whose engine stalled.
+	brokenAttempts int
 	// sends is the number of all attempts.
 	sends int
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -69,6 +69,10 @@
 		return failed
 	}
 	defer body.release()
+	if failed := h.brokenOff(slot, response); failed != nil {
+		h.checkCrash(c, slot, failed, true)
+		return failed
+	}
 	h.Quarantine.Answered(c.subject())
 	if response.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe {
 		// Another backend server may succeed. If it doesn't, this response is delivered.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -197,6 +197,9 @@
 	if received == 0 && response.EndsWithConnection() {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine closed the connection of a stream without a length before an event").WithCause(io.ErrUnexpectedEOF)
 	}
+	if failed := h.brokenOff(slot, response); failed != nil {
+		return failed
+	}
 	if received > 0 && received < soundEvents {
 		h.Quarantine.Begun(s.subject())
 	}
