forward: only a success clears a request of the crashes under it

An engine's own 500 or 504, or a stream without events, cleared a request that had crashed two engines, so it could crash two more after each of them. Plain requests struck the parts of their prompts, but their sound responses never cleared these.

Only a success counts now, of a stream only with an event, and a plain one clears parts, too.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -113,3 +114,11 @@
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "backend server ended during a response without a length").
 		WithCause(io.ErrUnexpectedEOF)
 }
+
+// recordSound records that a backend server was sound until the end of a response. An error
+// proves nothing: the server may not have run the request.
+func (h *Handler) recordSound(c *call, status int) {
+	if status < http.StatusBadRequest {
+		h.Quarantine.Answered(c.subject())
+	}
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -73,7 +73,9 @@
 		h.checkCrash(c, slot, failed, true)
 		return failed
 	}
-	h.Quarantine.Answered(c.subject())
+	if h.recordSound(c, response.Status); response.Status < http.StatusBadRequest {
+		h.Quarantine.Begun(c.subject())
+	}
 	if response.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe {
 		// Another backend server may succeed. If it doesn't, this response is delivered.
 		own := verdict.New(verdict.Ran, verdict.ReasonBackendFailed, "backend server answered %d", response.Status)
--- a/forward/sound_test.go
+++ b/forward/sound_test.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"net/http"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -24,3 +27,44 @@
 		Entry("a body of an unsafe request", "/unsafe/x", unframedHead+"okCRASH", "", true),
 	)
 })
+
+var _ = Describe("Handler with a request that has crashed engines", func() {
+	// crashedTwice returns a node and its guard after two crashes under the request to a path.
+	crashedTwice := func(path, script string) (crash func(), guard *quarantine.Guard, r quarantine.Request) {
+		s := &scriptedServer{scripts: []string{script, script, script}}
+		node := newScriptedNode(s.listen(), s.listen())
+		guard = node.Config.Handler.(*Handler).Quarantine
+		request, err := http.NewRequest(http.MethodGet, "http://h"+path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		r = quarantine.Request{ID: (&call{request: request, target: path}).identify(), Prompt: []string{"shared", "own"}}
+		crash = func() {
+			r.EarlierAttempts++
+			guard.Crashed("x", int64(r.EarlierAttempts), r, false, time.Now())
+		}
+		crash()
+		crash()
+		time.Sleep(5 * time.Millisecond)
+		sendScripted(node, path, "r")
+		return crash, guard, r
+	}
+
+	DescribeTable("is not cleared by an answer that proves no sound run", func(path, script string) {
+		// Guards against a deadly request that is never refused because an engine rejects it
+		// now and then (BUDGET).
+		crash, guard, r := crashedTwice(path, script)
+		crash()
+		Expect(guard.Match(r)).NotTo(BeNil())
+	},
+		Entry("500 of a safe request", "/safe/x", "HTTP/1.1 500 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n"),
+		Entry("504 of an unsafe request", "/unsafe/x", "HTTP/1.1 504 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n"),
+		Entry("a stream without events", "/stream/x", streamHead+"0\r\n\r\n"),
+	)
+
+	It("is cleared by a success, with the parts of its prompt", func() {
+		// Guards against refusing a sound request, and the parts of a plain one, for good.
+		crash, guard, r := crashedTwice("/safe/x", sound)
+		Expect(guard.Report()[quarantine.Parts].Clearances).NotTo(BeEmpty())
+		crash()
+		Expect(guard.Match(r)).To(BeNil())
+	})
+})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -203,7 +203,9 @@
 	if received > 0 && received < soundEvents {
 		h.Quarantine.Begun(s.subject())
 	}
-	h.Quarantine.Answered(s.subject())
+	if received > 0 {
+		h.recordSound(s.call, response.Status)
+	}
 	h.sendHead(s, response)
 	return nil
 }
