quarantine: an answer lifts a quarantine however soon after the last one

A sound answer within half a second of another one was dropped, also if a quarantine had begun between the two. The last copy in flight could then not end it, and the request stayed refused until it expired. The interval holds only while nothing is in quarantine. The test failed before and passes; found by review.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -190,7 +190,7 @@
 	changed := false
 	for _, p := range parts {
 		l.sound.add(p, now)
-		if l.isKnown(p) && now.Sub(l.ownClearances[p].at) >= clearanceInterval {
+		if l.isKnown(p) && (l.isInEffect(p, now) || now.Sub(l.ownClearances[p].at) >= clearanceInterval) {
 			l.ownClearances[p] = ownClearance{now, now}
 			l.clear(p, now)
 			changed = true
@@ -221,6 +221,16 @@
 	return false
 }
 
+// isInEffect reports whether a part is in a quarantine in effect.
+func (l *Ledger) isInEffect(p Part, now time.Time) bool {
+	for _, n := range l.notices {
+		if n.inEffect(now) && slices.Contains(n.Parts, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // Absorb records what other nodes have reported.
 func (l *Ledger) Absorb(r *Observations) {
 	if r.Empty() {
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -88,6 +88,23 @@
 		Expect(b.refuses(request("poll"))).To(BeFalse())
 	})
 
+	It("ends a quarantine by an answer just after another one", func() {
+		// Guards against refusing a sound request because one answer came before the last
+		// crash was known, and the next one soon after it.
+		b.crash(request("sound"))
+		b.Answered(request("sound"))
+		for i := range 3 {
+			b.advance(50 * time.Millisecond)
+			r := request("sound")
+			r.EarlierAttempts = i
+			b.Crashed(fmt.Sprint("x-", i), 1, r, false, b.time)
+		}
+		Expect(b.refuses(request("sound"))).To(BeTrue())
+		b.advance(10 * time.Millisecond)
+		b.Answered(request("sound"))
+		Expect(b.refuses(request("sound"))).To(BeFalse())
+	})
+
 	It("counts an engine that was sent the request after another had failed by itself", func() {
 		// Guards against a request that is repeated at once, and crashes more engines before
 		// its crashes count as several incidents.
