quarantine: crashes under a request count for ten minutes

A request that was sent once a minute crashed an engine each time for good: two minutes later its crashes were forgotten. No other request can clear it, so nothing is lost if they count for longer. The test failed before and passes; found by review.

--- a/quarantine/kind.go
+++ b/quarantine/kind.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Kind is what a Ledger blames for crashes.
 type Kind uint8
@@ -49,6 +52,14 @@
 	return "quarantine."
 }
 
+// evidenceTime returns how long a strike counts.
+func (k Kind) evidenceTime() time.Duration {
+	if k == Requests {
+		return requestEvidenceTime
+	}
+	return evidenceTime
+}
+
 // maxNotices returns the number of quarantines in effect at a time.
 func (k Kind) maxNotices() int {
 	if k == Requests {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -22,8 +22,10 @@
 	// firstRequestDuration is how long the first quarantine of a request lasts at most. A
 	// sound request that was at several crashed engines by chance is refused no longer.
 	firstRequestDuration = time.Minute
-	// evidenceTime is how long a strike counts.
-	evidenceTime = 2 * time.Minute
+	// evidenceTime is how long a strike counts against a part. One against a request counts
+	// for longer: no other request clears it, and its caller may send it rarely.
+	evidenceTime        = 2 * time.Minute
+	requestEvidenceTime = 10 * time.Minute
 	// reportTime is how long an observation is reported. A node sends several reports in
 	// this time, so that lost datagrams don't matter.
 	reportTime = 3 * time.Second
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -88,6 +88,18 @@
 		Expect(b.refuses(request("poll"))).To(BeFalse())
 	})
 
+	It("refuses a request that is sent rarely", func() {
+		// Guards against a request that crashes an engine each minute for good.
+		for range 3 {
+			Expect(b.refuses(request("rare"))).To(BeFalse())
+			b.crash(request("rare"))
+			b.advance(time.Minute)
+			b.Report()
+		}
+		b.crash(request("rare"))
+		Expect(b.refuses(request("rare"))).To(BeTrue())
+	})
+
 	It("ends a quarantine by an answer just after another one", func() {
 		// Guards against refusing a sound request because one answer came before the last
 		// crash was known, and the next one soon after it.
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -120,7 +120,7 @@
 // expire removes outdated evidence and quarantines, and the excess ones.
 func (l *Ledger) expire(now time.Time) {
 	for p, r := range l.records {
-		r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return now.Sub(s.at) > evidenceTime })
+		r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return now.Sub(s.at) > l.cfg.Kind.evidenceTime() })
 		if len(r.strikes) == 0 && now.Sub(r.struckAt) > reportTime {
 			delete(l.records, p)
 		}
