quarantine: store a renewal that begins between two checks

The stored quarantines were compared by their parts only. One that expired and was renewed between two checks stayed stored with its old end, and a restart of all nodes forgot it. Found by the review, which had a test that failed; the time of the decision is compared as well now.

--- a/quarantine/stored.go
+++ b/quarantine/stored.go
@@ -105,12 +105,13 @@
 // stored it may have made too long.
 const maxRemaining = 24 * time.Hour
 
-// SameParts reports whether two lists of quarantines concern the same parts.
+// SameParts reports whether two lists of quarantines concern the same parts, and were decided
+// at the same times.
 func SameParts(a []*Quarantine, b *Observations) bool {
 	if b == nil {
 		return len(a) == 0
 	}
 	return len(a) == len(b.Notices) && !slices.ContainsFunc(a, func(q *Quarantine) bool {
-		return !slices.ContainsFunc(b.Notices, func(n Notice) bool { return slices.Equal(n.Parts, q.Parts) })
+		return !slices.ContainsFunc(b.Notices, func(n Notice) bool { return slices.Equal(n.Parts, q.Parts) && n.Since == q.Since })
 	})
 }
