--- a/quarantine/kind.go
+++ b/quarantine/kind.go
@@ -60,7 +60,7 @@
 	return evidenceTime
 }
 
-// maxNotices returns the number of quarantines in effect at a time.
+// maxNotices returns the number of quarantines in a report.
 func (k Kind) maxNotices() int {
 	if k == Requests {
 		return maxRequestNotices
@@ -68,6 +68,14 @@
 	return maxNotices
 }
 
+// maxInEffect returns the number of quarantines in effect at a time.
+func (k Kind) maxInEffect() int {
+	if k == Requests {
+		return maxRequestsInEffect
+	}
+	return maxNotices
+}
+
 // maxRecords returns the number of subjects with evidence.
 func (k Kind) maxRecords() int {
 	if k == Requests {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	maxRecordStrikes = 32
 	// maxPromptParts is the number of parts of one prompt that are struck by a crash.
 	maxPromptParts = 6
+	// maxRequestsInEffect is the number of requests in quarantine at a time. A report names
+	// some of them in turn.
+	maxRequestsInEffect = 256
 	// maxExpired is the number of expired quarantines kept.
 	maxExpired = 64
 )
@@ -279,6 +283,8 @@
 	if r.Empty() {
 		return nil
 	}
+	rand.Shuffle(len(r.Notices), func(i, j int) { r.Notices[i], r.Notices[j] = r.Notices[j], r.Notices[i] })
+	r.Notices = r.Notices[:min(len(r.Notices), l.cfg.Kind.maxNotices())]
 	r.limit(l.cfg.Kind.maxNotices())
 	return r
 }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -20,7 +20,8 @@
 	maxOwnStrikes = 12
 	// maxClearances is the number of clearances in a report.
 	maxClearances = 16
-	// maxNotices and maxRequestNotices are the numbers of quarantines of parts and of requests.
+	// maxNotices and maxRequestNotices are the numbers of quarantines of parts and of requests
+	// in a report.
 	maxNotices        = 8
 	maxRequestNotices = 16
 	// maxNoticeParts is the number of parts of one quarantine.
--- a/quarantine/stored.go
+++ b/quarantine/stored.go
@@ -69,7 +69,7 @@
 			r.Notices = append(r.Notices, n)
 		}
 	}
-	r.limit(maxRequestNotices)
+	r.limit(maxRequestsInEffect)
 	return r, errors.Join(invalid...)
 }
 
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -140,10 +140,10 @@
 	newestFirst := func(a, b *notice) int { return b.decidedAt.Compare(a.decidedAt) }
 	slices.SortFunc(current, newestFirst)
 	slices.SortFunc(past, newestFirst)
-	for _, n := range current[min(len(current), l.cfg.Kind.maxNotices()):] {
+	for _, n := range current[min(len(current), l.cfg.Kind.maxInEffect()):] {
 		n.until = now
 	}
-	for _, n := range append(past, current[min(len(current), l.cfg.Kind.maxNotices()):]...) {
+	for _, n := range append(past, current[min(len(current), l.cfg.Kind.maxInEffect()):]...) {
 		l.spend(n)
 	}
 	for _, n := range past[min(len(past), maxExpired):] {
