quarantine: a request's quarantine ends at the nodes one after the other

All nodes let a request through again at the same moment. Each node now ends it at a time of its own in the last quarter, and a renewal by one node replaces what the others still have.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -23,6 +23,13 @@
 	// firstRequestDuration is how long the first quarantine of a request lasts at most. A
 	// sound request that was at several crashed engines by chance is refused no longer.
 	firstRequestDuration = time.Minute
+	// renewalGap is the time between two decisions about a subject from which the later one
+	// is a renewal, and not the same decision by another node.
+	renewalGap = 10 * time.Second
+	// expiryFraction is the fraction of the time left by which a node ends the quarantine of a
+	// request earlier, at random: so the nodes end it one after the other, and the first
+	// copies show whether it still crashes engines.
+	expiryFraction = 4
 	// evidenceTime is how long a strike counts against a part. One against a request counts
 	// for longer: no other request clears it, and its caller may send it rarely.
 	evidenceTime        = 2 * time.Minute
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -48,15 +49,16 @@
 	}
 }
 
-// adopt records a quarantine of another node. A known one is not prolonged, so that
-// nodes don't renew it for each other, and one that was decided before a sound response
+// adopt records a quarantine of another node. A known one is only prolonged by a renewal, so
+// that nodes don't renew it for each other, and one that was decided before a sound response
 // isn't taken again.
 func (l *Ledger) adopt(received Notice, now time.Time) {
 	received.Parts = slices.Clone(received.Parts)
 	slices.Sort(received.Parts)
 	known := l.notices[received.key()]
 	decidedAt := now.Add(-time.Duration(received.AgeMs) * time.Millisecond)
-	if received.RemainingMs == 0 || (known != nil && (known.inEffect(now) || known.Since >= received.Since || known.liftedAt.After(decidedAt))) {
+	renewal := known != nil && decidedAt.Sub(known.decidedAt) >= renewalGap
+	if received.RemainingMs == 0 || (known != nil && ((known.inEffect(now) && !renewal) || known.Since >= received.Since || known.liftedAt.After(decidedAt))) {
 		return
 	}
 	for _, p := range received.Parts {
@@ -65,13 +67,21 @@
 			return
 		}
 	}
-	remaining := min(time.Duration(received.RemainingMs)*time.Millisecond, l.cfg.Duration)
+	remaining := l.spread(min(time.Duration(received.RemainingMs)*time.Millisecond, l.cfg.Duration))
 	l.notices[received.key()] = &notice{Notice: received, decidedAt: decidedAt, until: now.Add(remaining)}
 	l.adopted.Inc(1)
 	_ = level.Warn(l.logger).Log("msg", "quarantine, as reported by another node", "parts", fmt.Sprint(received.Parts),
 		"crashes", received.Crashes, "prompts", received.Prompts, "remaining_ms", remaining.Milliseconds())
 }
 
+// spread returns the time until the end of a quarantine at this node.
+func (l *Ledger) spread(d time.Duration) time.Duration {
+	if l.cfg.Kind != Requests || d < expiryFraction {
+		return d
+	}
+	return d - rand.N(d/expiryFraction)
+}
+
 // decide removes what has expired, puts parts in quarantine for which the evidence
 // suffices, and publishes the result. The caller holds the lock.
 func (l *Ledger) decide() {
@@ -92,6 +102,7 @@
 		if l.cfg.Kind == Requests && !d.renewal {
 			duration = min(duration, firstRequestDuration)
 		}
+		duration = l.spread(duration)
 		n := Notice{Parts: d.parts, Crashes: uint16(d.crashes), Prompts: uint16(d.prompts), Since: now.UnixMilli()}
 		if known := l.notices[n.key()]; known != nil {
 			n.Since = max(n.Since, known.Since+1)
