quarantine: the deadly request's crashes aren't crowded out of messages

A node reported its last 12 strikes, and a message that was too long lost half of them by their place. A node now reports 24, and a message keeps the strikes of the subjects that have the most. The test fails before and passes.

--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -17,7 +17,7 @@
 	// maxStrikes is the number of strikes in the observations of several nodes.
 	maxStrikes = 24
 	// maxOwnStrikes is the number of strikes in the report of one node.
-	maxOwnStrikes = 12
+	maxOwnStrikes = maxStrikes
 	// maxClearances is the number of clearances in a report.
 	maxClearances = 16
 	// maxNotices and maxRequestNotices are the numbers of quarantines of parts and of requests
@@ -103,13 +103,13 @@
 	return r == nil || len(r.Strikes)+len(r.Clearances)+len(r.Notices) == 0
 }
 
-// Shorten returns the observations with half of the strikes, or nil if there are no
-// strikes to drop.
+// Shorten returns the observations with the half of the strikes that are of the parts with
+// the most of them, or nil if there are no strikes to drop.
 func (r *Observations) Shorten() *Observations {
 	if len(r.Strikes) == 0 {
 		return nil
 	}
-	return &Observations{Strikes: r.Strikes[:len(r.Strikes)/2], Clearances: r.Clearances, Notices: r.Notices}
+	return &Observations{Strikes: mostStruck(r.Strikes, len(r.Strikes)/2), Clearances: r.Clearances, Notices: r.Notices}
 }
 
 // Validate checks the limits of a received report.
@@ -181,17 +181,23 @@
 // limit truncates the lists to their limits.
 func (r *Observations) limit(notices int) {
 	if len(r.Strikes) > maxStrikes {
-		byPart := map[Part]int{}
-		for _, s := range r.Strikes {
-			byPart[s.Part]++
-		}
-		slices.SortStableFunc(r.Strikes, func(a, b Strike) int {
-			return cmp.Or(cmp.Compare(byPart[b.Part], byPart[a.Part]), cmp.Compare(a.AgeMs, b.AgeMs))
-		})
-		r.Strikes = r.Strikes[:maxStrikes]
+		r.Strikes = mostStruck(r.Strikes, maxStrikes)
 	}
 	slices.SortStableFunc(r.Clearances, func(a, b Clearance) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
 	r.Clearances = r.Clearances[:min(len(r.Clearances), maxClearances)]
 	slices.SortStableFunc(r.Notices, func(a, b Notice) int { return cmp.Compare(b.Since, a.Since) })
 	r.Notices = r.Notices[:min(len(r.Notices), notices)]
 }
+
+// mostStruck returns n of the strikes: those of the parts that have the most of them, and of
+// these the newest.
+func mostStruck(strikes []Strike, n int) []Strike {
+	byPart := map[Part]int{}
+	for _, s := range strikes {
+		byPart[s.Part]++
+	}
+	sorted := slices.SortedStableFunc(slices.Values(strikes), func(a, b Strike) int {
+		return cmp.Or(cmp.Compare(byPart[b.Part], byPart[a.Part]), cmp.Compare(a.AgeMs, b.AgeMs))
+	})
+	return sorted[:n]
+}
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -210,6 +210,22 @@
 		Expect(restarted.Match(deadly)).NotTo(BeNil())
 	})
 
+	It("keeps the strikes of the request that has most of them in a short report", func() {
+		// Guards against a deadly request whose crashes don't fit into a message beside those
+		// of the other requests at the engines.
+		for engine := range 3 {
+			for i := range 6 {
+				b.Crashed(fmt.Sprint("engine-", engine), 1, request(fmt.Sprint("beside-", engine, "-", i)), true, b.time)
+			}
+			b.Crashed(fmt.Sprint("engine-", engine), 1, deadly, false, b.time)
+		}
+		short := b.Report()[Requests].Shorten().Shorten().Shorten()
+		Expect(short.Strikes).To(HaveLen(2))
+		for _, s := range short.Strikes {
+			Expect(s.Part).To(Equal(PartOf("deadly")))
+		}
+	})
+
 	It("keeps its size and that of its reports bounded", func() {
 		// Guards against memory and messages that grow with the number of requests at crashed
 		// engines.
