mesh: an absurd value of one node costs only what it says

A node's message with a configuration version of 2^64-1 counted as news for good: every other node fetched its configuration five times a second. 65535 nodes of a domain in a summary divided everybody's shares of rates. Each dropped datagram made a log line, with names of any length. Versions, numbers of nodes and names now have limits; a message outside is dropped, a member of a summary outside is left out without the others, and the lines about them are limited to ten and then one a second.

--- a/mesh/accept.go
+++ b/mesh/accept.go
@@ -51,10 +51,28 @@
 	}
 	m.acceptMember(Member{Node: summary.From}, &summary.From, now)
 	for _, other := range summary.Members {
+		if err := other.Node.validate(); err != nil {
+			m.reject("member of a summary ignored: invalid", address, err)
+			continue
+		}
 		m.acceptMember(other, &summary.From, now)
 	}
 }
 
+// reject counts and logs a message, or a part of it, that is dropped.
+func (m *Mesh) reject(message string, from netip.AddrPort, err error) {
+	m.rejected.Inc(1)
+	m.rejectLimit.Do(func() {
+		_ = level.Warn(m.logger).Log("msg", message, "from", from, "err", err)
+	})
+}
+
+// Limits of the log lines about rejected messages, of which nodes send many a second.
+const (
+	rejectLinesAtFirst = 10
+	rejectLineInterval = time.Second
+)
+
 // storeSummary stores a summary that m sent and reports whether it was newer than
 // the stored one.
 func (m *member) storeSummary(summary *Summary, now time.Time) bool {
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"bytes"
 	"math"
 	"net/netip"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,6 +85,35 @@
 	g.Expect(m.rejected.Count()).To(BeEquivalentTo(3))
 }
 
+// Guards against an absurd value of one node that counts as news for good, changes the
+// shares of all others, or costs the other members of a summary, and against a log line for
+// each of its messages.
+func TestAbsurdValuesCostOnlyTheirNode(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh()
+	lines := &bytes.Buffer{}
+	m.logger = log.NewLogfmtLogger(lines)
+	node := func(name string, version uint64) Node {
+		return Node{Name: name, Boot: 1, Count: 1, PeerAddress: "10.0.0." + strconv.Itoa(len(name)) + ":7340", ConfigurationVersion: version}
+	}
+	accept := func(message any) {
+		data, err := marshal(message)
+		g.Expect(err).NotTo(HaveOccurred())
+		m.accept(data, netip.MustParseAddrPort("10.0.0.2:7340"), time.Now())
+	}
+	for range 500 {
+		accept(datagram{State: &State{Node: node("bb", math.MaxUint64)}})
+		accept(datagram{State: &State{Node: node(strings.Repeat("b", 1<<14), 7)}})
+		accept(datagram{Summary: &Summary{From: node("bb", 7), Sum: &Sum{Domains: map[string]uint16{"z": math.MaxUint16}}}})
+	}
+	g.Expect(m.byAddress).To(BeEmpty())
+	accept(datagram{Summary: &Summary{From: node("bb", 7), Sum: newSum(), Members: []Member{{Node: node("ccc", math.MaxUint64)}, {Node: node("dddd", 8)}}}})
+	g.Expect(m.byAddress).To(HaveLen(2))
+	g.Expect(m.rejected.Count()).To(BeEquivalentTo(1501))
+	g.Expect(strings.Count(lines.String(), "\n")).To(BeNumerically("<", 30))
+	g.Expect(lines.Len()).To(BeNumerically("<", 10_000))
+}
+
 // Guards against a process that ends because of an unexpected error in one message.
 func TestSurvivesAPanicInOneMessage(t *testing.T) {
 	g := NewWithT(t)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 )
@@ -53,6 +54,8 @@
 	sentBytes, receivedBytes metrics.Counter
 	// rejected counts the datagrams that couldn't be processed.
 	rejected metrics.Counter
+	// rejectLimit limits the log lines about them.
+	rejectLimit rate.Sometimes
 
 	// mu guards the fields up to view.
 	mu sync.Mutex
@@ -83,8 +86,8 @@
 func New(cfg Config, localState func() State, notices Notices, logger log.Logger, registry metrics.Registry) *Mesh {
 	m := &Mesh{cfg: cfg, key: Key(cfg.Node), localState: localState, notices: notices, logger: log.With(logger, "component", "mesh"),
 		sentBytes: metrics.GetOrRegisterCounter("mesh.sent_bytes", registry), receivedBytes: metrics.GetOrRegisterCounter("mesh.received_bytes", registry),
-		rejected: metrics.GetOrRegisterCounter("mesh.rejected_datagrams", registry),
-		members:  newMembers(), reportedToDomains: reportTimes{}, reportedToNodes: reportTimes{}, boot: time.Now().UnixMilli()}
+		rejected: metrics.GetOrRegisterCounter("mesh.rejected_datagrams", registry), rejectLimit: rate.Sometimes{First: rejectLinesAtFirst, Interval: rejectLineInterval},
+		members: newMembers(), reportedToDomains: reportTimes{}, reportedToNodes: reportTimes{}, boot: time.Now().UnixMilli()}
 	m.view.Store(emptyView())
 	if parsed, err := netip.ParseAddrPort(cfg.Address); err == nil {
 		m.address = parsed
@@ -224,8 +227,7 @@
 	}()
 	d, part, err := decode(data)
 	if err != nil {
-		m.rejected.Inc(1)
-		_ = level.Warn(m.logger).Log("msg", "datagram dropped: decoding failed", "from", from, "err", err)
+		m.reject("datagram dropped: decoding failed", from, err)
 		return
 	}
 	m.mu.Lock()
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/rattanlanding/rattanlanding/internal/logsink"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
@@ -207,20 +208,49 @@
 // lifetime of the message.
 func (d *datagram) validate() error {
 	demand := map[string]float32(nil)
+	var from *Node
 	if d.State != nil {
-		demand = d.State.Demand
+		demand, from = d.State.Demand, &d.State.Node
 	} else {
-		demand = d.Summary.Sum.Demand
+		demand, from = d.Summary.Sum.Demand, &d.Summary.From
+		for domain, nodes := range d.Summary.Sum.Domains {
+			if nodes > maxNodes {
+				return fmt.Errorf("nodes of domain %q: %d exceed %d", logsink.Shorten(domain), nodes, maxNodes)
+			}
+		}
 	}
 	for model, slots := range demand {
 		// NaN fails both comparisons.
 		if !(slots >= 0 && slots <= maxDemand) {
-			return fmt.Errorf("demand of model %q: %v is not between 0 and %d", model, slots, maxDemand)
+			return fmt.Errorf("demand of model %q: %v is not between 0 and %d", logsink.Shorten(model), slots, maxDemand)
+		}
+	}
+	return from.validate()
+}
+
+// validate checks what a message says about a node. A version that no later one exceeds
+// would count as news for good.
+func (n *Node) validate() error {
+	for _, text := range []string{n.Name, n.FailureDomain, n.CallerAddress} {
+		if len(text) > maxTextBytes {
+			return fmt.Errorf("name, failure domain or address of a node: %d bytes exceed %d", len(text), maxTextBytes)
 		}
 	}
+	if n.ConfigurationVersion > maxConfigurationVersion {
+		return fmt.Errorf("configuration version of node %q: %d exceeds %d", n.Name, n.ConfigurationVersion, int64(maxConfigurationVersion))
+	}
 	return nil
 }
 
+// Limits of what a message says, far above those of any deployment.
+const (
+	// maxNodes is the largest number of nodes of a failure domain. Shares of rates are
+	// divided by their sum.
+	maxNodes                = 10_000
+	maxTextBytes            = 256
+	maxConfigurationVersion = 1 << 53
+)
+
 // maxDemand is the largest demand of a model, in slots, far above any deployment's.
 const maxDemand = 10_000_000
 
