platform, lease, quarantine: fuzz what is decoded from the store

Fuzz targets for list pages, changes of watches, entries of instances, configurations, lease records, stored quarantines, and the splitting of JSON. make fuzz runs them after the others.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,13 @@
 	$(GO) test ./settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./mesh -run '^$$' -fuzz FuzzAccept -fuzztime $(FUZZTIME)
 	$(GO) test ./gateway -run '^$$' -fuzz FuzzParseCompletion -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/rawjson -run '^$$' -fuzz FuzzSplit -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodePage -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeChanges -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeInstance -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime $(FUZZTIME)
+	$(GO) test ./lease -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME)
+	$(GO) test ./quarantine -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
 
 # generate generates the Go code of the .proto files with buf, which must be installed
 # (go install github.com/bufbuild/buf/cmd/buf@v1.75.0). Its output is committed.
