mesh: a short datagram can't take all memory

A datagram of 50 bytes that declares a list of two billion strikes ended the process, out of memory: the library allocates lists of structs at the length that is declared, without its own limit, and no recover helps. A datagram is now skipped through first, which fails at its end and allocates nothing. Found by FuzzAccept; its new seed ended the test before.

--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -49,6 +49,8 @@
 		f.Add(data)
 	}
 	f.Add([]byte{partDatagramHeader})
+	// A list of strikes that declares two billion of them.
+	f.Add([]byte("\x91\x93\xa1x\x01\x93\xdd{87\ri\x95"))
 	notices, err := marshal([]throttle.Notice{{Server: 1, Limited: true, Rate: 2, AgeMs: 3}, {Server: 2}})
 	if err != nil {
 		f.Fatal(err)
--- a/mesh/notices.go
+++ b/mesh/notices.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/go-kit/log/level"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
@@ -54,7 +53,7 @@
 // decodeNotices decodes the notices after noticeHeader.
 func decodeNotices(data []byte) ([]throttle.Notice, error) {
 	var notices []throttle.Notice
-	if err := msgpack.Unmarshal(data, &notices); err != nil {
+	if err := unmarshal(data, &notices); err != nil {
 		return nil, err
 	}
 	if len(notices) > throttle.MaxNotices {
