peer: a short message can't take all memory

The fault of datagrams in the mesh stood again in the observations that nodes of run mode exchange. The new case of the test ends its process without the change's check

--- a/mesh/notices.go
+++ b/mesh/notices.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/rattanlanding/rattanlanding/internal/untrusted"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
@@ -53,7 +54,7 @@
 // decodeNotices decodes the notices after noticeHeader.
 func decodeNotices(data []byte) ([]throttle.Notice, error) {
 	var notices []throttle.Notice
-	if err := unmarshal(data, &notices); err != nil {
+	if err := untrusted.Unmarshal(data, &notices); err != nil {
 		return nil, err
 	}
 	if len(notices) > throttle.MaxNotices {
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rattanlanding/rattanlanding/internal/logsink"
+	"github.com/rattanlanding/rattanlanding/internal/untrusted"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
@@ -160,7 +161,7 @@
 func decode(data []byte) (datagram, Part, error) {
 	if len(data) > 0 && data[0] == partDatagramHeader {
 		var p partDatagram
-		err := unmarshal(data, &p)
+		err := untrusted.Unmarshal(data, &p)
 		d := datagram{Summary: p.Summary}
 		if err == nil && (p.Summary == nil || p.Summary.Sum == nil || p.Part.Count > maxParts || p.Part.Index >= p.Part.Count) {
 			err = errInvalidPart
@@ -179,7 +180,7 @@
 		return datagram{observed: o}, Part{Count: 1}, err
 	}
 	var d datagram
-	err := unmarshal(data, &d)
+	err := untrusted.Unmarshal(data, &d)
 	if err == nil && d.State == nil && (d.Summary == nil || d.Summary.Sum == nil) {
 		err = errEmptyDatagram
 	}
@@ -192,7 +193,7 @@
 // decodeObserved decodes and checks an observedDatagram.
 func decodeObserved(data []byte) (*Observed, error) {
 	var d observedDatagram
-	if err := unmarshal(data, &d); err != nil {
+	if err := untrusted.Unmarshal(data, &d); err != nil {
 		return nil, err
 	}
 	if d.Observed == nil || d.Observed.Scope >= scopeCount {
@@ -256,12 +257,3 @@
 
 // errInvalidPart means that a datagram's part has no sum or an index out of range.
 var errInvalidPart = errors.New("datagram contains an invalid part of a summary")
-
-// unmarshal decodes a message. It is skipped through first, because the library allocates
-// the lists of structs at the length that a message declares, however short it is.
-func unmarshal(data []byte, target any) error {
-	if err := msgpack.NewDecoder(bytes.NewReader(data)).Skip(); err != nil {
-		return err
-	}
-	return msgpack.Unmarshal(data, target)
-}
--- a/peer/observations.go
+++ b/peer/observations.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/rattanlanding/rattanlanding/internal/untrusted"
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 )
@@ -118,7 +119,7 @@
 
 // decodeObservations decodes and validates reports. Its errors name the invalid field.
 func decodeObservations(encoded []byte) (reports quarantine.Reports, err error) {
-	if err := msgpack.Unmarshal(encoded, &reports); err != nil {
+	if err := untrusted.Unmarshal(encoded, &reports); err != nil {
 		return reports, fmt.Errorf("observations: %w", err)
 	}
 	for k, r := range reports {
--- a/peer/observations_test.go
+++ b/peer/observations_test.go
@@ -99,5 +99,7 @@
 		_, err = decodeObservations(n.encodeObservations(quarantine.Reports{quarantine.Requests: {Notices: notices}}))
 		Expect(err).To(MatchError(ContainSubstring("notices of quarantine")))
 		n.absorbObservations("n1", []byte("not MessagePack"))
+		// A list of strikes that declares two billion of them.
+		n.absorbObservations("n1", []byte("\x92\xc0\x81\xa1s\xdd\x7f\xff\xff\xff"))
 	})
 })
