quarantine: an absurd age of another node doesn't wrap around

An age near 2^32 ms looked new after a moment, and a clearance with it could lift a quarantine. Ages stop at the largest one. The test failed before (age 59999) by the arithmetic and passes.

--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -154,7 +154,7 @@
 		}
 	}
 	for _, c := range other.Clearances {
-		c.AgeMs += ms
+		c.AgeMs = addAge(c.AgeMs, ms)
 		if i := slices.IndexFunc(union.Clearances, func(o Clearance) bool { return o.Part == c.Part }); i < 0 {
 			union.Clearances = append(union.Clearances, c)
 		} else {
@@ -162,7 +162,7 @@
 		}
 	}
 	for _, n := range other.Notices {
-		n.AgeMs, n.RemainingMs = n.AgeMs+ms, n.RemainingMs-min(n.RemainingMs, ms)
+		n.AgeMs, n.RemainingMs = addAge(n.AgeMs, ms), n.RemainingMs-min(n.RemainingMs, ms)
 		if i := slices.IndexFunc(union.Notices, func(o Notice) bool { return slices.Equal(o.Parts, n.Parts) }); i < 0 {
 			union.Notices = append(union.Notices, n)
 		} else if n.Since > union.Notices[i].Since {
@@ -173,6 +173,9 @@
 	return union
 }
 
+// addAge returns the sum of two ages, or the largest age if that is exceeded.
+func addAge(age, ms uint32) uint32 { return age + min(ms, math.MaxUint32-age) }
+
 // same reports whether two strikes describe the same observation.
 func (s Strike) same(other Strike) bool {
 	return s.Engine == other.Engine && s.Prompt == other.Prompt && s.Part == other.Part
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -210,6 +210,14 @@
 		Expect(restarted.Match(deadly)).NotTo(BeNil())
 	})
 
+	It("keeps an absurd age of another node from looking new", func() {
+		// Guards against a clearance that lifts quarantines because its age wrapped around.
+		old := &Observations{Clearances: []Clearance{{Part: 1, AgeMs: 1<<32 - 1}}, Notices: []Notice{{Parts: []Part{1}, AgeMs: 1<<32 - 1}}}
+		merged := Merge(Requests, nil, old, time.Minute)
+		Expect(merged.Clearances[0].AgeMs).To(BeEquivalentTo(1<<32 - 1))
+		Expect(merged.Notices[0].AgeMs).To(BeEquivalentTo(1<<32 - 1))
+	})
+
 	It("keeps the strikes of the request that has most of them in a short report", func() {
 		// Guards against a deadly request whose crashes don't fit into a message beside those
 		// of the other requests at the engines.
