soak: the link of a crashed engine refuses connections like the engine

The logs have no line of a crash at all: nodes tell a crash from a broken connection by an address that refuses connections, and the link of a crashed engine went on accepting them. It closes its listener now until the engine starts again.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -115,10 +115,9 @@
 	e.Engine, err = d.fleet.Start(fmt.Sprint("i-", d.enginesStarted), service, domain, events, func(address string) (string, error) {
 		if e.link != nil {
 			// The engine starts again.
-			e.link.setTarget(address)
-			return e.link.address(), nil
+			return e.link.address(), e.link.setTarget(address)
 		}
-		l, err := newLink("127.0.0.1:0", address)
+		l, err := newLink("127.0.0.1:0", address, true)
 		if err != nil {
 			return "", err
 		}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,10 +31,15 @@
 
 // link is a TCP proxy in front of a target that can inject network faults.
 type link struct {
-	listener net.Listener
+	// refuses is true if the link accepts no connections while its target accepts none, until
+	// the next target is set.
+	refuses bool
 
-	mu     sync.Mutex
-	target string
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
+	// closed is true once close was called.
+	closed bool
 	// faults counts the overlapping faults of each mode.
 	faults map[mode]int
 	// changed is closed and replaced when faults change.
@@ -42,24 +48,56 @@
 }
 
 // newLink listens on an address and forwards to a target.
-func newLink(address, target string) (*link, error) {
+func newLink(address, target string, refuses bool) (*link, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, faults: map[mode]int{}, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go l.accept()
+	l := &link{refuses: refuses, listener: listener, target: target, faults: map[mode]int{}, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go l.accept(listener)
 	return l, nil
 }
 
 // address returns the address on which the link listens.
-func (l *link) address() string { return l.listener.Addr().String() }
+func (l *link) address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listener.Addr().String()
+}
 
-// setTarget changes the target of new connections.
-func (l *link) setTarget(target string) {
+// setTarget changes the target of new connections, which the link accepts from now on.
+func (l *link) setTarget(target string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return net.ErrClosed
+	}
 	l.target = target
+	_ = l.listener.Close()
+	listener, err := net.Listen("tcp", l.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
+// refuseLikeTarget stops accepting connections if the target doesn't accept any.
+func (l *link) refuseLikeTarget(target string) {
+	if !l.refuses {
+		return
+	}
+	conn, err := net.Dial("tcp", target)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.target == target && errors.Is(err, syscall.ECONNREFUSED) {
+		_ = l.listener.Close()
+	}
 }
 
 // begin starts a fault. Faults of one link may overlap.
@@ -106,9 +144,9 @@
 }
 
 // accept forwards connections until the listener is closed.
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -146,6 +184,7 @@
 	l.mu.Unlock()
 	out, err := net.Dial("tcp", target)
 	if err != nil {
+		l.refuseLikeTarget(target)
 		abort(conn)
 		return
 	}
@@ -153,16 +192,17 @@
 	defer l.closeConn(out)
 	done := make(chan struct{})
 	go func() {
-		l.relay(out, conn, blockToTarget)
+		l.relay(out, conn, blockToTarget, nil)
 		close(done)
 	}()
-	l.relay(conn, out, blockFromTarget)
+	l.relay(conn, out, blockFromTarget, func() { l.refuseLikeTarget(target) })
 	<-done
 }
 
 // relay copies data in one direction until either side closes. It pauses while the
-// given fault or one of mode blockBoth is active.
-func (l *link) relay(to, from net.Conn, fault mode) {
+// given fault or one of mode blockBoth is active. ended is called before the end is passed on;
+// nil calls nothing.
+func (l *link) relay(to, from net.Conn, fault mode, ended func()) {
 	defer func() {
 		// Closing both connections also ends the other direction.
 		_ = to.Close()
@@ -187,6 +227,9 @@
 			}
 		}
 		if err != nil {
+			if ended != nil {
+				ended()
+			}
 			if !errors.Is(err, io.EOF) {
 				abort(to)
 			}
@@ -197,6 +240,9 @@
 
 // close closes the listener and resets all connections.
 func (l *link) close() {
+	l.mu.Lock()
+	l.closed = true
 	_ = l.listener.Close()
+	l.mu.Unlock()
 	l.begin(resetConns)
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -41,7 +41,7 @@
 // newNode writes the settings of node i and starts its process.
 func newNode(dir, program, prefix, storeAddress string, i int) (*node, error) {
 	ip := fmt.Sprintf("%s.%d", prefix, 10+i)
-	store, err := newLink(ip+":7500", storeAddress)
+	store, err := newLink(ip+":7500", storeAddress, false)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -64,7 +65,7 @@
 			go func() { _, _ = io.Copy(conn, conn) }()
 		}
 	}()
-	l, err := newLink("127.0.0.1:0", target.Addr().String())
+	l, err := newLink("127.0.0.1:0", target.Addr().String(), true)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer l.close()
 	echo := func(conn net.Conn) error {
@@ -99,6 +100,18 @@
 	g.Expect(echo(conn)).NotTo(Succeed())
 	l.end(resetConns)
 	g.Expect(echo(dial())).To(Succeed())
+
+	// A crashed engine refuses connections also behind its link.
+	again := target.Addr().String()
+	g.Expect(target.Close()).To(Succeed())
+	l.refuseLikeTarget(again)
+	_, err = net.Dial("tcp", l.address())
+	g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	target, err = net.Listen("tcp", again)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer target.Close()
+	g.Expect(l.setTarget(again)).To(Succeed())
+	dial().Close()
 }
 
 // Guards against checks that don't detect violated guarantees.
