--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -36,8 +36,7 @@
 }
 
 // TestNodesLearnTogetherWhatCrashesEngines guards against requests that crash one engine after
-// the other because each node sees few of the crashes: those with one part of a prompt, and
-// the repeats of one request.
+// the other because each node sees few of the crashes.
 func TestNodesLearnTogetherWhatCrashesEngines(t *testing.T) {
 	t.Parallel()
 	for _, nodes := range []int{8, 88, 380} {
@@ -74,45 +73,52 @@
 			g.Expect(nw.refusing("deadly")).To(Equal(nodes - 1))
 			nw.run(2 * time.Second)
 			g.Expect(nw.refusing("deadly")).To(Equal(nodes), "after the restart of a node")
-			nw.checkRepeatedRequest(g)
 		})
 	}
 }
 
-// refusingRequest returns the number of nodes that refuse a request.
-func (nw *network) refusingRequest(r quarantine.Request) (n int) {
-	for _, node := range nw.ordered {
-		if node.guard.Match(r) != nil {
-			n++
-		}
-	}
-	return n
-}
-
-// checkRepeatedRequest makes three engines crash under a request, each at another node and
-// with 16 other requests, and checks that all nodes refuse it, and only it, two seconds later.
-func (nw *network) checkRepeatedRequest(g Gomega) {
-	anyNode := func() *quarantine.Guard { return nw.ordered[nw.rng.IntN(len(nw.ordered))].guard }
-	deadly := quarantine.Request{ID: "deadly", Prompt: []string{"popular-0", "x"}}
-	for engine := range 3 {
-		g.Expect(nw.refusingRequest(deadly)).To(BeZero())
-		name := fmt.Sprint("crashed-by-request-", engine)
-		anyNode().Crashed(name, 1, deadly, false, nw.now)
-		for i := range 16 {
-			beside := quarantine.Request{ID: fmt.Sprint("beside-", engine, "-", i), Prompt: []string{"popular-0", "y"}}
-			anyNode().Crashed(name, 1, beside, i%2 == 0, nw.now)
-		}
-		if engine < 2 {
-			nw.run(700 * time.Millisecond)
-			anyNode().Begun(quarantine.Request{Prompt: []string{"popular-0", "z"}})
-		}
+// TestNodesLearnTogetherOfARequestThatCrashesEngines guards against a request that crashes
+// engine after engine because each of its repeats reaches another node, beside requests
+// that ran at the same engines.
+func TestNodesLearnTogetherOfARequestThatCrashesEngines(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{7, 380} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			nw := newNetwork(g, nodes, 34)
+			for _, n := range nw.ordered {
+				nw.newGuard(n)
+			}
+			nw.run(4 * time.Second)
+			deadly := quarantine.Request{ID: "deadly", Prompt: []string{"shared", "x"}}
+			refuse := func(r quarantine.Request) (n int) {
+				for _, node := range nw.ordered {
+					if node.guard.Match(r) != nil {
+						n++
+					}
+				}
+				return n
+			}
+			anyNode := func() *quarantine.Guard { return nw.ordered[nw.rng.IntN(nodes)].guard }
+			for engine := range 3 {
+				g.Expect(refuse(deadly)).To(BeZero())
+				anyNode().Crashed(fmt.Sprint("engine-", engine), 1, deadly, false, nw.now)
+				for i := range 16 {
+					beside := quarantine.Request{ID: fmt.Sprint("beside-", engine, "-", i), Prompt: []string{"shared", "y"}}
+					anyNode().Crashed(fmt.Sprint("engine-", engine), 1, beside, i%2 == 0, nw.now)
+				}
+				nw.run(700 * time.Millisecond)
+				anyNode().Begun(quarantine.Request{Prompt: []string{"shared", "z"}})
+			}
+			nw.run(2 * time.Second)
+			g.Expect(refuse(deadly)).To(Equal(nodes))
+			g.Expect(refuse(quarantine.Request{ID: "beside-0-0", Prompt: []string{"shared", "y"}})).To(BeZero())
+			nw.newGuard(nw.ordered[nodes-1])
+			nw.run(2 * time.Second)
+			g.Expect(refuse(deadly)).To(Equal(nodes), "after the restart of a node")
+		})
 	}
-	nw.run(2 * time.Second)
-	g.Expect(nw.refusingRequest(deadly)).To(Equal(len(nw.ordered)))
-	g.Expect(nw.refusingRequest(quarantine.Request{ID: "beside-0-0", Prompt: []string{"popular-0", "y"}})).To(BeZero())
-	nw.newGuard(nw.ordered[0])
-	nw.run(2 * time.Second)
-	g.Expect(nw.refusingRequest(deadly)).To(Equal(len(nw.ordered)), "after the restart of a node")
 }
 
 // bytesSent returns the number of bytes that all nodes have sent.
