--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -16,8 +16,8 @@
 	ID string
 	// Prompt holds the IDs of the parts of the prompt in order.
 	Prompt []string
-	// EarlierAttempts is the number of engines that were sent the request before by the same
-	// node, one after the other.
+	// EarlierAttempts is the number of attempts of the same node at the request before, one
+	// after the other, whose connections broke or whose engines stalled.
 	EarlierAttempts int
 }
 
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -167,25 +167,35 @@
 		for range 3 {
 			b.crash(deadly)
 		}
-		refusing := func() (n int) {
+		tell := func(report Reports) {
+			for _, node := range nodes {
+				node.Absorb(report)
+			}
+		}
+		refusing := func() (n int, ended *Guard) {
 			for _, node := range nodes {
-				node.Absorb(b.Report())
 				if node.Match(deadly) != nil {
 					n++
+				} else {
+					ended = node
 				}
 			}
-			return n
+			return n, ended
 		}
-		Expect(refusing()).To(Equal(len(nodes)))
+		tell(b.Report())
 		b.advance(firstRequestDuration / 2)
-		Expect(refusing()).To(Equal(len(nodes)))
-		for b.refuses(deadly) {
+		n, ended := refusing()
+		Expect(n).To(Equal(len(nodes)))
+		for ended == nil {
 			b.advance(100 * time.Millisecond)
+			n, ended = refusing()
 		}
-		b.crash(deadly)
-		Expect(refusing()).To(Equal(len(nodes)))
+		Expect(n).To(BeNumerically(">", len(nodes)/2), "nodes that refuse when the first one doesn't")
+		ended.Crashed("later", 1, deadly, false, b.time)
+		tell(ended.Report())
 		b.advance(firstRequestDuration)
-		Expect(refusing()).To(Equal(len(nodes)))
+		n, _ = refusing()
+		Expect(n).To(Equal(len(nodes)), "nodes that refuse after the renewal")
 	})
 
 	It("refuses what other nodes observed, and keeps it in the store", func() {
@@ -205,6 +215,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		stored, err := Decode(data, b.time)
 		Expect(err).NotTo(HaveOccurred())
+		Expect(SameParts(b.Ledger(Requests).Current(), stored)).To(BeTrue())
+		stored.Notices[0].Since--
+		Expect(SameParts(b.Ledger(Requests).Current(), stored)).To(BeFalse(), "a renewal is stored again")
 		restarted := newGuard(b.clock)
 		restarted.Absorb(Reports{Requests: stored})
 		Expect(restarted.Match(deadly)).NotTo(BeNil())
