review: case 3, bodies of requests are held in memory without a bound

1.7 times the callers, each with a body within maxBodyBytes, bring the nodes over their memory of 284 MiB: the platform kills them, again and again, and all their requests end without an answer (Fault: processes end by themselves). The case of the limit of the head moves from folder 3 to folder 5.

--- a/review/standins/limits.go
+++ b/review/standins/limits.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// limitRaised is case 3: a new version of the configuration raises the limit of the head of a
+// limitRaised is case 5: a new version of the configuration raises the limit of the head of a
 // request. Clients with kept connections use the new limit once the version must be in force.
 func limitRaised(s *setup) (bool, error) {
 	const (
--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -69,8 +70,18 @@
 	return n, os.WriteFile(n.settings, data, 0o600)
 }
 
-// start starts the process with the command of the deploy file.
+// start starts the process with the command of the deploy file. The system starts for the first
+// time only once.
 func (n *node) start() error {
+	if n.command != nil {
+		settings, err := os.ReadFile(n.settings)
+		if err == nil {
+			err = os.WriteFile(n.settings, bytes.Replace(settings, []byte(`"firstStart": true`), []byte(`"firstStart": false`), 1), 0o600)
+		}
+		if err != nil {
+			return err
+		}
+	}
 	log, err := os.OpenFile(strings.TrimSuffix(n.settings, ".json")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
