review: case 4, a larger size of a model doesn't reach groups under load

The groups of two get requests for as long as they send events, also 30 s later, since a group that is too small counts as one whose members aren't listed (rule PARTIAL).

--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -77,6 +77,11 @@
 	broken []string
 	// wasReady holds the members that have been ready in a group.
 	wasReady map[string]bool
+	// sizeFrom is when the sizes of the models are checked where requests begin to run; zero
+	// if never.
+	sizeFrom time.Time
+	// began is the number of requests that began to run since then.
+	began int
 }
 
 func newFleet(s *store, service string, models []model, rec *record) *fleet {
@@ -311,6 +316,21 @@
 	}
 }
 
+// checkSize checks the size of the group in which a request begins to run (rule PARTIAL).
+func (e *engine) checkSize(request string) {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.model(e.group.model)
+	if m == nil || f.sizeFrom.IsZero() || time.Now().Before(f.sizeFrom) {
+		return
+	}
+	f.began++
+	if len(e.members) != m.size {
+		f.breaks("PARTIAL: %s begins to run %s in group %s with %d members, the model's size is %d", e.id, request, e.group.Name, len(e.members), m.size)
+	}
+}
+
 // breaks records that a rule was broken. The caller holds fleet.mu.
 func (f *fleet) breaks(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
@@ -355,6 +375,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	e.checkSize(id)
 	_, output, _ := cut(r.Header.Get("X-Rattanlanding-Token-Count"))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("X-Rattanlanding-Server-Signature", e.id)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,7 +22,7 @@
 	if os.Args[1] == "desk" {
 		os.Exit(runDesk(os.Args[2:]))
 	}
-	cases := map[string]func(*setup) (bool, error){"odd-entry": oddEntry, "polled": polled, "limit-raised": limitRaised, "uploads": uploads}
+	cases := map[string]func(*setup) (bool, error){"odd-entry": oddEntry, "polled": polled, "limit-raised": limitRaised, "uploads": uploads, "size-change": sizeChange}
 	run := cases[os.Args[1]]
 	if run == nil || len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "unknown case")
