review: engines that are told to close and wait let their requests end

The stand-in engine cut the requests of its group in both ways of closing. It waits now where it is told to.

--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -18,7 +18,6 @@
 	formTime   = 300 * time.Millisecond
 	stallTime  = 5 * time.Second
 	eventGap   = 50 * time.Millisecond
-	listLag    = 100 * time.Millisecond
 )
 
 // model is a model of the service of engines.
@@ -48,6 +47,8 @@
 	members  []string
 	// change counts changes of the membership; a join that was replaced ends nothing.
 	change int
+	// running is the number of requests in progress.
+	running int
 	// stalledSince is when a member of the group was first missing; zero if none is.
 	stalledSince time.Time
 }
@@ -226,9 +227,14 @@
 		if !same || e.group.Rank != 0 {
 			return http.StatusConflict
 		}
-		if e.group.State != "open" {
+		if e.group.State != "open" && e.group.State != "closing" {
 			return http.StatusOK
 		}
+		if o.CloseMode == "wait" && e.running > 0 {
+			// The requests in progress end first.
+			e.group.State = "closing"
+			return http.StatusAccepted
+		}
 		e.change++
 		e.group.State = "ready"
 		return http.StatusAccepted
@@ -316,6 +322,25 @@
 	}
 }
 
+// begin counts a request in progress.
+func (e *engine) begin() {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.running++
+}
+
+// end counts a request that has ended. A head that is closing is ready after its last one.
+func (e *engine) end() {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.running--
+	if e.running == 0 && e.group.State == "closing" {
+		e.change++
+		e.group.State = "ready"
+		e.publish()
+	}
+}
+
 // checkSize checks the size of the group in which a request begins to run (rule PARTIAL).
 func (e *engine) checkSize(request string) {
 	f := e.fleet
@@ -376,6 +401,8 @@
 		return
 	}
 	e.checkSize(id)
+	e.begin()
+	defer e.end()
 	_, output, _ := cut(r.Header.Get("X-Rattanlanding-Token-Count"))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("X-Rattanlanding-Server-Signature", e.id)
