quarantine: errors that servers answer with count for a request

Cause: a request that is asked for often is in flight at each crash. Only a response below 400 removed the strikes against it, so three crashes by chance put it in quarantine, whatever servers had answered in between. Streams that engines answer with an error recorded nothing.

Change: a complete client error proves a sound run, like a success. 408, 421, 425, 429 and 503 say or may say that the request has not run and prove nothing, nor does an error that arrives before the request was sent. A server may fail a request before it runs it, so a server error is weighed: four outweigh one crash. Nodes report server errors by clearances of a part derived from the request, as the messages can't take another field. Each sound response to a struck request counts, not one in half a second. An error that ends with the connection of a crashed engine is incomplete for streams, too.

The new cases of `forward` with 404 guard the call sites.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -115,10 +115,13 @@
 		WithCause(io.ErrUnexpectedEOF)
 }
 
-// recordSound records that a backend server was sound until the end of a response. An error
-// proves nothing: the server may not have run the request.
-func (h *Handler) recordSound(c *call, status int) {
-	if status < http.StatusBadRequest {
+// recordComplete records a complete response. An error that was sent before the server had
+// received the body proves nothing: it may not have run the request.
+func (h *Handler) recordComplete(c *call, response *upstream.Response) {
+	switch {
+	case response.Status < http.StatusBadRequest:
 		h.Quarantine.Answered(c.subject())
+	case !response.Early:
+		h.Quarantine.Responded(c.subject(), response.Status)
 	}
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -73,7 +73,7 @@
 		h.checkCrash(c, slot, failed, true)
 		return failed
 	}
-	if h.recordSound(c, response.Status); response.Status < http.StatusBadRequest {
+	if h.recordComplete(c, response); response.Status < http.StatusBadRequest {
 		h.Quarantine.Begun(c.subject())
 	}
 	if response.Status >= http.StatusInternalServerError && c.route.Kind == catalog.Safe {
--- a/forward/sound_test.go
+++ b/forward/sound_test.go
@@ -58,6 +58,22 @@
 		Entry("500 of a safe request", "/safe/x", "HTTP/1.1 500 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n"),
 		Entry("504 of an unsafe request", "/unsafe/x", "HTTP/1.1 504 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n"),
 		Entry("a stream without events", "/stream/x", streamHead+"0\r\n\r\n"),
+		Entry("429, which doesn't say whether it ran", "/safe/x", "HTTP/1.1 429 x\r\nId: ID\r\nContent-Length: 0\r\n\r\n"),
+		Entry("404 without its whole body", "/safe/x", "HTTP/1.1 404 x\r\nId: ID\r\nContent-Length: 9\r\n\r\nCLOSE"),
+		Entry("404 of a stream that breaks off with its engine", "/stream/x", "HTTP/1.1 404 x\r\nId: ID\r\n\r\nnoCRASH"),
+	)
+
+	DescribeTable("is cleared by a client error that a server sent after it had run the request",
+		func(path string) {
+			// Guards against refusing for good what servers answer with an error of their own, because
+			// such requests are in flight at each crash (DENIED).
+			crash, guard, r := crashedTwice(path, "HTTP/1.1 404 x\r\nId: ID\r\nContent-Length: 2\r\n\r\nno")
+			crash()
+			Expect(guard.Match(r)).To(BeNil())
+		},
+		Entry("safe", "/safe/x"),
+		Entry("unsafe", "/unsafe/x"),
+		Entry("a stream", "/stream/x"),
 	)
 
 	It("is cleared by a success, with the parts of its prompt", func() {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,7 +162,7 @@
 func (h *Handler) relay(s *stream, slot *Slot, response *upstream.Response, monitor *stallMonitor) *verdict.Error {
 	defer response.Abort()
 	if response.Status != http.StatusOK && !s.begun {
-		return h.relayError(s, response)
+		return h.relayError(s, slot, response)
 	}
 	if err := s.checkResumed(response); err != nil {
 		return err
@@ -204,7 +204,7 @@
 		h.Quarantine.Begun(s.subject())
 	}
 	if received > 0 {
-		h.recordSound(s.call, response.Status)
+		h.recordComplete(s.call, response)
 	}
 	h.sendHead(s, response)
 	return nil
@@ -263,12 +263,18 @@
 
 // relayError forwards an engine's error response to the caller, or returns an error if
 // the request may be sent to another engine.
-func (h *Handler) relayError(s *stream, response *upstream.Response) *verdict.Error {
+func (h *Handler) relayError(s *stream, slot *Slot, response *upstream.Response) *verdict.Error {
 	body, err := h.buffers.readAll(response.Body)
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
 	}
 	defer body.release()
+	if failed := h.brokenOff(slot, response); failed != nil {
+		return failed
+	}
+	if s.lastEventID == "" {
+		h.recordComplete(s.call, response)
+	}
 	if response.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.runs < s.route.MaxAttempts {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d", response.Status)
 	}
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -49,6 +49,10 @@
 	struckAt time.Time
 	// depth is the largest depth of its strikes.
 	depth uint8
+	// errors is the number of server errors since the request was last sound.
+	errors int
+	// errorAt is when the last of those that other nodes reported was received by them.
+	errorAt time.Time
 }
 
 // decision is the outcome of decide: the parts to put in quarantine and the evidence.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
@@ -89,6 +90,30 @@
 // Answered records that an engine was sound until the end of the response to a request.
 func (g *Guard) Answered(r Request) { g.ledgers[Requests].Sound(r.ids(Requests)) }
 
+// Responded records that an engine sent a complete response of its own to a request, with a
+// status that isn't a success. A client error shows that it was sound. A server error may have
+// been sent before the engine began to run the request, so it is only weighed against crashes.
+// A refusal proves nothing.
+func (g *Guard) Responded(r Request, status int) {
+	switch {
+	case isRefusal(status):
+	case status < http.StatusInternalServerError:
+		g.Begun(r)
+		g.Answered(r)
+	default:
+		g.ledgers[Requests].Failed(r.ids(Requests))
+	}
+}
+
+// isRefusal reports whether servers use a status for requests that they didn't run.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Absorb records what other nodes have reported.
 func (g *Guard) Absorb(reports Reports) {
 	for k, r := range reports {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -203,7 +203,7 @@
 	changed := false
 	for _, p := range parts {
 		l.sound.add(p, now)
-		if l.isKnown(p) && (l.isInEffect(p, now) || now.Sub(l.ownClearances[p].at) >= clearanceInterval) {
+		if l.isKnown(p) && (l.isInEffect(p, now) || l.isStruckRequest(p) || now.Sub(l.ownClearances[p].at) >= clearanceInterval) {
 			l.ownClearances[p] = ownClearance{now, now}
 			l.clear(p, now)
 			changed = true
@@ -215,6 +215,24 @@
 	}
 }
 
+// Failed records that an engine answered a request with a server error. ids are as for Match.
+func (l *Ledger) Failed(ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for _, p := range partsOf(l.cfg.Kind.subjects(ids)) {
+		r := l.records[p]
+		if r == nil {
+			continue
+		}
+		r.errors++
+		if reported := p.errors(); now.Sub(l.ownClearances[reported].at) >= clearanceInterval {
+			l.ownClearances[reported] = ownClearance{now, now}
+			l.observed()
+		}
+	}
+}
+
 func (l *Ledger) observed() {
 	if l.onObserve != nil {
 		l.onObserve()
@@ -234,6 +252,13 @@
 	return false
 }
 
+// isStruckRequest reports whether there are strikes against a request. Each of its responses
+// counts, as there may be few; the parts of prompts are in those of many requests.
+func (l *Ledger) isStruckRequest(p Part) bool {
+	r := l.records[p]
+	return l.cfg.Kind == Requests && r != nil && len(r.strikes) > 0
+}
+
 // isInEffect reports whether a part is in a quarantine in effect.
 func (l *Ledger) isInEffect(p Part, now time.Time) bool {
 	for _, n := range l.notices {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -35,6 +35,14 @@
 // PartOf returns the hash of the ID of a part.
 func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
 
+// errors returns the part by which server errors to a request are reported, and for that part
+// the request. So clearances of both need no field to tell them apart, which nodes of earlier
+// versions couldn't read.
+func (p Part) errors() Part { return p ^ errorsMask }
+
+// errorsMask is an arbitrary number.
+const errorsMask = 0x9e3779b97f4a7c15
+
 // partsOf returns the hashes of IDs.
 func partsOf(ids []string) []Part {
 	parts := make([]Part, len(ids))
@@ -65,7 +73,7 @@
 }
 
 // Clearance means that an engine was sound while it responded to a prompt that contains a
-// part.
+// part or, for Part.errors of a request, that engines answered it with server errors.
 type Clearance struct {
 	Part Part `msgpack:"p"`
 	// AgeMs is the time since the response, in milliseconds.
--- a/quarantine/requests.go
+++ b/quarantine/requests.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// minRequestEngines is the number of engines that must have crashed under a request.
-const minRequestEngines = 3
+const (
+	// minRequestEngines is the number of engines that must have crashed under a request.
+	minRequestEngines = 3
+	// errorsPerCrash is the number of server errors that outweigh one crash: an engine that
+	// fails most requests before it runs them may receive one that crashes the others.
+	errorsPerCrash = 4
+)
 
 // decide returns the quarantine to begin next, or none.
 func (k Kind) decide(records map[Part]*record, active [][]Part, expired func(Part) bool, now time.Time) (decision, bool) {
@@ -22,7 +27,8 @@
 //
 // It answers load in which a request crashes each engine that runs it and is sent again by
 // its caller, beside sound requests at the same engines. A response that was sound has
-// removed the earlier strikes of its request. Crashes of engines under a request in
+// removed the earlier strikes of its request. One that is asked for often is at each engine
+// that crashes; if servers answer it with errors, these are weighed against the crashes. Crashes of engines under a request in
 // quarantine count only against requests with as many crashes. Engines that fail
 // together count as one incident, as requests may be repeated by nature.
 func decideRequests(records map[Part]*record, active [][]Part, expired func(Part) bool) (decision, bool) {
@@ -50,6 +56,9 @@
 			return false
 		})
 		renewal := expired(r.part)
+		if r.errors >= errorsPerCrash*len(engines) {
+			continue
+		}
 		if (renewal && len(engines) > 0) || (len(engines) >= minRequestEngines && r.incidents() >= minIncidents) {
 			return decision{parts: []Part{r.part}, crashes: len(engines), prompts: 1, engines: engines, renewal: renewal}, true
 		}
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -33,10 +33,14 @@
 	}
 }
 
-// clear records that a part appeared in a sound response.
+// clear records that a part appeared in a sound response, or that other nodes received server
+// errors to a request.
 func (l *Ledger) clear(p Part, at time.Time) {
+	if r := l.records[p.errors()]; r != nil && l.cfg.Kind == Requests && at.Sub(r.errorAt) >= clearanceInterval {
+		r.errors, r.errorAt = r.errors+1, at
+	}
 	if r := l.records[p]; r != nil && at.After(r.soundAt) {
-		r.soundAt = at
+		r.soundAt, r.errors = at, 0
 		r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.at.After(at) })
 	}
 	for _, n := range l.notices {
@@ -175,6 +179,7 @@
 	for _, p := range n.Parts {
 		if r := l.records[p]; r != nil {
 			r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.at.After(n.until) })
+			r.errors = 0
 		}
 	}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -59,6 +59,8 @@
 	// Length is the length of the body, or below 0 if it is unknown.
 	Length int64
 	Body   io.Reader
+	// Early is true if the head arrived before the request had been sent.
+	Early bool
 
 	conn     *Conn
 	response *http.Response
@@ -110,7 +112,7 @@
 		if r.IsOwn(response.StatusCode, response.Header) {
 			c.markProgress()
 			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-				conn: c, response: response, sent: sent}, nil
+				Early: len(sent) == 0, conn: c, response: response, sent: sent}, nil
 		}
 		c.desynchronised = true
 		switch _, err := io.CopyN(io.Discard, response.Body, maxForeignBody+1); {
