gateway: errors that servers answer with count like at entry nodes

Callers of nodes in run mode got 422 for completions that engines answer with an error of their own, after three crashes by chance; and a call that crashes servers was sent to more of them if one rejected it now and then.

Cause: the gateway had a rule of its own for what shows a sound server. A completion answered with an error recorded nothing, and each response to a call counted as sound: also 429, and a 500 that was sent before the call ran.

Change: both ways of serving use quarantine.Guard.Responded. The status of an engine's response to a completion is kept in the error.

--- a/backend/engine_client.go
+++ b/backend/engine_client.go
@@ -125,7 +125,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed,
-			"engine answered with status %d", response.StatusCode)
+			"engine answered with an error").WithCause(&statusError{response.StatusCode})
 	}
 	for _, name := range []string{HeaderGroup, HeaderGeneration, HeaderOrganisation} {
 		if echoed.Get(name) != sent.Get(name) {
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -67,6 +68,16 @@
 	return report, nil
 }
 
+// ResponseStatus returns the status of a backend server's own response that is the cause of an
+// error, or 0 if that is another one.
+func ResponseStatus(err error) int {
+	var status *statusError
+	if errors.As(err, &status) {
+		return status.status
+	}
+	return 0
+}
+
 // statusError means that a response had a status other than 200.
 type statusError struct{ status int }
 
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -118,10 +118,7 @@
 // recordComplete records a complete response. An error that was sent before the server had
 // received the body proves nothing: it may not have run the request.
 func (h *Handler) recordComplete(c *call, response *upstream.Response) {
-	switch {
-	case response.Status < http.StatusBadRequest:
-		h.Quarantine.Answered(c.subject())
-	case !response.Early:
+	if response.Status < http.StatusBadRequest || !response.Early {
 		h.Quarantine.Responded(c.subject(), response.Status)
 	}
 }
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -237,9 +237,13 @@
 	if err != nil && verdict.Of(err).Verdict != verdict.NotRun {
 		g.cancelAttempt(attempt)
 	}
-	if err == nil && from == 0 {
+	if from == 0 {
 		// The last part of a resumed completion doesn't show that an engine can run the whole.
-		g.Quarantine.Answered(c.subject)
+		if status := backend.ResponseStatus(err); err == nil {
+			g.Quarantine.Answered(c.subject)
+		} else if status > 0 {
+			g.Quarantine.Responded(c.subject, status)
+		}
 	}
 	if mayHaveCrashed(requestCtx, err) {
 		subject := c.subject
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -240,7 +240,7 @@
 	}
 	response, err := send(ctx, call)
 	if err == nil {
-		g.Quarantine.Answered(p.subject)
+		g.Quarantine.Responded(p.subject, response.Status)
 		return response, nil
 	}
 	if mayHaveCrashed(ctx, err) {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -102,6 +102,60 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 10*time.Second))
 	})
 
+	DescribeTable("isn't blamed for crashes between responses that show sound servers",
+		// Guards against refusing for good what servers answer with an error of their own, because
+		// it is in progress at each crash.
+		func(path, body string, add func(func(http.ResponseWriter))) {
+			var runs atomic.Int64
+			for range 9 {
+				add(func(w http.ResponseWriter) {
+					if runs.Add(1)%2 == 1 {
+						panic(http.ErrAbortHandler)
+					}
+					w.WriteHeader(http.StatusNotFound)
+				})
+			}
+			e.settings.MaxAttempts = 1
+			e.start()
+			for i := range 8 {
+				Expect(e.do("POST", path, body).status).NotTo(Equal(http.StatusUnprocessableEntity), "request %d", i)
+				time.Sleep(nextIncident / 2)
+			}
+		},
+		Entry("calls", "/services/desk/status", "1", func(serve func(http.ResponseWriter)) {
+			e.addServer(func(w http.ResponseWriter, _ *http.Request) { serve(w) })
+		}),
+		Entry("completions", "/v1/completions", bufferedRequest, func(serve func(http.ResponseWriter)) {
+			e.addEngine(func(a attempt) { serve(a.w) })
+		}),
+	)
+
+	DescribeTable("is refused although a server rejects it now and then", func(status int) {
+		// Guards against a call that crashes servers for good because one of them refuses it or
+		// fails before it runs it.
+		var runs atomic.Int64
+		for range 9 {
+			e.addServer(func(w http.ResponseWriter, _ *http.Request) {
+				if runs.Add(1) == 3 {
+					w.WriteHeader(status)
+					return
+				}
+				panic(http.ErrAbortHandler)
+			})
+		}
+		e.settings.MaxAttempts = 1
+		e.start()
+		for range 5 {
+			e.do("POST", "/services/desk/status", "1")
+			time.Sleep(nextIncident)
+		}
+		Expect(e.do("POST", "/services/desk/status", "1").status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(runs.Load()).To(BeEquivalentTo(4))
+	},
+		Entry("429", http.StatusTooManyRequests),
+		Entry("500", http.StatusInternalServerError),
+	)
+
 	It("gets the stored response of a call with the same key, and is not sent under another", func() {
 		// Guards against a refusal of a call that has already run, and against a claim that
 		// a refused call keeps.
--- a/quarantine/chance_test.go
+++ b/quarantine/chance_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -133,11 +132,7 @@
 			s.running = append(s.running, r)
 			continue
 		}
-		if status := r.status(s.rng); status < http.StatusBadRequest {
-			r.node.Answered(request(r.id))
-		} else {
-			r.node.Responded(request(r.id), status)
-		}
+		r.node.Responded(request(r.id), r.status(s.rng))
 	}
 	for _, l := range s.loads {
 		for expected := l.perSecond * simulationStep.Seconds(); expected > 0; expected-- {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -90,12 +90,14 @@
 // Answered records that an engine was sound until the end of the response to a request.
 func (g *Guard) Answered(r Request) { g.ledgers[Requests].Sound(r.ids(Requests)) }
 
-// Responded records that an engine sent a complete response of its own to a request, with a
-// status that isn't a success. A client error shows that it was sound. A server error may have
-// been sent before the engine began to run the request, so it is only weighed against crashes.
-// A refusal proves nothing.
+// Responded records that an engine sent a complete response of its own to a request. A success
+// or a client error shows that it was sound. A server error may have been sent before the
+// engine began to run the request, so it is only weighed against crashes. A refusal proves
+// nothing.
 func (g *Guard) Responded(r Request, status int) {
 	switch {
+	case status < http.StatusBadRequest:
+		g.Answered(r)
 	case isRefusal(status):
 	case status < http.StatusInternalServerError:
 		g.Begun(r)
