quarantine: a request that was sound before needs five crashes

Callers of a request that engines had just answered were refused for a minute if three engines crashed one after the other without an answer of that request in between, for instance as its responses take some seconds.

Cause: a sound response removed earlier strikes, but counted for nothing afterwards: three crashes wiped out whatever number of responses had shown. Parts of prompts have a larger weight once they were sound; requests had not. And a node that had seen the three crashes alone didn't wait for what another node knew of earlier responses.

A spec with two nodes: the one that decided kept its quarantine after the other one had told that the request was sound.

Change: five crashes are needed for a request whose record, or the memory of recent responses, has a sound one. A decision on fewer ends when a node learns of it, and isn't adopted from others. A request that begins to crash engines thus reaches two more, within the three retries that are allowed after the third.

--- a/quarantine/chance_test.go
+++ b/quarantine/chance_test.go
@@ -221,6 +221,8 @@
 		Entry("404, all but one within two seconds", 6, 200.0, 30*time.Millisecond, always(404), staggered),
 		Entry("404 beside refusals", 3, 200.0, 30*time.Millisecond, mostly(503, 404), inTurn),
 		Entry("success", 3, 200.0, 30*time.Millisecond, always(200), staggered),
+		Entry("success, long responses", 6, 3.0, 2*time.Second, always(200), staggered),
+		Entry("404, long responses, one server again and again", 3, 1.0, 4*time.Second, always(404), oneServer),
 		Entry("500, one of three servers down at a time", 3, 200.0, 30*time.Millisecond, always(500), inTurn),
 		Entry("500, one server again and again", 3, 20.0, 30*time.Millisecond, always(500), oneServer),
 		Entry("500, all but one within two seconds", 6, 200.0, 30*time.Millisecond, always(500), staggered),
--- a/quarantine/requests.go
+++ b/quarantine/requests.go
@@ -9,6 +9,9 @@
 const (
 	// minRequestEngines is the number of engines that must have crashed under a request.
 	minRequestEngines = 3
+	// minRequestEnginesOnceSound replaces minRequestEngines for a request that was sound
+	// before: more likely, the engines crashed for another reason.
+	minRequestEnginesOnceSound = 5
 	// errorsPerCrash is the number of server errors that outweigh one crash: an engine that
 	// fails most requests before it runs them may receive one that crashes the others.
 	errorsPerCrash = 4
@@ -59,7 +62,11 @@
 		if r.errors >= errorsPerCrash*len(engines) {
 			continue
 		}
-		if (renewal && len(engines) > 0) || (len(engines) >= minRequestEngines && r.incidents() >= minIncidents) {
+		required := minRequestEngines
+		if !r.soundAt.IsZero() {
+			required = minRequestEnginesOnceSound
+		}
+		if (renewal && len(engines) > 0) || (len(engines) >= required && r.incidents() >= minIncidents) {
 			return decision{parts: []Part{r.part}, crashes: len(engines), prompts: 1, engines: engines, renewal: renewal}, true
 		}
 	}
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -39,13 +39,15 @@
 	if r := l.records[p.errors()]; r != nil && l.cfg.Kind == Requests && at.Sub(r.errorAt) >= clearanceInterval {
 		r.errors, r.errorAt = r.errors+1, at
 	}
+	firstSound := false
 	if r := l.records[p]; r != nil && at.After(r.soundAt) {
+		firstSound = r.soundAt.IsZero()
 		r.soundAt, r.errors = at, 0
 		r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.at.After(at) })
 	}
 	for _, n := range l.notices {
-		if n.liftedAt.IsZero() && slices.Contains(n.Parts, p) && at.After(n.decidedAt) {
-			n.liftedAt = at
+		if n.liftedAt.IsZero() && slices.Contains(n.Parts, p) && (at.After(n.decidedAt) || (firstSound && l.needsMoreOnceSound(&n.Notice))) {
+			n.liftedAt = latest(at, n.decidedAt)
 			l.lifted.Inc(1)
 			_ = level.Warn(l.logger).Log("msg", "quarantine lifted: a response was sound", "part", p,
 				"parts", fmt.Sprint(n.Parts), "since", n.Since)
@@ -53,6 +55,19 @@
 	}
 }
 
+// needsMoreOnceSound reports whether the crashes that led to a quarantine don't suffice for a
+// request that was sound before. The node that decided didn't know.
+func (l *Ledger) needsMoreOnceSound(n *Notice) bool {
+	return l.cfg.Kind == Requests && n.Crashes >= minRequestEngines && n.Crashes < minRequestEnginesOnceSound
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // adopt records a quarantine of another node. A known one is only prolonged by a renewal, so
 // that nodes don't renew it for each other, and one that was decided before a sound response
 // isn't taken again.
@@ -66,7 +81,7 @@
 		return
 	}
 	for _, p := range received.Parts {
-		if soundAt := l.sound.at(p); soundAt.After(decidedAt) {
+		if soundAt := l.sound.at(p); soundAt.After(decidedAt) || (!soundAt.IsZero() && l.needsMoreOnceSound(&received)) {
 			l.ownClearances[p] = ownClearance{soundAt, now}
 			return
 		}
