quarantine: try a request that servers have answered before

Callers of a sound request that was blamed by mistake were refused until the quarantine was over: 45 s to a minute, and five more after one crash by chance.

Cause: nobody sends a request in quarantine, so no response could show that it is sound.

Change: from one second after the last crash, the node that saw that crash sends one copy of the next that arrives, without a retry, if servers have answered the request before. A sound response ends the quarantine at all nodes; a crash under a trial ends the trials, and a renewed quarantine has none. At most two in a quarantine.

Tried first: trials of all requests in quarantine.

New specs: one of three nodes tries, and all serve after its response; a request that crashes engines is tried once; one that was never answered isn't.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -43,7 +43,7 @@
 
 // subject returns the request as far as it may be put in quarantine.
 func (c *call) subject() quarantine.Request {
-	return quarantine.Request{ID: c.identity, Prompt: c.Prompt}
+	return quarantine.Request{ID: c.identity, Prompt: c.Prompt, Trial: c.trial}
 }
 
 // checkQuarantine returns an error if the request, or a part of its prompt, crashes engines.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -133,6 +133,8 @@
 	brokenAttempts int
 	// sends is the number of all attempts.
 	sends int
+	// trial is true if the request is in quarantine and sent once all the same.
+	trial bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -189,6 +191,7 @@
 	}
 	c.target = c.request.URL.RequestURI()
 	c.identity = c.identify()
+	c.trial = h.Quarantine.TakeTrial(c.subject())
 	if err := h.checkQuarantine(c); err != nil {
 		return err
 	}
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -34,13 +34,13 @@
 
 // isRetryable reports whether another attempt may succeed and is safe. A request that
 // got no slot was sent nowhere; it has already waited as long as is useful. One whose
-// prompt is in quarantine would crash another engine, and a node that stops has no time for
-// another attempt.
+// prompt is in quarantine would crash another engine, as a trial may, and a node that stops has
+// no time for another attempt.
 func (c *call) isRetryable(err *verdict.Error) bool {
 	switch {
 	case slices.Contains(finalReasons, err.Reason):
 		return false
-	case c.runs >= c.route.MaxAttempts || c.sends >= c.route.MaxAttempts+maxRefusedSends:
+	case c.trial, c.runs >= c.route.MaxAttempts || c.sends >= c.route.MaxAttempts+maxRefusedSends:
 		return false
 	}
 	return retry.Allowed(c.withHistory(err), c.route.Repeatable())
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -74,6 +74,7 @@
 	if c.subject.ID, err = params.identify(r.organisation.Name); err != nil {
 		return err
 	}
+	c.subject.Trial = g.Quarantine.TakeTrial(c.subject)
 	if refused := g.checkQuarantine(c.subject); refused != nil {
 		return refused
 	}
@@ -142,7 +143,7 @@
 // backoff first. Resuming after progress (no failures) needs no backoff and takes nothing from
 // the retry budget.
 func (c *completion) waitForRetry(ctx context.Context, err *verdict.Error) bool {
-	if ctx.Err() != nil || !c.history.allowsAttempt(c.gateway.config.MaxAttempts) || !retry.Allowed(err, true) || c.checkStart() != nil {
+	if ctx.Err() != nil || c.subject.Trial || !c.history.allowsAttempt(c.gateway.config.MaxAttempts) || !retry.Allowed(err, true) || c.checkStart() != nil {
 		return false
 	}
 	failures := c.history.failures
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -90,6 +90,7 @@
 	// takes effect on calls that the configuration does not list as non-idempotent.
 	needsClaim := key != "" && !p.repeatable
 	p.subject.ID = p.identify()
+	p.subject.Trial = g.Quarantine.TakeTrial(p.subject)
 	// A call with a claim may have a stored response. If not, it is refused before it is sent.
 	if refused := g.checkQuarantine(p.subject); refused != nil && !needsClaim {
 		return refused
@@ -198,7 +199,7 @@
 		lastErr = verdict.Of(err)
 		p.mayHaveRun = p.mayHaveRun || lastErr.Verdict != verdict.NotRun
 		tried = append(tried, target.Name)
-		if ctx.Err() != nil || len(tried) >= g.config.MaxAttempts || !retry.Allowed(lastErr, p.repeatable) ||
+		if ctx.Err() != nil || p.subject.Trial || len(tried) >= g.config.MaxAttempts || !retry.Allowed(lastErr, p.repeatable) ||
 			g.checkStart(p.request) != nil || !g.Budget.Take() {
 			return backend.Response{}, p.callError(lastErr)
 		}
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -36,6 +36,8 @@
 	engine, prompt uint32
 	at             time.Time
 	depth          uint8
+	// own is true if this node has seen the crash.
+	own bool
 }
 
 // record is the evidence about a part.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"net/http"
 	"time"
 
@@ -20,6 +19,9 @@
 	// EarlierAttempts is the number of attempts of the same node at the request before, one
 	// after the other, whose connections broke or whose engines stalled.
 	EarlierAttempts int
+	// Trial is true for a request in quarantine that is sent once, to find out whether it
+	// still crashes engines.
+	Trial bool
 }
 
 // ids returns the IDs for a ledger of a kind.
@@ -65,7 +67,19 @@
 
 // Match returns the quarantine that applies to a request, or nil.
 func (g *Guard) Match(r Request) *Quarantine {
-	return cmp.Or(g.ledgers[Parts].Match(r.ids(Parts)), g.ledgers[Requests].Match(r.ids(Requests)))
+	q := g.ledgers[Parts].Match(r.ids(Parts))
+	if q == nil && !r.Trial {
+		q = g.ledgers[Requests].Match(r.ids(Requests))
+	}
+	return q
+}
+
+// TakeTrial reports whether a request is in quarantine and is to be sent as a trial, which
+// must not be repeated.
+func (g *Guard) TakeTrial(r Request) bool {
+	l := g.ledgers[Requests]
+	q := l.Match(r.ids(Requests))
+	return q != nil && l.takeTrial(q)
 }
 
 // Changed returns a channel that is closed when the quarantines in effect change.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -89,6 +89,7 @@
 	decided  metrics.Counter
 	adopted  metrics.Counter
 	lifted   metrics.Counter
+	trials   metrics.Counter
 	inEffect blackboard.Section[[]*Quarantine]
 	// onChange is called when the quarantines in effect change; nil if nobody waits.
 	onChange func()
@@ -115,6 +116,9 @@
 	// liftedAt is when a sound response contained one of the parts afterwards; zero if
 	// none did.
 	liftedAt time.Time
+	// trials is the number of trials of this node, and triedAt is when the last one began.
+	trials  int
+	triedAt time.Time
 }
 
 type ownStrike struct {
@@ -135,7 +139,7 @@
 		cfg.Now = time.Now
 	}
 	return &Ledger{cfg: cfg, logger: log.With(logger, "component", "quarantine", "kind", cfg.Kind), now: cfg.Now,
-		strikes: counter("strikes"), decided: counter("decided"), adopted: counter("adopted"), lifted: counter("lifted"),
+		strikes: counter("strikes"), decided: counter("decided"), adopted: counter("adopted"), lifted: counter("lifted"), trials: counter("trials"),
 		records: map[Part]*record{}, notices: map[string]*notice{}, ownClearances: map[Part]ownClearance{}}
 }
 
@@ -171,7 +175,7 @@
 		_ = level.Info(l.logger).Log("msg", "engine crashed under a request", "instance", instance,
 			"part", parts[i], "id", ids[i], "position", i)
 		s := Strike{Engine: engine, Prompt: key, Part: parts[i], Depth: uint8(min(l.cfg.Kind.depth(i, r), math.MaxUint8))}
-		l.addStrike(s, at)
+		l.addStrike(s, at, true)
 		l.ownStrikes = append(l.ownStrikes, ownStrike{s, at})
 	}
 	l.decide()
@@ -279,7 +283,7 @@
 	now := l.now()
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, s := range r.Strikes {
-		l.addStrike(s, ago(uint32(s.AgeMs)))
+		l.addStrike(s, ago(uint32(s.AgeMs)), false)
 	}
 	for _, c := range r.Clearances {
 		l.clear(c.Part, ago(c.AgeMs))
--- a/quarantine/requests.go
+++ b/quarantine/requests.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/go-kit/log/level"
 )
 
 const (
@@ -73,6 +75,48 @@
 	return decision{}, false
 }
 
+// Conditions of trials.
+const (
+	// trialDelay is the time from the last crash to the first trial. All nodes know the
+	// quarantine by then. It doubles for the next one.
+	trialDelay = time.Second
+	// maxTrials is the number of trials in a quarantine.
+	maxTrials = 2
+)
+
+// takeTrial reports whether a request in quarantine is to be sent as a trial.
+func (l *Ledger) takeTrial(q *Quarantine) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	n, r := l.notices[q.key()], l.records[q.Parts[0]]
+	if n == nil || r == nil || !n.inEffect(now) || !n.allowsTrial(r, now) {
+		return false
+	}
+	n.trials, n.triedAt = n.trials+1, now
+	l.trials.Inc(1)
+	_ = level.Info(l.logger).Log("msg", "request in quarantine is tried", "part", r.part, "trial", n.trials, "crashes", n.Crashes)
+	return true
+}
+
+// allowsTrial reports whether this node may send a request in quarantine once.
+//
+// It answers load in which a sound request was at each engine that crashed: while all nodes
+// refuse it, no response can show that it is sound. The node that has seen the last crash
+// tries it, so that a request that crashes engines crashes one more. A request that servers
+// never answered is not tried, as that would cost the other requests at an engine. After a crash
+// under a trial there is no other one, nor in a quarantine that was renewed by a crash.
+func (n *notice) allowsTrial(r *record, now time.Time) bool {
+	if n.Crashes < minRequestEngines || n.trials >= maxTrials || len(r.strikes) == 0 || (r.soundAt.IsZero() && r.errors == 0) {
+		return false
+	}
+	last := slices.MaxFunc(r.strikes, func(a, b strike) int { return a.at.Compare(b.at) })
+	if !last.own || (n.trials > 0 && !last.at.Before(n.triedAt)) {
+		return false
+	}
+	return now.Sub(latest(last.at, n.triedAt)) >= trialDelay<<n.trials
+}
+
 // engines returns the engines that crashed, in ascending order, except those that explained
 // reports; nil reports none.
 func (r *record) engines(explained func(engine uint32) bool) (list []uint32) {
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -144,6 +144,80 @@
 		Expect(b.refuses(request("sound"))).To(BeTrue())
 	})
 
+	It("tries a request in quarantine at one node, and ends the quarantine if it is sound", func() {
+		// Guards against refusing a sound request for a minute because nobody sends it.
+		nodes := []*Guard{b.Guard, newGuard(b.clock), newGuard(b.clock)}
+		exchange := func() {
+			for _, from := range nodes {
+				report := from.Report()
+				for _, to := range nodes {
+					to.Absorb(report)
+				}
+			}
+		}
+		nodes[1].Answered(request("poll"))
+		for i := range minRequestEnginesOnceSound {
+			n := nodes[i%len(nodes)]
+			b.advance(incidentTime + time.Millisecond)
+			n.Crashed(fmt.Sprint("engine-", i), 1, request("poll"), false, b.time)
+			exchange()
+		}
+		tries := func() (list []int) {
+			for i, n := range nodes {
+				Expect(n.Match(request("poll"))).NotTo(BeNil())
+				if n.TakeTrial(request("poll")) {
+					list = append(list, i)
+				}
+			}
+			return list
+		}
+		Expect(tries()).To(BeEmpty())
+		b.advance(trialDelay)
+		Expect(tries()).To(Equal([]int{1}))
+		Expect(tries()).To(BeEmpty())
+		trial := request("poll")
+		trial.Trial = true
+		Expect(nodes[1].Match(trial)).To(BeNil())
+		nodes[1].Answered(trial)
+		exchange()
+		for _, n := range nodes {
+			Expect(n.Match(request("poll"))).To(BeNil())
+		}
+	})
+
+	It("doesn't try a request that no server has answered", func() {
+		// Guards against a trial that ends the other requests at an engine without need.
+		for range 3 {
+			b.crash(deadly)
+		}
+		b.advance(10 * time.Second)
+		Expect(b.refuses(deadly)).To(BeTrue())
+		Expect(b.TakeTrial(deadly)).To(BeFalse())
+	})
+
+	It("tries a request that crashes engines once in a quarantine", func() {
+		// Guards against trials that crash one engine after the other (BUDGET).
+		b.Answered(deadly)
+		for range minRequestEnginesOnceSound {
+			b.advance(time.Millisecond)
+			b.crash(deadly)
+		}
+		b.advance(trialDelay)
+		Expect(b.TakeTrial(deadly)).To(BeTrue())
+		b.crash(deadly)
+		for range 40 {
+			b.advance(time.Second)
+			Expect(b.refuses(deadly)).To(BeTrue())
+			Expect(b.TakeTrial(deadly)).To(BeFalse())
+		}
+		b.advance(firstRequestDuration)
+		b.Report()
+		b.crash(deadly)
+		Expect(b.refuses(deadly)).To(BeTrue())
+		b.advance(time.Minute)
+		Expect(b.TakeTrial(deadly)).To(BeFalse(), "after a renewal")
+	})
+
 	It("counts an engine that was sent the request after another had failed by itself", func() {
 		// Guards against a request that is repeated at once, and crashes more engines before
 		// its crashes count as several incidents.
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -11,8 +11,9 @@
 	"github.com/go-kit/log/level"
 )
 
-// addStrike adds a strike unless it is known or the part was sound since.
-func (l *Ledger) addStrike(s Strike, at time.Time) {
+// addStrike adds a strike unless it is known or the part was sound since. own is true if this
+// node has seen the crash.
+func (l *Ledger) addStrike(s Strike, at time.Time, own bool) {
 	r := l.records[s.Part]
 	if r == nil {
 		soundAt := l.sound.at(s.Part)
@@ -27,7 +28,7 @@
 		return
 	}
 	r.depth, r.struckAt = max(r.depth, s.Depth), l.now()
-	r.strikes = append(r.strikes, strike{s.Engine, s.Prompt, at, s.Depth})
+	r.strikes = append(r.strikes, strike{engine: s.Engine, prompt: s.Prompt, at: at, depth: s.Depth, own: own})
 	if len(r.strikes) > maxRecordStrikes {
 		r.strikes = r.strikes[1:]
 	}
