entry: a property test of changes during a planned stop

The report of a request with neither an answer nor a refusal beside a change of the configuration has not been reproduced. The property test of it covers changes at any point of a request's way, but not those that come in while the node is told to stop, when requests wait for a slot or are being read.

--- a/entry/changes_node_test.go
+++ b/entry/changes_node_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,9 +21,11 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
+	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
 	"github.com/rattanlanding/rattanlanding/platform/platformtest"
@@ -34,6 +37,8 @@
 	changeInterval = 20 * time.Millisecond
 	// minRouteTimeout is the shortest timeout of a route.
 	minRouteTimeout = 2500 * time.Millisecond
+	// changesStopTime is how long the node may take to stop.
+	changesStopTime = 8 * time.Second
 	changesKey      = "k"
 	// changesPart is a part of each stream's prompt, which is in quarantine at times.
 	changesPart = "p"
@@ -52,6 +57,8 @@
 	servers    []*changesServer
 	random     *rand.Rand
 	version    uint64
+	// stopping is true once the node was told to stop.
+	stopping atomic.Bool
 
 	mu sync.Mutex
 	// whole tells for the ID of each request that reached the handler whether its body was
@@ -123,6 +130,16 @@
 	}
 }
 
+// leave stops the node as the daemon does.
+func (n *changesNode) leave() {
+	n.stopping.Store(true)
+	n.handler.SetLeaving(drain.Grace{Total: changesStopTime, Answers: changesStopTime - shutdownReserve - answerReserve})
+	ctx, cancel := context.WithTimeout(context.Background(), changesStopTime-shutdownReserve)
+	defer cancel()
+	wait.For(ctx, changesStopTime/4)
+	n.callers.shutdown(ctx)
+}
+
 // serve records which requests were read whole.
 func (n *changesNode) serve(w http.ResponseWriter, r *http.Request) {
 	body := &recordedBody{ReadCloser: r.Body, node: n, id: platformtest.RequestID(r.Header)}
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -31,6 +31,9 @@
 	answerSlack = 5 * time.Second
 )
 
+// errNodeStopped is returned if the node doesn't accept connections because it stops.
+var errNodeStopped = errors.New("the node has stopped")
+
 // changesCaller sends one request after the other, most of them on a kept connection.
 type changesCaller struct {
 	node   *changesNode
@@ -83,6 +86,9 @@
 		r := c.pick(i)
 		sentAt := time.Now()
 		result, err := c.exchange(r)
+		if errors.Is(err, errNodeStopped) {
+			return
+		}
 		if err != nil {
 			arrived, whole := c.node.progress(r.id)
 			result = c.judge(r, result, arrived, whole, time.Since(sentAt))
@@ -124,6 +130,9 @@
 func (c *changesCaller) exchange(r changesRequest) (string, error) {
 	if c.conn == nil {
 		conn, err := c.node.dial()
+		if err != nil && c.node.stopping.Load() {
+			return "", errNodeStopped
+		}
 		if err != nil {
 			return "", err
 		}
@@ -223,24 +232,49 @@
 			t.Parallel()
 			node, stop := startChangesNode(t, seed)
 			defer stop()
-			var all sync.WaitGroup
-			callers := make([]*changesCaller, changesCallers)
-			end := time.Now().Add(changesTime)
-			for i := range callers {
-				callers[i] = &changesCaller{node: node, name: fmt.Sprintf("request-%02d", i), random: rand.New(rand.NewPCG(seed, uint64(i)+1)), results: map[string]int{}}
-				all.Go(func() { callers[i].run(end) })
-			}
-			all.Wait()
-			results := map[string]int{}
-			for _, c := range callers {
-				for result, count := range c.results {
-					results[result] += count
-				}
-				for _, failure := range c.failed {
-					t.Error(failure)
-				}
-			}
-			t.Log(results)
+			callWhileItChanges(t, node, seed, time.Now().Add(changesTime))
+		})
+	}
+}
+
+// Guards against requests that were read whole and end with neither an answer nor a refusal
+// because the node was told to stop while the configuration and its limits change.
+func TestEachRequestIsAnsweredWhateverChangesDuringAStop(t *testing.T) {
+	for i := range uint64(*changesSeeds) {
+		seed := *changesSeed + i
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			node, stop := startChangesNode(t, seed)
+			defer stop()
+			var stopped sync.WaitGroup
+			stopped.Go(func() {
+				time.Sleep(changesTime / 3)
+				node.leave()
+			})
+			callWhileItChanges(t, node, seed, time.Now().Add(2*changesStopTime))
+			stopped.Wait()
 		})
 	}
 }
+
+// callWhileItChanges sends requests of many callers until a time, and reports those that
+// were lost.
+func callWhileItChanges(t *testing.T, node *changesNode, seed uint64, end time.Time) {
+	var all sync.WaitGroup
+	callers := make([]*changesCaller, changesCallers)
+	for i := range callers {
+		callers[i] = &changesCaller{node: node, name: fmt.Sprintf("request-%02d", i), random: rand.New(rand.NewPCG(seed, uint64(i)+1)), results: map[string]int{}}
+		all.Go(func() { callers[i].run(end) })
+	}
+	all.Wait()
+	results := map[string]int{}
+	for _, c := range callers {
+		for result, count := range c.results {
+			results[result] += count
+		}
+		for _, failure := range c.failed {
+			t.Error(failure)
+		}
+	}
+	t.Log(results)
+}
