forward: bound the memory for large heads and events together

Callers of a node whose engines send bytes without end in a head or an event could lose their requests with the process: it was limited per response only.

Cause: each head might have 64 KiB and each event 256 KiB, whatever their number.

Change: a head has at most 256 lines. The budget is apart from that for whole responses, so that sound responses aren't refused for it.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -43,7 +43,7 @@
 	sentAt := time.Now()
 	response, err := conn.Do(ctx, &upstream.Request{
 		Method: c.request.Method, Target: c.target, Host: c.request.Host, Header: header, Body: c.body,
-		Watch: watch,
+		Watch: watch, Memory: h.oversized,
 		IsOwn: func(status int, header http.Header) bool {
 			return h.Codec.DecodeResponse(status, header).RequestID == c.ID
 		},
--- a/forward/buffer.go
+++ b/forward/buffer.go
@@ -17,6 +17,9 @@
 	// defaultBufferedBytes bounds the total size in bytes of the responses that are
 	// buffered at a time: two of the longest.
 	defaultBufferedBytes = 2 * maxBuffered
+	// oversizedDivisor divides that size; the quotient bounds the memory for large heads and
+	// events.
+	oversizedDivisor = 2
 	// blockSize is the unit of allocation in bytes. Usual responses are shorter.
 	blockSize = 16 << 10
 )
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -87,7 +87,7 @@
 // address.
 func newTestNode(address string) *httptest.Server {
 	configuration := (&catalog.Configuration{
-		Services: []catalog.Service{{Name: "desk"}, {Name: "llm", Engine: &catalog.EngineProfile{Slots: 40, Models: []catalog.Model{{Name: "m", Size: 1, TimeFactor: 1}}}}},
+		Services: []catalog.Service{{Name: "desk"}, {Name: "llm", Engine: &catalog.EngineProfile{Slots: 300, Models: []catalog.Model{{Name: "m", Size: 1, TimeFactor: 1}}}}},
 		Routes: []catalog.Route{
 			{Host: "h", PathPrefix: "/plain/", Kind: catalog.Safe, Timeout: endlessTimeout, MaxAttempts: 1, Targets: []catalog.Target{{Service: "desk", Weight: 1}}},
 			{Host: "h", PathPrefix: "/stream/", Kind: catalog.Streaming, Resumable: true, LatencyGoal: 300 * time.Millisecond, Timeout: endlessTimeout,
@@ -95,7 +95,7 @@
 		},
 	}).Index()
 	roster := engine.NewRoster([]*engine.Instance{
-		{ID: "d", Service: "desk", Address: address, Slots: 40},
+		{ID: "d", Service: "desk", Address: address, Slots: 300},
 		{ID: "e", Service: "llm", Address: address, Model: "m", Membership: engine.Membership{Group: "g", Epoch: 1, Phase: engine.Open}},
 	})
 	tables := NewTables()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -325,7 +325,7 @@
 
 var _ = Describe("eventReader", func() {
 	read := func(text string) (ids []string, raw string, err error) {
-		r := newEventReader(io.MultiReader(strings.NewReader(text)))
+		r := newEventReader(io.MultiReader(strings.NewReader(text)), nil)
 		defer r.release()
 		for {
 			e, err := r.next()
@@ -364,7 +364,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n", uint8(3))
 	f.Fuzz(func(t *testing.T, text string, size uint8) {
-		r := newEventReader(&slowReader{strings.NewReader(text), int(size)%7 + 1})
+		r := newEventReader(&slowReader{strings.NewReader(text), int(size)%7 + 1}, nil)
 		defer r.release()
 		var passed strings.Builder
 		for {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
@@ -38,7 +40,7 @@
 	// beyond that, within one window of the platform's accounting.
 	RetryAllowance float64
 	// MaxBufferedBytes bounds the memory for responses that are buffered until they are
-	// complete; 0 means the default.
+	// complete; 0 means the default. Large heads and events get half as much besides.
 	MaxBufferedBytes int64
 }
 
@@ -63,6 +65,9 @@
 	metrics  handlerMetrics
 	inFlight atomic.Int64
 	buffers  *bufferLimit
+	// oversized is the memory for large heads and events. It is apart from that for
+	// responses, so that servers that send endless ones don't keep others from theirs.
+	oversized *semaphore.Weighted
 	// leaving is set once this node has begun to stop.
 	leaving atomic.Pointer[leaving]
 	// ending is cancelled when each request in progress must be answered.
@@ -82,7 +87,7 @@
 		deps.Quarantine = quarantine.NewGuard(quarantine.Config{}, deps.Logger, deps.Registry)
 	}
 	h := &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
-		buffers: newBufferLimit(cfg.MaxBufferedBytes), budgets: map[string]*retry.Budget{}}
+		buffers: newBufferLimit(cfg.MaxBufferedBytes), oversized: semaphore.NewWeighted(cmp.Or(cfg.MaxBufferedBytes, defaultBufferedBytes) / oversizedDivisor), budgets: map[string]*retry.Budget{}}
 	h.ending, h.end = context.WithCancel(context.Background())
 	return h
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -168,7 +168,7 @@
 		return err
 	}
 	s.current = response
-	events := newEventReader(monitor.observe(response.Body))
+	events := newEventReader(monitor.observe(response.Body), h.oversized)
 	defer events.release()
 	received := 0
 	for {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"cmp"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -20,17 +19,11 @@
 type Watch func(sinceProgress time.Duration) (time.Duration, error)
 
 const (
-	// maxHead is the largest size in bytes of the head of a response. Servers accept heads
-	// of 8 to 64 KiB by default.
-	maxHead = 64 << 10
 	// maxPending bounds the bytes that are read after the watch has ended the wait.
 	// They may have arrived while this process was suspended.
 	maxPending = 64 << 10
 )
 
-// errHeadTooLarge is returned if the head of a response exceeds maxHead.
-var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHead)
-
 // Conn is a connection that carries one request at a time.
 type Conn struct {
 	raw         net.Conn
@@ -48,8 +41,7 @@
 	pendingRead int
 	// inHead is true while the head of a response is read.
 	inHead bool
-	// headLeft is the number of bytes that the head may still have.
-	headLeft int
+	head   headLimit
 	// desynchronised is true once a response to another request was skipped: its server
 	// may send further ones when the next request expects its response.
 	desynchronised bool
@@ -58,12 +50,14 @@
 
 // Read implements io.Reader for the read buffer. It limits the head of a response.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.inHead && c.headLeft <= 0 {
+	if c.inHead && c.head.isExceeded() {
 		return 0, errHeadTooLarge
 	}
 	n, err := c.read(p)
 	if c.inHead {
-		c.headLeft -= n
+		if err := c.head.add(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -50,6 +50,8 @@
 	IsOwn func(status int, header http.Header) bool
 	// Watch detects stalls while the response is read; nil means no timeout.
 	Watch Watch
+	// Memory is the memory for large heads; nil means no limit.
+	Memory Memory
 }
 
 // Response is a response whose body is yet to be read.
@@ -76,6 +78,7 @@
 	response, err := c.do(r)
 	if err != nil {
 		stop()
+		c.head.release()
 		c.Close()
 		return nil, err
 	}
@@ -84,7 +87,7 @@
 }
 
 func (c *Conn) do(r *Request) (*Response, error) {
-	c.watch = r.Watch
+	c.watch, c.head.memory = r.Watch, r.Memory
 	c.markProgress()
 	head := r.head()
 	sent := make(chan error, 1)
@@ -125,9 +128,10 @@
 	return nil, ErrForeignResponse
 }
 
-// readHead reads the head of a response of at most maxHead bytes.
+// readHead reads the head of a response.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
-	c.inHead, c.headLeft = true, maxHead
+	c.inHead = true
+	c.head.start()
 	defer func() { c.inHead = false }()
 	return http.ReadResponse(c.reader, request)
 }
@@ -199,6 +203,7 @@
 // Abort closes the connection of a response that wasn't read to its end.
 func (r *Response) Abort() {
 	if !r.complete {
+		r.conn.head.release()
 		r.conn.Close()
 	}
 }
@@ -206,6 +211,7 @@
 // recycle returns the connection to the pool, or closes it if it can't be reused.
 func (r *Response) recycle(contextActive bool) {
 	c := r.conn
+	c.head.release()
 	requestSent := false
 	select {
 	case err := <-r.sent:
--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,87 @@
+package upstream
+
+import "fmt"
+
+const (
+	// maxHead is the largest size in bytes of the head of a response. Servers accept heads
+	// of 8 to 64 KiB by default.
+	maxHead = 64 << 10
+	// maxHeadLines is the largest number of lines of a head. A parsed line takes some hundred
+	// bytes, however short it is.
+	maxHeadLines = 256
+	// freeHead is the size in bytes up to which a head needs no reserved memory.
+	freeHead = 4 << 10
+	// headMemoryFactor is the memory for a parsed head, in multiples of its size.
+	headMemoryFactor = 2
+)
+
+var (
+	// errHeadTooLarge is returned if the head of a response exceeds maxHead.
+	errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHead)
+	// errTooManyLines is returned if it exceeds maxHeadLines.
+	errTooManyLines = fmt.Errorf("head of the response exceeds %d lines", maxHeadLines)
+	// errNoHeadMemory is returned if the large heads of all responses take too much memory.
+	errNoHeadMemory = fmt.Errorf("no memory for a response's head of more than %d bytes", freeHead)
+)
+
+// Memory is the memory for what servers may send in excess of usual sizes.
+// semaphore.Weighted implements it.
+type Memory interface {
+	// TryAcquire reserves a number of bytes, or returns false if there are too few.
+	TryAcquire(bytes int64) bool
+	Release(bytes int64)
+}
+
+// headLimit bounds the head of a response while it is read, and the memory for it until the
+// response has ended.
+type headLimit struct {
+	memory Memory
+	// size is the number of bytes read of the head, and reserved the bytes of memory.
+	size     int
+	reserved int64
+	// lines is the number of complete lines and lineLength the length of the next one.
+	lines, lineLength int
+	ended             bool
+}
+
+// start begins the head of a response; there may be several to a request.
+func (l *headLimit) start() { l.size, l.lines, l.lineLength, l.ended = 0, 0, 0, false }
+
+func (l *headLimit) isExceeded() bool { return l.size >= maxHead }
+
+// add counts bytes that were read. They may include the beginning of the body.
+func (l *headLimit) add(p []byte) error {
+	l.size += len(p)
+	for _, b := range p {
+		if l.ended {
+			break
+		}
+		switch {
+		case b == '\r':
+		case b != '\n':
+			l.lineLength++
+		case l.lineLength == 0:
+			l.ended = true
+		default:
+			l.lines, l.lineLength = l.lines+1, 0
+		}
+	}
+	if l.lines > maxHeadLines {
+		return errTooManyLines
+	}
+	if needed := int64(headMemoryFactor * l.size); l.memory != nil && l.size > freeHead && needed > l.reserved {
+		if !l.memory.TryAcquire(needed - l.reserved) {
+			return errNoHeadMemory
+		}
+		l.reserved = needed
+	}
+	return nil
+}
+
+// release frees the memory.
+func (l *headLimit) release() {
+	if l.reserved > 0 {
+		l.memory.Release(l.reserved)
+		l.reserved = 0
+	}
+}
