forward: suspect plain servers whose body fails

Callers of a plain service got the retries, delays and 502 of a server that sends a body without end, one request after the other: half of 20 requests to two servers were sent there (8 within 50 ms, each of which read 8 MiB).

Cause: a server was suspected if no head of a response arrived, but not if its body was too long, too slow or broken off.

Change: it is suspected for a body as well, unless the caller has left. What this node has no memory for says nothing about the server: that isn't suspected any more, for streams, either.

Measured: the new case fails on the code before (8 requests at the faulty server) and passes (at most one).

--- a/forward/endless_sum_test.go
+++ b/forward/endless_sum_test.go
@@ -53,6 +53,24 @@
 	return b.String()
 }
 
+var _ = Describe("Handler with a server that sends an endless body", func() {
+	It("sends the next requests to others", func() {
+		// Guards against requests that are sent to a faulty server one after the other.
+		endless := &endlessServer{start: okHead, part: strings.Repeat("x", 1<<16)}
+		others := &scriptedServer{}
+		for range 20 {
+			others.scripts = append(others.scripts, sound)
+		}
+		node := newScriptedNode(endless.listen(), others.listen())
+		for range 20 {
+			status, _, complete := sendScripted(node, "/safe/x", "r")
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(complete).To(BeTrue())
+		}
+		Consistently(endless.closed.Load, 200*time.Millisecond).Should(BeNumerically("<=", 1), "requests to the faulty server")
+	})
+})
+
 var _ = Describe("Handler with many servers that send too much", func() {
 	DescribeTable("keeps its memory while they do so at once",
 		func(path, part string) {
--- a/forward/events.go
+++ b/forward/events.go
@@ -23,7 +23,6 @@
 
 var (
 	errEventTooLarge = fmt.Errorf("event has more than %d bytes", maxEvent)
-	errNoEventMemory = fmt.Errorf("no memory for an event of more than %d bytes", freeEvent)
 	errNoContent     = fmt.Errorf("stream sent more than %d bytes without an event with id or data", maxEvent)
 )
 
@@ -81,7 +80,7 @@
 	if size > cap(r.raw) && size > freeEvent && r.memory != nil {
 		larger := min(2*size, maxEvent)
 		if !r.memory.TryAcquire(int64(larger)) {
-			return errNoEventMemory
+			return upstream.ErrNoMemory
 		}
 		raw := append(make([]byte, 0, larger), r.raw...)
 		r.reset()
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -65,6 +66,9 @@
 	if err != nil {
 		response.Abort()
 		failed := verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
+		if c.request.Context().Err() == nil {
+			h.suspectOnFailure(slot, failed)
+		}
 		h.checkCrash(c, slot, failed, true)
 		return failed
 	}
@@ -92,8 +96,11 @@
 }
 
 // suspectOnFailure marks a backend server that failed as suspected, unless this node has
-// ended the request because it stops.
+// ended the request because it stops, or has no memory for the response.
 func (h *Handler) suspectOnFailure(slot *Slot, err *verdict.Error) {
+	if errors.Is(err, errBuffersFull) || errors.Is(err, upstream.ErrNoMemory) {
+		return
+	}
 	if err.Reason == verdict.ReasonBackendFailed && !h.ended() {
 		slot.Load.Suspect(time.Now().Add(suspectDuration))
 	}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 const (
 	// maxHead is the largest size in bytes of the head of a response. Servers accept heads
@@ -20,8 +23,9 @@
 	errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHead)
 	// errTooManyLines is returned if it exceeds maxHeadLines.
 	errTooManyLines = fmt.Errorf("head of the response exceeds %d lines", maxHeadLines)
-	// errNoHeadMemory is returned if the large heads of all responses take too much memory.
-	errNoHeadMemory = fmt.Errorf("no memory for a response's head of more than %d bytes", freeHead)
+	// ErrNoMemory is returned if what is large in all responses takes too much memory. The
+	// server may be sound.
+	ErrNoMemory = errors.New("no memory for large heads and events")
 )
 
 // Memory is the memory for what servers may send in excess of usual sizes.
@@ -71,7 +75,7 @@
 	}
 	if needed := int64(headMemoryFactor * l.size); l.memory != nil && l.size > freeHead && needed > l.reserved {
 		if !l.memory.TryAcquire(needed - l.reserved) {
-			return errNoHeadMemory
+			return ErrNoMemory
 		}
 		l.reserved = needed
 	}
