forward: a caller that leaves doesn't make its server suspected

Callers of plain services had fewer servers to go to after others had given up: a server whose caller left before its response got no request from that node for three seconds.

Cause: the node closes the connection to the server when its caller leaves. The attempt then fails like one of a broken connection, which suspects the server; for streams the two were told apart.

Change: a failure after the caller has left suspects no server, in one place for all kinds.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -58,7 +58,7 @@
 	}
 	response, failed := h.send(ctx, c, slot, "", nil)
 	if failed != nil {
-		h.suspectOnFailure(slot, failed)
+		h.suspectOnFailure(c, slot, failed)
 		h.checkCrash(c, slot, failed, false)
 		return failed
 	}
@@ -66,9 +66,7 @@
 	if err != nil {
 		response.Abort()
 		failed := verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
-		if c.request.Context().Err() == nil {
-			h.suspectOnFailure(slot, failed)
-		}
+		h.suspectOnFailure(c, slot, failed)
 		h.checkCrash(c, slot, failed, true)
 		return failed
 	}
@@ -96,9 +94,9 @@
 }
 
 // suspectOnFailure marks a backend server that failed as suspected, unless this node has
-// ended the request because it stops, or has no memory for the response.
-func (h *Handler) suspectOnFailure(slot *Slot, err *verdict.Error) {
-	if errors.Is(err, errBuffersFull) || errors.Is(err, upstream.ErrNoMemory) {
+// ended the request because it stops, or has no memory for the response, or the caller has left.
+func (h *Handler) suspectOnFailure(c *call, slot *Slot, err *verdict.Error) {
+	if c.request.Context().Err() != nil || errors.Is(err, errBuffersFull) || errors.Is(err, upstream.ErrNoMemory) {
 		return
 	}
 	if err.Reason == verdict.ReasonBackendFailed && !h.ended() {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -121,7 +121,7 @@
 // finishAttempt records the failure of an attempt, if it failed, and returns it.
 func (h *Handler) finishAttempt(s *stream, slot *Slot, failed *verdict.Error) *verdict.Error {
 	if failed != nil && s.request.Context().Err() == nil && !h.ended() {
-		h.suspectOnFailure(slot, failed)
+		h.suspectOnFailure(s.call, slot, failed)
 		h.checkCrash(s.call, slot, failed, s.hasEvents())
 	}
 	return failed
