entry: bound the heads of other nodes' responses

Callers of a node could lose their requests with its process if the address of another node belongs to a faulty server: addresses are used again.

Cause: the client for other nodes had the transport's default limit of 10 MiB a head, and one for each request to a node.

Change: 16 KiB a head, in a transport of its own.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -11,8 +11,15 @@
 	"github.com/rattanlanding/rattanlanding/internal/readall"
 )
 
+const (
+	// maxPeerHeaderBytes is the largest size of the head of another node's response.
+	maxPeerHeaderBytes = 16 << 10
+	// peerIdleTimeout is how long an idle connection to another node is kept.
+	peerIdleTimeout = 90 * time.Second
+)
+
 // peerClient is the HTTP client for the peer addresses of other nodes.
-var peerClient = &http.Client{}
+var peerClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxPeerHeaderBytes, IdleConnTimeout: peerIdleTimeout}}
 
 // peerStatusError is returned for a response of another node whose status isn't 200.
 type peerStatusError struct {
