upstream: end heads that trickle in

Callers of a plain service waited until their deadline for a server that sends its head byte by byte, where another server could have answered.

Cause: the rate of a response was checked for bodies only; for heads any byte within the deadline was enough, and plain requests have no other timeout.

The check moves to `upstream`, one copy for heads and bodies.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -160,6 +160,7 @@
 		},
 		Entry("a line of the head", "/plain/", "HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 1<<16), time.Duration(0), int64(1<<20)),
 		Entry("lines of the head", "/plain/", "HTTP/1.1 200 OK\r\n", strings.Repeat("X: y\r\n", 1<<12), time.Duration(0), int64(1<<20)),
+		Entry("a line of the head, slowly", "/plain/", "HTTP/1.1 200 OK\r\nX: ", "x", 50*time.Millisecond, int64(1<<20)),
 		Entry("interim responses", "/plain/", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1<<10), time.Duration(0), int64(1<<20)),
 		Entry("the body of a response to another request", "/plain/", foreignHead, strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
 		Entry("a body", "/plain/", okHead, strings.Repeat("x", 1<<16), time.Duration(0), int64(maxBuffered)),
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -62,7 +62,7 @@
 		h.checkCrash(c, slot, failed, false)
 		return failed
 	}
-	body, err := h.buffers.readAll(newRateReader(response.Body))
+	body, err := h.buffers.readAll(upstream.NewRateReader(response.Body))
 	if err != nil {
 		response.Abort()
 		failed := verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -53,13 +53,15 @@
 	if c.inHead && c.head.isExceeded() {
 		return 0, errHeadTooLarge
 	}
+	if !c.inHead {
+		return c.read(p)
+	}
+	started := time.Now()
 	n, err := c.read(p)
-	if c.inHead {
-		if err := c.head.add(p[:n]); err != nil {
-			return 0, err
-		}
+	if err != nil {
+		return n, err
 	}
-	return n, err
+	return n, c.head.add(p[:n], time.Since(started))
 }
 
 // read reads bytes that arrive before the watch ends the wait.
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 const (
@@ -46,15 +47,18 @@
 	// lines is the number of complete lines and lineLength the length of the next one.
 	lines, lineLength int
 	ended             bool
+	rate              rate
 }
 
 // start begins the head of a response; there may be several to a request.
-func (l *headLimit) start() { l.size, l.lines, l.lineLength, l.ended = 0, 0, 0, false }
+func (l *headLimit) start() {
+	l.size, l.lines, l.lineLength, l.ended, l.rate = 0, 0, 0, false, rate{}
+}
 
 func (l *headLimit) isExceeded() bool { return l.size >= maxHead }
 
-// add counts bytes that were read. They may include the beginning of the body.
-func (l *headLimit) add(p []byte) error {
+// add counts bytes that were read within some time. They may include the beginning of the body.
+func (l *headLimit) add(p []byte, wait time.Duration) error {
 	l.size += len(p)
 	for _, b := range p {
 		if l.ended {
@@ -79,7 +83,7 @@
 		}
 		l.reserved = needed
 	}
-	return nil
+	return l.rate.add(len(p), wait)
 }
 
 // release frees the memory.
