platform: ignore entries without the fields that each server gives

Cause: the decoder checked the ranges of the fields that an entry has, and took missing ones for zero. An entry without a group then was a free engine, and the members of the group that this engine headed were free as well.

What hung on its name is missing then, which the formation already handles: the head is told to close and the member to leave first.

--- a/engine/roster.go
+++ b/engine/roster.go
@@ -64,6 +64,8 @@
 	StartedMs int64
 	// Sequence counts what the instance has written about itself since its start.
 	Sequence uint64
+	// StatesModels is true if the instance says which models it has, or that it has none.
+	StatesModels bool
 	// Model is the model in memory, or "" if there is none.
 	Model string
 	// StagedModels are the models whose weights are on the host.
--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -180,10 +181,12 @@
 		if !known || d.version != o.Version {
 			d = ps.decodeObject(o, d.loggedAt)
 		}
-		next[o.Key.Name] = d
-		if d.instance != nil {
-			instances = append(instances, d.instance)
+		if in := d.instance; in != nil && ps.lacksModels(in) {
+			d.loggedAt = ps.logInvalid(d.loggedAt, fmt.Errorf("instance %s: models: missing", in.ID))
+		} else if in != nil {
+			instances = append(instances, in)
 		}
+		next[o.Key.Name] = d
 	}
 	ps.decoded = next
 	return instances
@@ -193,9 +196,29 @@
 // loggedAt.
 func (ps *PlatformState) decodeObject(o object.Object, loggedAt time.Time) decodedInstance {
 	in, err := platform.DecodeInstance(o.Key.Name, o.Value)
-	if err != nil && time.Since(loggedAt) >= invalidEntryLogInterval {
-		loggedAt = time.Now()
-		_ = level.Warn(ps.logger).Log("msg", "invalid entry of the instance list ignored", "err", err)
+	if err != nil {
+		loggedAt = ps.logInvalid(loggedAt, err)
 	}
 	return decodedInstance{o.Version, in, loggedAt}
 }
+
+// logInvalid logs an invalid entry, if it wasn't logged recently, and returns when it was
+// logged last.
+func (ps *PlatformState) logInvalid(loggedAt time.Time, err error) time.Time {
+	if time.Since(loggedAt) < invalidEntryLogInterval {
+		return loggedAt
+	}
+	_ = level.Warn(ps.logger).Log("msg", "invalid entry of the instance list ignored", "err", err)
+	return time.Now()
+}
+
+// lacksModels reports whether an entry of an engine doesn't say which models it has. It is of
+// another writer: the engine may be in a group.
+func (ps *PlatformState) lacksModels(in *engine.Instance) bool {
+	c := ps.Configuration.Load()
+	if c == nil || in.StatesModels {
+		return false
+	}
+	service := c.Service(in.Service)
+	return service != nil && service.Engine != nil
+}
