upstream: count the head alone against the memory for heads

A sound response whose head arrives in two parts could fail with "no memory for large heads" while faulty servers use that memory up, and a head that exceeds a limit could be reported as malformed, which suspects the server.

Cause: the bytes of the body that were read together with the head were counted with it, and the parser returns an error of its own for what it got before the limit.

Change: counting ends with the head, and the error of the limit takes precedence.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -87,7 +87,9 @@
 		deps.Quarantine = quarantine.NewGuard(quarantine.Config{}, deps.Logger, deps.Registry)
 	}
 	h := &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
-		buffers: newBufferLimit(cfg.MaxBufferedBytes), oversized: semaphore.NewWeighted(cmp.Or(cfg.MaxBufferedBytes, defaultBufferedBytes) / oversizedDivisor), budgets: map[string]*retry.Budget{}}
+		buffers:   newBufferLimit(cfg.MaxBufferedBytes),
+		oversized: semaphore.NewWeighted(cmp.Or(cfg.MaxBufferedBytes, defaultBufferedBytes) / oversizedDivisor),
+		budgets:   map[string]*retry.Budget{}}
 	h.ending, h.end = context.WithCancel(context.Background())
 	return h
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -51,7 +51,7 @@
 // Read implements io.Reader for the read buffer. It limits the head of a response.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.inHead && c.head.isExceeded() {
-		return 0, errHeadTooLarge
+		return 0, c.head.failed
 	}
 	if !c.inHead {
 		return c.read(p)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -133,7 +133,11 @@
 	c.inHead = true
 	c.head.start()
 	defer func() { c.inHead = false }()
-	return http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil && c.head.failed != nil {
+		err = c.head.failed
+	}
+	return response, err
 }
 
 func (c *Conn) send(parts ...[]byte) error {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -48,22 +48,37 @@
 	lines, lineLength int
 	ended             bool
 	rate              rate
+	// failed is the error by which the head has exceeded a limit; nil if it hasn't. The parser
+	// may return another one for what it got.
+	failed error
 }
 
 // start begins the head of a response; there may be several to a request.
 func (l *headLimit) start() {
-	l.size, l.lines, l.lineLength, l.ended, l.rate = 0, 0, 0, false, rate{}
+	l.size, l.lines, l.lineLength, l.ended, l.rate, l.failed = 0, 0, 0, false, rate{}, nil
 }
 
-func (l *headLimit) isExceeded() bool { return l.size >= maxHead }
+// isExceeded reports whether the head has as many bytes as it may have.
+func (l *headLimit) isExceeded() bool {
+	if l.size >= maxHead {
+		l.failed = errHeadTooLarge
+	}
+	return l.failed != nil
+}
 
-// add counts bytes that were read within some time. They may include the beginning of the body.
+// add counts bytes that were read within some time. They may include the beginning of the
+// body, which doesn't count.
 func (l *headLimit) add(p []byte, wait time.Duration) error {
-	l.size += len(p)
+	l.failed = l.check(p, wait)
+	return l.failed
+}
+
+func (l *headLimit) check(p []byte, wait time.Duration) error {
 	for _, b := range p {
 		if l.ended {
 			break
 		}
+		l.size++
 		switch {
 		case b == '\r':
 		case b != '\n':
