--- a/forward/endless_sum_test.go
+++ b/forward/endless_sum_test.go
@@ -91,7 +91,7 @@
 				select {
 				case <-done:
 					running = false
-				case <-time.After(20 * time.Millisecond):
+				case <-time.After(100 * time.Millisecond):
 					runtime.GC()
 					runtime.ReadMemStats(&now)
 					peak = max(peak, now.HeapAlloc-min(before.HeapAlloc, now.HeapAlloc))
