throttle: ask a server with a low rate again when its next request is overdue

Callers saw that an engine that had recovered from a rate of 0 or 0.3 got no requests for up to 15 s more. Cause: each of nine nodes accumulates a permit in 18 s, in random phases.

Permits now accumulate faster once no statement has arrived for one interval and the time that reports take; the factor quadruples with each interval, up to four requests per second of all nodes.

--- a/throttle/permits.go
+++ b/throttle/permits.go
@@ -27,6 +27,12 @@
 	rampDoubling = 500 * time.Millisecond
 	// rampRate is the rate from which it rises at least, in requests per second.
 	rampRate = 1
+	// noticeDelay is the time in which a statement that a node has received reaches the others:
+	// reportInterval and the way through all nodes of the largest deployments.
+	noticeDelay = 3 * time.Second
+	// maxOverdueRate is the rate in requests per second up to which the permits for overdue
+	// requests increase.
+	maxOverdueRate = 4
 )
 
 // bucket holds a node's permits for a server.
@@ -35,6 +41,8 @@
 	refilledAt time.Time
 	// fullSince is when the level last reached the capacity.
 	fullSince time.Time
+	// usedAt is when this node last used a permit.
+	usedAt time.Time
 }
 
 // Demand describes the requests that arrive at a node and may be sent to a server.
@@ -51,8 +59,8 @@
 	return max(time.Duration(seconds*float64(time.Second)), minPermitLifetime)
 }
 
-// refill adds the permits of a rate since the last call.
-func (b *bucket) refill(rate float64, lifetime time.Duration, now time.Time) {
+// refill adds the permits since the last call, at a multiple of the rate.
+func (b *bucket) refill(rate, multiple float64, lifetime time.Duration, now time.Time) {
 	elapsed := min(now.Sub(b.refilledAt), maxRefillGap)
 	if elapsed <= 0 {
 		return
@@ -60,7 +68,7 @@
 	capacity := max(rate*burstTime.Seconds(), 1)
 	wasFull := b.level >= capacity
 	b.refilledAt = now
-	b.level = min(b.level+rate*elapsed.Seconds(), capacity)
+	b.level = min(b.level+rate*multiple*elapsed.Seconds(), capacity)
 	switch {
 	case b.level < capacity:
 	case !wasFull:
@@ -83,6 +91,22 @@
 	return max(s.rate, rampRate) * math.Exp2(since.Seconds()/rampDoubling.Seconds()), true
 }
 
+// catchUp returns the factor by which permits accumulate faster than at the rate of all nodes.
+// At low rates the permits of several nodes may come due at the same time, and then none for
+// long. A server that has recovered in the meantime would get no request by which to state so.
+// The factor therefore quadruples with each interval by which the next request is overdue.
+func (s *server) catchUp(rate float64, now time.Time) float64 {
+	last := s.at
+	if s.usedAt.After(last) {
+		last = s.usedAt
+	}
+	overdue := (now.Sub(last)-noticeDelay).Seconds()*rate - 1
+	if !s.limited || overdue <= 0 || rate >= maxOverdueRate {
+		return 1
+	}
+	return min(math.Exp2(2*overdue), maxOverdueRate/rate)
+}
+
 // Allowance is what a node may send to a server.
 type Allowance struct {
 	// Limited is false if there is no limit; Rate and Permits are then zero.
@@ -112,7 +136,7 @@
 	now := r.now()
 	a := Allowance{Leaving: s.leaving, HeldUntil: s.heldUntil}
 	if a.Rate, a.Limited = s.currentRate(now); a.Limited {
-		s.refill(a.Rate*demand.Share, demand.permitLifetime(), now)
+		s.refill(a.Rate*demand.Share, s.catchUp(a.Rate, now), demand.permitLifetime(), now)
 		a.Permits = s.level
 	}
 	return a
@@ -141,5 +165,6 @@
 	defer r.mu.Unlock()
 	if s := r.servers[key]; s != nil {
 		s.level--
+		s.usedAt = r.now()
 	}
 }
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -237,3 +238,27 @@
 	g.Expect(limited).To(BeTrue())
 	g.Expect(rate).To(Equal(2.4))
 }
+
+// Guards against a server that has recovered and gets no request by which to state so, as the
+// permits of all nodes come due at the same time.
+func TestAServerWithALowRateIsAskedAgainInTime(t *testing.T) {
+	const nodes, latest = 9, 8 * time.Second
+	for seed := range uint64(500) {
+		g := NewWithT(t)
+		c := &clock{time.Unix(1e9, 0)}
+		stated, rng := c.at, rand.New(rand.NewPCG(seed, 1))
+		registries := make([]*Registry, nodes)
+		for i := range registries {
+			registries[i] = NewRegistry(Config{Now: func() time.Time { return c.at }, Random: rng.Float64}, log.NewNopLogger(), metrics.NewRegistry())
+			registries[i].Observe(1, limited(0), c.at)
+		}
+		asked := false
+		for !asked && c.at.Sub(stated) < time.Minute {
+			c.advance(100 * time.Millisecond)
+			for _, r := range registries {
+				asked = asked || r.Allowance(1, Demand{Share: 1.0 / nodes, Rate: 7}).Permits >= 1
+			}
+		}
+		g.Expect(c.at.Sub(stated)).To(BeNumerically("<=", latest), "time until a node may send a request, seed %d", seed)
+	}
+}
