suspicion, forward, mesh: weigh what backend servers fail against what they answer

A server that lost one response was marked as failed for 3 s, at one node or by two at all, so that whole groups got no requests while others were overloaded.

Package suspicion keeps what a node has seen of each server: answers and failures with decay, successive failures, and whether the server is silent or gone. Nodes tell each other these counts in 32 bits a server. The choice of targets gives a server in doubt a part of its slots, which rises as sound ones fill up; capacity counts it by its trust. Only servers that are silent or gone get nothing, and one request at a time after that until they answer.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/operator"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
 
@@ -53,6 +54,14 @@
 	// AcceptedPerSecond is the request rate that the target accepts from all nodes
 	// together; absent without a limit.
 	AcceptedPerSecond *float64 `json:"acceptedPerSecond,omitempty"`
+	// Trust is the probability that the target answers the next request.
+	Trust float64 `json:"trust"`
+	// Held is true if the target gets no requests because it is silent or gone.
+	Held bool `json:"held,omitempty"`
+	// Failed and Answered are the requests of this node that the target failed and answered
+	// lately.
+	Failed   float64 `json:"failed,omitempty"`
+	Answered float64 `json:"answered,omitempty"`
 }
 
 // inspector serves the metrics and the state of this process.
@@ -90,9 +99,19 @@
 	}
 	gauge("forward.waiting", int64(waiting))
 	gauge("quarantine.in_effect", int64(len(i.status.quarantine.Current())))
-	targets := 0
-	i.status.tables.Load().Each(func(*forward.Target) { targets++ })
+	targets, doubtful, held := 0, 0, 0
+	i.status.tables.Load().Each(func(t *forward.Target) {
+		targets++
+		switch a := i.status.dispatcher.Assess(t); {
+		case a.Held:
+			held++
+		case !suspicion.IsSound(a.Trust):
+			doubtful++
+		}
+	})
 	gauge("forward.targets", int64(targets))
+	gauge("suspicion.doubtful", int64(doubtful))
+	gauge("suspicion.held", int64(held))
 }
 
 func (i *inspector) dump() stateDump {
@@ -120,6 +139,8 @@
 		if rate, limited := i.status.dispatcher.AcceptedRate(t); limited {
 			target.AcceptedPerSecond = &rate
 		}
+		a, seen := i.status.dispatcher.Assess(t), t.Load.Evidence(time.Now())
+		target.Trust, target.Held, target.Failed, target.Answered = a.Trust, a.Held, seen.Failed, seen.Answered
 		d.Targets[t.Instance.ID] = target
 	})
 	return d
--- a/entry/state.go
+++ b/entry/state.go
@@ -11,6 +11,7 @@
 	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 )
 
 // status provides this node's state to other nodes and callers, and combines it with
@@ -64,17 +65,18 @@
 func (s *status) state() mesh.State {
 	s.quarantine.Absorb(s.mesh.View().Quarantine)
 	state := mesh.State{Node: s.node(), Load: map[uint32]mesh.Load{}, Demand: s.ownDemand(), Waiting: map[string]uint16{},
-		Quarantine: s.quarantine.Report()}
+		Suspects: map[uint32]suspicion.Report{}, Quarantine: s.quarantine.Report()}
 	now := time.Now()
 	s.tables.Load().Each(func(t *forward.Target) {
 		key := mesh.Key(t.Instance.ID)
 		if n := t.Load.Running(); n > 0 {
 			state.Load[key] = mesh.NewLoad(n, t.Load.HasRecentProgress(now))
 		}
-		if t.Load.Suspected(now) {
-			state.Suspects = append(state.Suspects, key)
+		if seen := t.Load.Evidence(now).Report(s.mesh.Evidence(t.Instance.ID)); seen != 0 {
+			state.Suspects[key] = seen
 		}
 	})
+	state.Suspects = suspicion.Worst(state.Suspects)
 	for pool, rate := range s.dispatcher.ArrivalRates() {
 		state.Demand[mesh.ArrivalKey(pool.Service, pool.Model)] = float32(rate)
 	}
@@ -115,10 +117,10 @@
 	return total
 }
 
-// suspecting returns the number of nodes, including this one, that suspect an
-// instance.
+// suspecting returns the number of nodes, including this one, to which an instance is silent
+// or gone.
 func (s *status) suspecting(instance string) int {
-	n := s.mesh.Suspecting(instance)
+	n := s.mesh.Evidence(instance).Unresponsive()
 	if t := s.tables.Load().Target(instance); t != nil && t.Load.Suspected(time.Now()) {
 		n++
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -62,7 +62,7 @@
 	}
 	if meta.NotRun {
 		response.Abort()
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "backend server answered %d without running the request", response.Status)
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "backend server answered %d without running the request", response.Status).WithCause(notRunStatus(response.Status))
 	}
 	c.runs++
 	c.mayHaveRun = true
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/rattanlanding/rattanlanding/suspicion"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
@@ -29,7 +31,9 @@
 	f.unreported = d.unreported(p, now)
 	f.candidates, f.rates, f.heldUntil = make([]Candidate, len(f.targets)), make([]float64, len(f.targets)), make([]time.Time, len(f.targets))
 	demand := d.throttleDemand(p, now)
+	assessments := make([]suspicion.Assessment, len(f.targets))
 	for i, t := range f.targets {
+		assessments[i] = d.assess(t, now)
 		allowance := d.throttle.Allowance(t.Server, demand)
 		f.rates[i], f.heldUntil[i] = allowance.Rate*demand.Share, allowance.HeldUntil
 		f.candidates[i] = Candidate{
@@ -40,11 +44,12 @@
 			Permits:        allowance.Permits,
 			Ahead:          d.peers.Ahead(p.Model, t.Instance.ID),
 			SameDomain:     t.Instance.FailureDomain == d.failureDomain,
-			Excluded:       !d.isEligible(t, now) || allowance.Leaving || now.Before(allowance.HeldUntil),
+			Excluded:       !d.isEligible(t, assessments[i], now) || allowance.Leaving || now.Before(allowance.HeldUntil),
 			Slow:           t.Slowness > 1,
-			RecentlyFailed: t.Load.Suspected(now),
+			RecentlyFailed: assessments[i].Held,
 		}
 	}
+	f.weigh(assessments)
 	return f
 }
 
@@ -61,6 +66,9 @@
 			candidates[i].Excluded = candidates[i].Excluded || w.avoid[t.Instance.ID]
 		}
 	}
+	if w.once {
+		candidates = preferSound(candidates)
+	}
 	best := Choose(candidates, s.unreported, rand.IntN)
 	if best < 0 {
 		return nil
@@ -78,11 +86,11 @@
 // isEligible reports whether requests may be sent to a target at all. A stalled group
 // delays every request, while a plain server that failed one request may well serve
 // the next.
-func (d *Dispatcher) isEligible(t *Target, now time.Time) bool {
+func (d *Dispatcher) isEligible(t *Target, a suspicion.Assessment, now time.Time) bool {
 	if t.Pool.Model == "" {
 		return true
 	}
-	return !t.Load.Suspected(now) && !d.peers.Suspected(t.Instance.ID) && d.hasAllMembers(t, now)
+	return !a.Held && d.hasAllMembers(t, now)
 }
 
 // hasAllMembers reports whether all members of a target are working. A member that is
@@ -103,3 +111,18 @@
 	_, demand := d.slotsAndDemand(p, now)
 	return demand * d.peers.ReportAge().Seconds() / holdTime.Seconds()
 }
+
+// slotsAndDemand returns the number of usable slots of a pool's targets, each by the requests
+// that it is expected to answer, and the number of slots that the requests of all nodes would occupy. For plain
+// services nodes report only the slots that they hold. The caller holds the lock.
+func (d *Dispatcher) slotsAndDemand(p Pool, now time.Time) (slots int, demand float64) {
+	demand = d.demand(p, now) + d.peers.Demand(p.Model)
+	answering := 0.0
+	for _, t := range d.tables.Load().Targets(p) {
+		answering += float64(d.usableSlots(t)) * d.assess(t, now).Trust
+		if p.Model == "" {
+			demand += float64(d.peers.Running(t.Instance.ID))
+		}
+	}
+	return int(math.Round(answering)), demand
+}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -23,9 +23,15 @@
 	Excluded bool
 	// Slow is true if the target's responses are late even when it is idle.
 	Slow bool
-	// RecentlyFailed is true if the target failed a short time ago. It is used only
-	// if no other target has a free slot.
+	// RecentlyFailed is true if the target is silent or gone. It is used only if no other
+	// target has a free slot.
 	RecentlyFailed bool
+	// Trust is the part of its slots that the target gets, from 0 to 1, because it failed
+	// requests. 0 is unknown and counts as 1: a target that gets nothing is Excluded.
+	Trust float64
+	// Doubtful is true if the target failed so many requests that one that must not be sent
+	// twice goes to another target.
+	Doubtful bool
 }
 
 const (
@@ -47,7 +53,8 @@
 // score returns the load of a candidate in requests, scaled to a target with the given
 // number of slots, so that targets of different sizes are filled evenly.
 func (c *Candidate) score(slots int) float64 {
-	s := (c.Requests + c.PromptTokens*promptWeight) * float64(slots) / float64(max(c.Slots, 1))
+	s := (c.Requests + c.PromptTokens*promptWeight) * float64(slots) / (float64(max(c.Slots, 1)) * c.trust())
+	s += (1/c.trust() - 1) * float64(slots) / float64(max(c.Slots, 1))
 	if !c.SameDomain {
 		s += crossDomainWeight
 	}
@@ -89,7 +96,31 @@
 }
 
 // limit returns the number of requests that may be assigned to the candidate.
-func (c *Candidate) limit() float64 { return float64(c.Slots + int(float64(c.Slots)*overcommit)) }
+func (c *Candidate) limit() float64 {
+	return float64(c.Slots+int(float64(c.Slots)*overcommit)) * c.trust()
+}
+
+// trust returns Trust, or 1 if it is unknown.
+func (c *Candidate) trust() float64 {
+	if c.Trust <= 0 {
+		return 1
+	}
+	return c.Trust
+}
+
+// preferSound returns the candidates without doubtful ones if another one has a free slot.
+func preferSound(candidates []Candidate) []Candidate {
+	doubtful := func(c Candidate) bool { return c.Doubtful && !c.Excluded }
+	if !slices.ContainsFunc(candidates, doubtful) ||
+		!slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Excluded && !c.Doubtful && c.hasFreeSlot() }) {
+		return candidates
+	}
+	candidates = slices.Clone(candidates)
+	for i := range candidates {
+		candidates[i].Excluded = candidates[i].Excluded || candidates[i].Doubtful
+	}
+	return candidates
+}
 
 // drawCount is the number of candidates that are drawn at random for each request.
 const drawCount = 2
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanlanding/rattanlanding/engine"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 	"github.com/rattanlanding/rattanlanding/upstream"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -90,6 +91,7 @@
 	c.brokenAttempts++
 	go func() {
 		if h.isDown(check, instance, down) {
+			h.recordFailure(c, slot, suspicion.Gone)
 			h.Quarantine.Crashed(instance.ID, instance.StartedMs, subject, begun, brokeAt)
 		}
 	}()
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
@@ -21,8 +22,8 @@
 	Running(instance string) int
 	// Progress reports whether an instance is sending events to other nodes.
 	Progress(instance string) bool
-	// Suspected reports whether several other nodes suspect an instance of having failed.
-	Suspected(instance string) bool
+	// Evidence returns what other nodes have seen an instance fail and answer.
+	Evidence(instance string) suspicion.Report
 	// Demand returns the number of slots that the requests of other nodes for a model
 	// would occupy.
 	Demand(model string) float64
@@ -71,6 +72,8 @@
 	avoid    map[string]bool
 	// promptTokens is the length of the request's prompt in tokens.
 	promptTokens int
+	// once is true if the request must not be sent again if its target fails it.
+	once bool
 }
 
 // NewDispatcher returns a dispatcher for the targets of the current table. The failure
@@ -91,6 +94,8 @@
 	Avoid map[string]bool
 	// Begun is true if the caller has received a part of the response.
 	Begun bool
+	// Once is true if the request must not be sent again if its target fails it.
+	Once bool
 	// GoalAt is the time after which the response is late.
 	GoalAt time.Time
 	// Until is the time after which waiting is pointless.
@@ -142,7 +147,7 @@
 func (d *Dispatcher) Acquire(ctx context.Context, r SlotRequest) (*Slot, error) {
 	w := &waiter{
 		key:      QueueKey{Begun: r.Begun, Rank: r.Rank, GoalAt: r.GoalAt},
-		assigned: make(chan *Target, 1), avoid: r.Avoid, promptTokens: r.PromptTokens,
+		assigned: make(chan *Target, 1), avoid: r.Avoid, promptTokens: r.PromptTokens, once: r.Once,
 	}
 	d.mu.Lock()
 	if r.Begun {
@@ -229,22 +234,6 @@
 	return d.trafficOf(p).lateWaitTime(demand, float64(slots), share, len(d.waiting[p])) <= remaining
 }
 
-// slotsAndDemand returns the number of usable slots of a pool's targets that aren't suspected,
-// and the number of slots that the requests of all nodes would occupy. For plain
-// services nodes report only the slots that they hold. The caller holds the lock.
-func (d *Dispatcher) slotsAndDemand(p Pool, now time.Time) (slots int, demand float64) {
-	demand = d.demand(p, now) + d.peers.Demand(p.Model)
-	for _, t := range d.tables.Load().Targets(p) {
-		if !t.Load.Suspected(now) {
-			slots += d.usableSlots(t)
-		}
-		if p.Model == "" {
-			demand += float64(d.peers.Running(t.Instance.ID))
-		}
-	}
-	return slots, demand
-}
-
 // ownDemand returns the number of slots that requests of this node hold or wait for. A
 // slot at a slow target counts as the fraction of a slot that the request would take at
 // a target of usual speed. The caller holds the lock.
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 )
 
 // errStalled is returned if an engine sent no event with content for too long.
@@ -78,6 +79,12 @@
 	emptyReads int
 	// lastAttempt is true if the request can't be moved to another engine any more.
 	lastAttempt bool
+	// failed records the silence of the attempt.
+	failed func(suspicion.Kind)
+	// silenceKind returns what silence shows of the engine.
+	silenceKind func() suspicion.Kind
+	// silence is what was recorded of it; None while the engine sends events.
+	silence suspicion.Kind
 }
 
 func (h *Handler) newStallMonitor(ctx context.Context, s *stream, slot *Slot) *stallMonitor {
@@ -88,6 +95,8 @@
 		lastAttempt:  s.runs+1 >= s.route.MaxAttempts || !s.route.Repeatable(),
 	}
 	m.takeOver = func() bool { return h.takeOver(ctx, s) }
+	m.failed = func(k suspicion.Kind) { h.recordFailure(s.call, slot, k) }
+	m.silenceKind = func() suspicion.Kind { return h.silenceKind(slot) }
 	m.firstTimeout, m.nextTimeout = stallTimeouts(s.route, s.service.Engine, slot.TimeFactor, s.PromptTokens)
 	if slot.TargetFull() {
 		m.firstTimeout += crowdedSlack
@@ -98,10 +107,22 @@
 // event records an event and reports whether it was the first one.
 func (m *stallMonitor) event() bool {
 	first := !m.begun
-	m.begun, m.emptyReads = true, 0
+	m.begun, m.emptyReads, m.silence = true, 0, suspicion.None
 	return first
 }
 
+// recordSilence records the silence of an attempt that goes on, and renews it while the engine
+// sends nothing to anyone.
+func (m *stallMonitor) recordSilence() {
+	switch k := m.silenceKind(); {
+	case k == suspicion.Silent && m.silence == suspicion.Silent:
+		m.load.record.Failed(k, time.Now())
+	case k == suspicion.Silent || m.silence == suspicion.None:
+		m.silence = k
+		m.failed(k)
+	}
+}
+
 // observe returns a reader that counts the reads of a body.
 func (m *stallMonitor) observe(body io.Reader) io.Reader { return &observedBody{body, m} }
 
@@ -141,7 +162,7 @@
 	}
 	if m.mustFinish() && m.emptyReads < maxEmptyReads && !m.takeOver() {
 		// A silent engine may go on, while the answer would end for good here.
-		m.load.Suspect(time.Now().Add(suspectDuration))
+		m.recordSilence()
 		return stallRecheck, nil
 	}
 	return 0, errStalled
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"mime"
 	"net/http"
@@ -95,7 +96,7 @@
 		return refused
 	}
 	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: s.pool(), Rank: rank(s.route, s.organisation),
-		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: until, Blocked: h.blocked(s.call)})
+		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, Once: !s.route.Repeatable(), GoalAt: s.goalAt, Until: until, Blocked: h.blocked(s.call)})
 	if err == nil {
 		defer slot.Release()
 	}
@@ -121,7 +122,7 @@
 // finishAttempt records the failure of an attempt, if it failed, and returns it.
 func (h *Handler) finishAttempt(s *stream, slot *Slot, failed *verdict.Error) *verdict.Error {
 	if failed != nil && s.request.Context().Err() == nil && !h.ended() {
-		h.suspectOnFailure(s.call, slot, failed)
+		h.observeFailure(s.call, slot, failed)
 		h.checkCrash(s.call, slot, failed, s.hasEvents())
 	}
 	return failed
@@ -185,6 +186,7 @@
 			slot.Load.recordProgress(time.Now())
 			if monitor.event() {
 				slot.PromptRead()
+				slot.Load.record.Began(time.Now())
 			}
 			if received++; received == soundEvents {
 				h.Quarantine.Begun(s.subject())
@@ -205,6 +207,7 @@
 	}
 	if received > 0 {
 		h.recordComplete(s.call, response)
+		slot.Load.record.Answered(time.Now())
 	}
 	h.sendHead(s, response)
 	return nil
@@ -252,7 +255,7 @@
 		err = s.controller.Flush()
 	}
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "caller disconnected").WithCause(err)
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "caller disconnected").WithCause(fmt.Errorf("%w: %w", errCallerLeft, err))
 	}
 	s.events++
 	if e.id != "" {
@@ -278,11 +281,8 @@
 	if response.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.runs < s.route.MaxAttempts {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "engine answered %d", response.Status)
 	}
+	h.observeResponse(s.call, slot, response.Status)
 	s.status = response.Status
 	h.deliver(s.call, response, body)
 	return nil
 }
-
-// suspectDuration is how long a target that failed receives no new requests. The
-// platform's instance list shows its state within three heartbeats.
-const suspectDuration = 3 * time.Second
--- a/forward/table.go
+++ b/forward/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
@@ -25,23 +26,24 @@
 	unreadPrompts atomic.Int64
 	// progressAt is when the last event was received, in Unix nanoseconds.
 	progressAt atomic.Int64
-	// suspectUntil is when the target stops being suspected, in Unix nanoseconds.
-	suspectUntil atomic.Int64
+	// record is what this node has seen the target fail and answer.
+	record suspicion.Record
 }
 
 // Running returns the number of this node's requests at the target.
 func (l *Load) Running() int { return int(l.running.Load()) }
 
-// Suspect marks the target as suspected until the given time; it is avoided until then.
-func (l *Load) Suspect(until time.Time) { l.suspectUntil.Store(until.UnixNano()) }
+// Suspected reports whether the target gets no requests at the given time, because it is
+// silent or gone.
+func (l *Load) Suspected(now time.Time) bool { return l.record.Held(now) }
 
-// Suspected reports whether the target is suspected at the given time.
-func (l *Load) Suspected(now time.Time) bool { return now.UnixNano() < l.suspectUntil.Load() }
+// Evidence returns what this node has seen the target fail and answer.
+func (l *Load) Evidence(now time.Time) suspicion.Evidence { return l.record.Evidence(now) }
 
-// recordProgress records an event of the target. The target is no longer suspected.
+// recordProgress records an event of the target.
 func (l *Load) recordProgress(now time.Time) {
 	l.progressAt.Store(now.UnixNano())
-	l.suspectUntil.Store(0)
+	l.record.Progressed()
 }
 
 // HasRecentProgress reports whether an event of the target arrived within progressWindow.
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -128,7 +128,7 @@
 		}
 		slot.Release()
 		if !errors.Is(failed, errOvertaken) && !h.ended() {
-			h.suspectOnFailure(s.call, slot, failed)
+			h.observeFailure(s.call, slot, failed)
 			h.checkCrash(s.call, slot, failed, s.hasEvents())
 		}
 		_ = level.Info(h.Logger).Log("msg", "the other engine doesn't go on with the stream", "request", s.ID, "sends", s.sends, "err", failed)
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -36,7 +36,10 @@
 		parts[i] = newSum()
 	}
 	first := parts[0]
-	first.Domains, first.Demand, first.Suspects = s.Domains, s.Demand, s.Suspects
+	first.Domains, first.Demand = s.Domains, s.Demand
+	for instance, seen := range s.Suspects {
+		parts[instance%uint32(n)].Suspects[instance] = seen
+	}
 	for instance, load := range s.Load {
 		parts[instance%uint32(n)].Load[instance] = load
 	}
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 )
 
 // Node describes a node to the others.
@@ -63,9 +64,8 @@
 	Demand map[string]float32 `msgpack:"d"`
 	// Waiting maps models to the number of the node's requests that wait for a slot.
 	Waiting map[string]uint16 `msgpack:"w"`
-	// Suspects are the instances, by Key, that the node suspects to have failed because
-	// nothing arrives from them.
-	Suspects []uint32 `msgpack:"x"`
+	// Suspects maps instances, by Key, to what the node has seen them fail and answer.
+	Suspects map[uint32]suspicion.Report `msgpack:"x"`
 	// KnownPeers are the peer addresses of some other nodes.
 	KnownPeers []string `msgpack:"k"`
 	// WantsSummary is true if the sender uses the receiver as an aggregator and
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "maps"
+import (
+	"maps"
+
+	"github.com/rattanlanding/rattanlanding/suspicion"
+)
 
 // maxWaiting limits the waiting nodes that a sum lists for each model, so that it
 // fits into a datagram.
@@ -17,13 +21,13 @@
 	Demand map[string]float32 `msgpack:"d"`
 	// Waiting maps models to the nodes, by Key, with requests that wait for a slot.
 	Waiting map[string][]uint32 `msgpack:"w"`
-	// Suspects maps instances, by Key, to the number of nodes that suspect them.
-	Suspects map[uint32]uint16 `msgpack:"x"`
+	// Suspects maps instances, by Key, to what all nodes have seen them fail and answer.
+	Suspects map[uint32]suspicion.Report `msgpack:"x"`
 }
 
 func newSum() *Sum {
 	return &Sum{Domains: map[string]uint16{}, Load: map[uint32]Load{}, Demand: map[string]float32{},
-		Waiting: map[string][]uint32{}, Suspects: map[uint32]uint16{}}
+		Waiting: map[string][]uint32{}, Suspects: map[uint32]suspicion.Report{}}
 }
 
 // nodes returns the number of nodes that accept requests.
@@ -53,8 +57,8 @@
 			s.addWaiting(model, Key(state.Node.Name))
 		}
 	}
-	for _, instance := range state.Suspects {
-		s.Suspects[instance]++
+	for instance, seen := range state.Suspects {
+		s.Suspects[instance] = s.Suspects[instance].Add(seen)
 	}
 }
 
@@ -72,8 +76,8 @@
 	for model, nodes := range other.Waiting {
 		s.addWaiting(model, nodes...)
 	}
-	for instance, n := range other.Suspects {
-		s.Suspects[instance] += n
+	for instance, seen := range other.Suspects {
+		s.Suspects[instance] = s.Suspects[instance].Add(seen)
 	}
 }
 
@@ -112,8 +116,8 @@
 			rest.Waiting[model] = removeKey(rest.Waiting[model], own)
 		}
 	}
-	for _, instance := range state.Suspects {
-		if rest.Suspects[instance]--; rest.Suspects[instance] == 0 {
+	for instance, seen := range state.Suspects {
+		if rest.Suspects[instance] = rest.Suspects[instance].Without(seen); rest.Suspects[instance] == 0 {
 			delete(rest.Suspects, instance)
 		}
 	}
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/rendezvous"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 )
 
 // View is this node's view of the other nodes. It is immutable.
@@ -74,15 +75,14 @@
 	return n
 }
 
-// Suspecting returns the number of other nodes that suspect the instance.
-func (m *Mesh) Suspecting(instance string) int { return int(m.View().Others.Suspects[Key(instance)]) }
-
-// minSuspecting is the number of nodes that must suspect an instance before it counts
-// as suspected: a single node may itself be cut off from the network.
-const minSuspecting = 2
-
-// Suspected implements forward.Peers.
-func (m *Mesh) Suspected(instance string) bool { return m.Suspecting(instance) >= minSuspecting }
+// Evidence implements forward.Peers.
+func (m *Mesh) Evidence(instance string) suspicion.Report {
+	suspects := m.View().Others.Suspects
+	if len(suspects) == 0 {
+		return 0
+	}
+	return suspects[Key(instance)]
+}
 
 // Nodes implements forward.Peers.
 func (m *Mesh) Nodes() int {
