engine, forward, formation: groups of an earlier size get no requests and are closed

engine.Sizes remembers with how many members a listed group was complete. A group is a target only if that is the current size, so a restarted node doesn't use a group that it has never seen complete either. The controller closes a group of another size at once and lets its requests end.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -128,6 +128,15 @@
 	return nil
 }
 
+// Size returns the number of instances of a group of the model, or 0 if the model isn't
+// configured.
+func (p *EngineProfile) Size(model string) int {
+	if m := p.Model(model); m != nil {
+		return m.Size
+	}
+	return 0
+}
+
 // Model is a model that groups of engines run.
 type Model struct {
 	Name string
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -109,6 +109,8 @@
 	headMissingSince map[engine.GroupID]time.Time
 	lastHead         map[engine.GroupID]*engine.Instance
 	seenSince        map[engine.GroupID]time.Time
+	// sizes are the numbers of members with which the listed groups were complete.
+	sizes engine.Sizes
 	// loadedModels are the models that instances last had in memory, by instance ID.
 	loadedModels map[string]loadedModel
 	// instanceCount is the number of listed instances.
@@ -228,7 +230,7 @@
 		Profile: service.Engine, Instances: instances, Groups: engine.GroupsOf(instances),
 		Demand: c.averageDemand(), CommandPending: map[string]bool{}, Formed: c.formed,
 		FirstEpoch: c.firstEpoch, UnansweredEpochs: c.unansweredEpochs(now),
-		Reservations: c.reservations, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seenSince, Now: now,
+		Reservations: c.reservations, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seenSince, Sizes: &c.sizes, Now: now,
 	}
 	if len(s.Demand) > 0 && c.demandSince.IsZero() {
 		c.demandSince = now
@@ -243,6 +245,7 @@
 	}
 	c.prunePendingCommands(s)
 	c.prunePendingLoads(s)
+	c.sizes.Observe(s.Groups, s.Profile.Size)
 	c.trackGroups(s)
 	initialTerm := c.cfg.FirstStart && c.term <= 1
 	hasTraffic := !initialTerm || len(s.Demand) > 0
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -68,12 +68,13 @@
 		command.Operation = engine.OpenHead
 		return command, complete && g.ID.Epoch >= s.FirstEpoch
 	case engine.Open:
-		if g.MissingOnlyUnlisted(s.size(g)) && s.Progress(head.ID) {
+		formed := s.formedSize(g)
+		if formed == s.size(g) && g.MissingOnlyUnlisted(formed) && s.Progress(head.ID) {
 			return engine.Command{}, false
 		}
 		command.Operation = engine.CloseHead
 		// Requests of a group that lost a member make no progress.
-		command.AbortInFlight = len(g.Members) < s.size(g)
+		command.AbortInFlight = len(g.Members) < formed
 		return command, !complete
 	}
 	return engine.Command{}, false
--- a/formation/snapshot.go
+++ b/formation/snapshot.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
@@ -29,6 +30,8 @@
 	LastHead map[engine.GroupID]*engine.Instance
 	// SeenSince is when this lease holder first saw a group in the instance list.
 	SeenSince map[engine.GroupID]time.Time
+	// Sizes are the numbers of members with which the groups were complete.
+	Sizes *engine.Sizes
 	// Loads is the number of loads from the weight store that may start now.
 	Loads int
 	// BeforeTraffic is true from the first start of the whole system until the first
@@ -82,9 +85,13 @@
 
 // size returns the number of members of a complete group, or 0 if the group's model
 // isn't configured any more.
-func (s *Snapshot) size(g *engine.Group) int {
-	if m := s.Profile.Model(g.Model); m != nil {
-		return m.Size
+func (s *Snapshot) size(g *engine.Group) int { return s.Profile.Size(g.Model) }
+
+// formedSize returns the number of members with which a group was formed, as far as it is
+// known.
+func (s *Snapshot) formedSize(g *engine.Group) int {
+	if f, formedHere := s.Formed[g.ID]; formedHere {
+		return len(f.Members)
 	}
-	return 0
+	return cmp.Or(s.Sizes.Of(g.ID), s.size(g))
 }
--- a/forward/table.go
+++ b/forward/table.go
@@ -120,11 +120,13 @@
 
 	mu    sync.Mutex
 	loads map[loadKey]*Load
+	// sizes are those of the groups of each service.
+	sizes map[string]*engine.Sizes
 }
 
 // NewTables returns Tables whose current table is empty.
 func NewTables() *Tables {
-	t := &Tables{loads: map[loadKey]*Load{}}
+	t := &Tables{loads: map[loadKey]*Load{}, sizes: map[string]*engine.Sizes{}}
 	t.current.Store(&Table{})
 	return t
 }
@@ -153,7 +155,10 @@
 		if s.Engine == nil {
 			addServers(s, r, add)
 		} else {
-			addGroups(s, r, add)
+			if t.sizes[s.Name] == nil {
+				t.sizes[s.Name] = &engine.Sizes{}
+			}
+			addGroups(s, r, t.sizes[s.Name], add)
 			for i := range s.Engine.Models {
 				m := &s.Engine.Models[i]
 				table.engines[Pool{s.Name, m.Name}] = engineModel{s.Engine, m}
@@ -172,10 +177,12 @@
 	}
 }
 
-func addGroups(s *catalog.Service, r *engine.Roster, add func(*Target)) {
-	for _, g := range r.Groups[s.Name] {
+func addGroups(s *catalog.Service, r *engine.Roster, sizes *engine.Sizes, add func(*Target)) {
+	groups := r.Groups[s.Name]
+	sizes.Observe(groups, s.Engine.Size)
+	for _, g := range groups {
 		model := s.Engine.Model(g.Model)
-		if model == nil || !g.IsOpen() || (!g.IsComplete(model.Size) && !g.MissingOnlyUnlisted(model.Size)) {
+		if model == nil || !g.IsOpen() || sizes.Of(g.ID) != model.Size || (!g.IsComplete(model.Size) && !g.MissingOnlyUnlisted(model.Size)) {
 			continue
 		}
 		slots, slowness := s.Engine.Slots, 1.0
