evacuation, throttle: obey evacuations and limit cold servers

Cause: nothing read the objects of the kind evacuations; coldRemainingMs was decoded and dropped; coldStartS and coldPerS of a service weren't decoded.

Nodes follow the objects like the configuration, with longer watches, and tell each other the version of their copy; a Node with one is encoded as a map, in which earlier builds skip the field. Targets with a member in an evacuated domain are the last resort for a fifth of the bound and get nothing after that; a request left without any is refused at once. A cold server gets the rate of its service from all nodes together, each node an equal part that expires after a quarter of a second, as reports of demand come too late when a domain returns. Both only where the settings have the bounds.

The end-to-end tests show no request in the domain after the bound, at a node that the store refuses and after a restart, and no cold engine above its limit.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -59,6 +59,11 @@
 	// MaxConnections is the number of connections that one backend server
 	// accepts from all nodes together; 0 means no limit.
 	MaxConnections int
+	// ColdTime is the time for which a server is cold after its start.
+	ColdTime time.Duration
+	// ColdRate is the number of requests per second that a cold server accepts from all
+	// nodes together; 0 means no limit.
+	ColdRate float64
 	// Engine describes the engines of a model service; it is nil for other services.
 	Engine *EngineProfile
 }
--- a/engine/roster.go
+++ b/engine/roster.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // Phase is the state of a member in its group, as reported by the member.
@@ -70,7 +71,9 @@
 	Model string
 	// StagedModels are the models whose weights are on the host.
 	StagedModels []string
-	Membership   Membership
+	// ColdRemaining is how long the instance is to remain cold from when it wrote its entry.
+	ColdRemaining time.Duration
+	Membership    Membership
 }
 
 // GroupID identifies one member list of a group.
@@ -152,6 +155,8 @@
 	ByService map[string][]*Instance
 	// Groups lists the groups of each service, sorted by name and epoch.
 	Groups map[string][]*Group
+	// Evacuations are the failure domains that operators evacuate.
+	Evacuations Evacuations
 }
 
 // NewRoster returns the roster of the listed instances.
--- a/entry/changes_node_test.go
+++ b/entry/changes_node_test.go
@@ -94,10 +94,10 @@
 	logger, registry := log.NewLogfmtLogger(n), metrics.NewRegistry()
 	s := DefaultSettings()
 	s.Node, s.FailureDomain, s.PeerAddress = "n", "z", "127.0.0.1:9"
-	tables, pool, guard, limits := forward.NewTables(), newPool(), newGuard(s, logger, registry), newThrottle(logger, registry)
+	tables, pool, guard, limits := forward.NewTables(), newPool(), newGuard(s, logger, registry), newThrottle(s, logger, registry)
 	r := newRelay(s, nil, logger)
-	f := newFollowers(r, logger)
-	ps := newPlatformState(f, tables, pool, limits, logger)
+	f := newFollowers(s, r, logger)
+	ps := newPlatformState(s, f, tables, pool, limits, logger, registry)
 	st := newStatus(s, ps, tables, f, r, guard, limits, logger, registry)
 	listener, err := httpdrain.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -107,6 +107,9 @@
 	} {
 		d.running.Go(func() { d.loop(ctx, name, run) })
 	}
+	if d.followers.evacuations != nil {
+		d.running.Go(func() { d.loop(ctx, "evacuations", d.followers.evacuations.Run) })
+	}
 	_ = level.Info(d.logger).Log("msg", "node started", "callers", d.settings.CallerAddress,
 		"first_start", d.settings.FirstStart, "boot", d.status.mesh.Boot())
 	return nil
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -44,6 +44,8 @@
 	pathInForce = "/documents/configuration/in-force"
 	// pathInstances is the path of the instance list.
 	pathInstances = "/documents/instances"
+	// pathEvacuations is the path of the evacuations.
+	pathEvacuations = "/documents/evacuations"
 	// pathChanges is appended to a document's path for the changes after a cursor.
 	pathChanges = "/changes"
 	// queryConfirmed is the query parameter that requests a document or its changes
@@ -57,23 +59,29 @@
 type Documents struct {
 	configurations *follow.Follower
 	instances      *follow.Follower
-	platformState  *PlatformState
+	// evacuations is nil if there are none in the deployment.
+	evacuations   *follow.Follower
+	platformState *PlatformState
 	// view returns what this node knows of the other nodes.
 	view          func() *mesh.View
 	failureDomain string
 	responses     responseCache
 	logger        log.Logger
 
-	// configurationLag and instancesLag are used by the goroutine of Run only.
+	// configurationLag, instancesLag and evacuationsLag are used by the goroutine of Run only.
 	configurationLag lag[uint64]
 	instancesLag     lag[object.Version]
+	evacuationsLag   lag[object.Version]
 }
 
 // Handler returns the HTTP handler for requests of other nodes.
 func (d *Documents) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
-	for path, f := range map[string]*follow.Follower{pathConfiguration: d.configurations, pathInstances: d.instances} {
+	for path, f := range map[string]*follow.Follower{pathConfiguration: d.configurations, pathInstances: d.instances, pathEvacuations: d.evacuations} {
+		if f == nil {
+			continue
+		}
 		router.GET(path, func(c *gin.Context) { d.writeSnapshot(c, path, f) })
 		router.GET(path+pathChanges, func(c *gin.Context) { d.writeChanges(c, path, f) })
 	}
@@ -128,6 +136,29 @@
 	if d.instancesLag.exceeded(cursor, newest(view, ofInstances), now) || mayBeStale(d.instances) {
 		d.fetch(ctx, pickNewer(view, d.failureDomain, cursor, ofInstances), pathInstances, d.instances)
 	}
+	if d.evacuations != nil {
+		d.catchUpEvacuations(ctx, view, now)
+	}
+}
+
+// catchUpEvacuations fetches the evacuations if another node has newer ones. Nodes that never
+// had any tell no version; a node without a copy takes that of any node that serves.
+func (d *Documents) catchUpEvacuations(ctx context.Context, view *mesh.View, now time.Time) {
+	cursor := d.evacuations.Cursor()
+	ofEvacuations := func(n *mesh.Node) object.Version { return n.EvacuationCursor }
+	if !d.evacuationsLag.exceeded(cursor, newest(view, ofEvacuations), now) && !mayBeStale(d.evacuations) {
+		return
+	}
+	from := pickNewer(view, d.failureDomain, cursor, ofEvacuations)
+	if from == nil && d.evacuations.Current.Load() == nil {
+		from = pickNewer(view, d.failureDomain, "", func(n *mesh.Node) string {
+			if n.Serving {
+				return n.Name
+			}
+			return ""
+		})
+	}
+	d.fetch(ctx, from, pathEvacuations, d.evacuations)
 }
 
 // lag measures for how long other nodes have held a newer version than this node.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -25,6 +25,8 @@
 	Peers         []*mesh.Node          `json:"peers"`
 	// Quarantines are the requests and parts of prompts that are refused.
 	Quarantines []quarantineDump `json:"quarantines"`
+	// Evacuations maps evacuated failure domains to their states.
+	Evacuations map[string]string `json:"evacuations,omitempty"`
 	// SilentMs maps documents to the milliseconds since the store last responded.
 	SilentMs map[string]int64 `json:"silentMs"`
 }
@@ -93,6 +95,10 @@
 	targets := 0
 	i.status.tables.Load().Each(func(*forward.Target) { targets++ })
 	gauge("forward.targets", int64(targets))
+	gauge("forward.evacuated_targets", int64(i.status.tables.Load().EvacuatedTargets()))
+	if f := i.followers.evacuations; f != nil {
+		gauge("follow.evacuations.silent_ms", f.TimeSinceContact().Milliseconds())
+	}
 }
 
 func (i *inspector) dump() stateDump {
@@ -107,6 +113,15 @@
 	if c := i.status.platformState.Configuration.Load(); c != nil {
 		d.Configuration = c.Version
 	}
+	if f := i.followers.evacuations; f != nil {
+		d.SilentMs["evacuations"] = f.TimeSinceContact().Milliseconds()
+	}
+	if r := i.status.platformState.Roster.Load(); r != nil && len(r.Evacuations) > 0 {
+		d.Evacuations = map[string]string{}
+		for domain, state := range r.Evacuations {
+			d.Evacuations[domain] = state.String()
+		}
+	}
 	for pool, n := range i.status.dispatcher.Waiting() {
 		d.Waiting[pool.Service+"/"+pool.Model] = n
 	}
--- a/entry/module.go
+++ b/entry/module.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/evacuation"
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
@@ -107,17 +108,23 @@
 // followers keep copies of the platform's documents up to date.
 type followers struct {
 	configurations, instances *follow.Follower
+	// evacuations is nil if there are none in the deployment.
+	evacuations *follow.Follower
 }
 
 func newRelay(s Settings, store *platform.Store, logger log.Logger) *relay {
 	return &relay{store: store, settings: s, logger: log.With(logger, "component", "relay")}
 }
 
-func newFollowers(r *relay, logger log.Logger) followers {
-	return followers{
+func newFollowers(s Settings, r *relay, logger log.Logger) followers {
+	f := followers{
 		configurations: follow.New(follow.Config{Kind: platform.ConfigurationKind, Wait: watchWait}, r, logger),
 		instances:      follow.New(follow.Config{Kind: platform.InstanceKind, Wait: watchWait}, r, logger),
 	}
+	if s.EvacuationTime > 0 {
+		f.evacuations = follow.New(follow.Config{Kind: platform.EvacuationKind, Wait: evacuation.WatchWait(s.EvacuationTime)}, r, logger)
+	}
+	return f
 }
 
 func newPool() *upstream.Pool { return upstream.NewPool(upstream.Config{}) }
@@ -126,12 +133,17 @@
 	return quarantine.NewGuard(quarantine.Config{Duration: s.QuarantineTime}, logger, registry)
 }
 
-func newThrottle(logger log.Logger, registry metrics.Registry) *throttle.Registry {
-	return throttle.NewRegistry(throttle.Config{}, logger, registry)
+func newThrottle(s Settings, logger log.Logger, registry metrics.Registry) *throttle.Registry {
+	return throttle.NewRegistry(throttle.Config{ColdOverage: s.ColdOverage, ColdAllowance: s.ColdAllowance}, logger, registry)
 }
 
-func newPlatformState(f followers, tables *forward.Tables, pool *upstream.Pool, t *throttle.Registry, logger log.Logger) *PlatformState {
-	return &PlatformState{configurations: f.configurations, instances: f.instances, tables: tables, pool: pool, throttle: t, logger: logger, history: engine.NewHistory(), adopted: make(chan struct{}, 1)}
+func newPlatformState(s Settings, f followers, tables *forward.Tables, pool *upstream.Pool, t *throttle.Registry, logger log.Logger, registry metrics.Registry) *PlatformState {
+	ps := &PlatformState{configurations: f.configurations, instances: f.instances, tables: tables, pool: pool, throttle: t, logger: logger, history: engine.NewHistory(),
+		adopted: make(chan struct{}, 1), limitsCold: s.ColdOverage > 0}
+	if f.evacuations != nil {
+		ps.evacuations = newEvacuationState(f.evacuations, evacuation.NewLedger(s.EvacuationTime, logger, registry), logger)
+	}
+	return ps
 }
 
 // newStatus also creates the components that depend on each other: the mesh sends the
@@ -154,7 +166,7 @@
 }
 
 func newDocuments(s Settings, f followers, ps *PlatformState, st *status, logger log.Logger) *Documents {
-	return &Documents{configurations: f.configurations, instances: f.instances, platformState: ps, view: st.mesh.View, failureDomain: s.FailureDomain,
+	return &Documents{configurations: f.configurations, instances: f.instances, evacuations: f.evacuations, platformState: ps, view: st.mesh.View, failureDomain: s.FailureDomain,
 		logger: log.With(logger, "component", "documents")}
 }
 
--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -32,7 +32,11 @@
 	tables         *forward.Tables
 	pool           *upstream.Pool
 	throttle       *throttle.Registry
-	logger         log.Logger
+	// evacuations is nil if there are none in the deployment.
+	evacuations *evacuationState
+	// limitsCold is true if the requests to cold servers are limited.
+	limitsCold bool
+	logger     log.Logger
 
 	// applying is held while a configuration is compared and published.
 	applying sync.Mutex
@@ -67,12 +71,15 @@
 	instance *engine.Instance
 	// loggedAt is when an invalid entry was last logged.
 	loggedAt time.Time
+	// coldUntil is when the instance ceases to be cold.
+	coldUntil time.Time
 }
 
 // Run updates the state whenever a document changes, until ctx is cancelled.
 func (ps *PlatformState) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		configurations, instances, stated := ps.configurations.Current.Changed(), ps.instances.Current.Changed(), ps.throttle.Changed()
+		evacuations := ps.evacuations.changed()
 		var again <-chan time.Time
 		if at := ps.update(); !at.IsZero() {
 			again = time.After(time.Until(at))
@@ -81,6 +88,7 @@
 		case <-ctx.Done():
 		case <-configurations:
 		case <-instances:
+		case <-evacuations:
 		case <-ps.adopted:
 		case <-stated:
 		case <-again:
@@ -94,10 +102,17 @@
 // returned time, unless that is zero.
 func (ps *PlatformState) update() (again time.Time) {
 	ps.updateConfiguration()
-	if s := ps.instances.Current.Load(); s != nil {
+	now := time.Now()
+	evacuations, known, evacuationsChange := ps.evacuations.update(now)
+	if s := ps.instances.Current.Load(); s != nil && known {
 		var merged []*engine.Instance
-		merged, again = ps.history.Merge(s.Cursor.Era(), ps.decode(s), time.Now())
-		ps.Roster.Publish(engine.NewRoster(ps.markLeaving(merged)))
+		merged, again = ps.history.Merge(s.Cursor.Era(), ps.decode(s), now)
+		roster := engine.NewRoster(ps.markLeaving(merged))
+		roster.Evacuations = evacuations
+		ps.Roster.Publish(roster)
+	}
+	if again.IsZero() || (!evacuationsChange.IsZero() && evacuationsChange.Before(again)) {
+		again = evacuationsChange
 	}
 	c, r := ps.Configuration.Load(), ps.Roster.Load()
 	if c == nil || r == nil {
@@ -111,6 +126,9 @@
 		servers[throttle.ServerOf(in.ID, in.StartedMs)] = in.ID
 	}
 	ps.throttle.SetListed(servers)
+	if ps.limitsCold {
+		ps.throttle.SetCold(ps.coldServers(c, r, now))
+	}
 	ps.pool.CloseIdle(func(address string) bool { return listed[address] })
 	return again
 }
@@ -199,7 +217,11 @@
 	if err != nil {
 		loggedAt = ps.logInvalid(loggedAt, err)
 	}
-	return decodedInstance{o.Version, in, loggedAt}
+	d := decodedInstance{version: o.Version, instance: in, loggedAt: loggedAt}
+	if in != nil && in.ColdRemaining > 0 {
+		d.coldUntil = time.Now().Add(in.ColdRemaining)
+	}
+	return d
 }
 
 // logInvalid logs an invalid entry, if it wasn't logged recently, and returns when it was
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -155,8 +155,11 @@
 
 // documentPath returns the path of a document on the peer address.
 func documentPath(kind string) string {
-	if kind == platform.ConfigurationKind {
+	switch kind {
+	case platform.ConfigurationKind:
 		return pathConfiguration
+	case platform.EvacuationKind:
+		return pathEvacuations
 	}
 	return pathInstances
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -53,6 +53,14 @@
 	RetryAllowance float64 `json:"retryAllowance"`
 	// QuarantineTime is how long prompts with a part that crashed engines are refused.
 	QuarantineTime time.Duration `json:"quarantineTime"`
+	// EvacuationTime is the time within which the request of an operator to evacuate a
+	// failure domain must be in force; 0 if there are none.
+	EvacuationTime time.Duration `json:"evacuationTime"`
+	// ColdOverage and ColdAllowance limit the requests that a cold server may get in a
+	// second: its rate times ColdOverage, and ColdAllowance. Without a ColdOverage cold
+	// servers aren't limited.
+	ColdOverage   float64 `json:"coldOverage"`
+	ColdAllowance float64 `json:"coldAllowance"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
 }
@@ -125,6 +133,11 @@
 	p.CheckRange("stopTime", s.StopTime.Seconds(), 1, 3600)
 	p.CheckRange("addressTtl", s.AddressTTL.Seconds(), 0.1, 300)
 	p.CheckRange("quarantineTime", s.QuarantineTime.Seconds(), 1, 86400)
+	if s.EvacuationTime != 0 {
+		p.CheckRange("evacuationTime", s.EvacuationTime.Seconds(), 1, 3600)
+	}
+	p.CheckRange("coldOverage", s.ColdOverage, 0, 100)
+	p.CheckRange("coldAllowance", s.ColdAllowance, 0, 1e6)
 	p.CheckRange("retryRatio", s.RetryRatio, 0, 10)
 	p.CheckRange("retryAllowance", s.RetryAllowance, 0, 1e6)
 	switch s.LogLevel {
--- a/entry/state.go
+++ b/entry/state.go
@@ -57,6 +57,7 @@
 	if snapshot := s.instances.Current.Load(); snapshot != nil {
 		node.ListCursor = snapshot.Cursor
 	}
+	node.EvacuationCursor = s.platformState.evacuations.cursor()
 	return node
 }
 
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -20,18 +20,21 @@
 	// unreported is the expected number of requests of all nodes that the reports don't
 	// show yet.
 	unreported float64
+	// evacuated is true if there are targets, but all in evacuated failure domains.
+	evacuated bool
 }
 
 // candidates returns the candidates of a pool. The caller holds the lock.
 func (d *Dispatcher) candidates(p Pool) *candidateSet {
-	f := &candidateSet{targets: d.tables.Load().Targets(p), throttle: d.throttle}
+	table := d.tables.Load()
+	f := &candidateSet{targets: table.Targets(p), throttle: d.throttle, evacuated: table.isEvacuated(p)}
 	now := time.Now()
 	f.unreported = d.unreported(p, now)
 	f.candidates, f.rates, f.heldUntil = make([]Candidate, len(f.targets)), make([]float64, len(f.targets)), make([]time.Time, len(f.targets))
 	demand := d.throttleDemand(p, now)
 	for i, t := range f.targets {
 		allowance := d.throttle.Allowance(t.Server, demand)
-		f.rates[i], f.heldUntil[i] = allowance.Rate*demand.Share, allowance.HeldUntil
+		f.rates[i], f.heldUntil[i] = allowance.NodeRate, allowance.HeldUntil
 		f.candidates[i] = Candidate{
 			Requests:       float64(t.Load.Running() + d.peers.Running(t.Instance.ID)),
 			PromptTokens:   float64(t.Load.unreadPrompts.Load()),
@@ -41,7 +44,7 @@
 			Ahead:          d.peers.Ahead(p.Model, t.Instance.ID),
 			SameDomain:     t.Instance.FailureDomain == d.failureDomain,
 			Excluded:       !d.isEligible(t, now) || allowance.Leaving || now.Before(allowance.HeldUntil),
-			Slow:           t.Slowness > 1,
+			Slow:           t.Slowness > 1 || t.Withdrawing,
 			RecentlyFailed: t.Load.Suspected(now),
 		}
 	}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -67,7 +67,7 @@
 // waiter is a request that waits for a slot.
 type waiter struct {
 	key      QueueKey
-	assigned chan *Target
+	assigned chan *Target // nil refuses the request
 	avoid    map[string]bool
 	// promptTokens is the length of the request's prompt in tokens.
 	promptTokens int
@@ -154,7 +154,7 @@
 	if !r.Begun && len(d.tables.Load().Targets(r.Pool)) == 0 {
 		d.trafficOf(r.Pool).recordRefusal(time.Now())
 		d.mu.Unlock()
-		return nil, ErrNoTarget
+		return nil, d.noTargetError(r.Pool)
 	}
 	now, candidates := time.Now(), d.candidates(r.Pool)
 	var target *Target
@@ -197,7 +197,7 @@
 			blocked, changed = r.blocked()
 			waiting = !blocked
 		case target := <-w.assigned:
-			return d.newSlot(target, r.PromptTokens), nil
+			return d.newAssignedSlot(target, r)
 		case <-late.C:
 			waiting = r.Begun || d.canServeLate(r.Pool, time.Until(r.Until))
 		case <-limit.C:
@@ -326,7 +326,7 @@
 	stillWaiting := queue[:0]
 	candidates := d.candidates(p)
 	for _, w := range queue {
-		if target := candidates.pick(w); target != nil {
+		if target, decided := candidates.decide(w); decided {
 			w.assigned <- target
 		} else {
 			stillWaiting = append(stillWaiting, w)
--- a/forward/response.go
+++ b/forward/response.go
@@ -22,6 +22,9 @@
 	// noTargetRetry is the mean time in which a group is formed of engines that have
 	// the weights already.
 	noTargetRetry = 1300 * time.Millisecond
+	// evacuatedRetry is the mean time in which groups that others can spare are closed and
+	// new ones are formed of their engines.
+	evacuatedRetry = 3 * time.Second
 )
 
 // noSlotError converts an error of Acquire into the error that is sent to the caller.
@@ -30,6 +33,11 @@
 	if c.mayHaveRun {
 		v = verdict.MayHaveRun
 	}
+	if errors.Is(err, errEvacuated) {
+		h.metrics.evacuated.Inc(1)
+		return verdict.New(v, verdict.ReasonNoServer, "all backend servers that can run the request are in evacuated failure domains").
+			WithRetryAfter(jitter(evacuatedRetry))
+	}
 	if errors.Is(err, ErrNoTarget) {
 		return verdict.New(v, verdict.ReasonNoServer, "no backend server can run the request").
 			WithRetryAfter(jitter(noTargetRetry))
@@ -120,8 +128,10 @@
 	abandoned metrics.Counter
 	// quarantined counts the requests refused because of a quarantine.
 	quarantined metrics.Counter
-	firstEvent  metrics.Timer
-	duration    metrics.Timer
+	// evacuated counts the requests refused because all their servers are evacuated.
+	evacuated  metrics.Counter
+	firstEvent metrics.Timer
+	duration   metrics.Timer
 }
 
 func newHandlerMetrics(r metrics.Registry) handlerMetrics {
@@ -131,6 +141,7 @@
 		broken:      metrics.GetOrRegisterCounter("forward.streams_broken_off", r),
 		abandoned:   metrics.GetOrRegisterCounter("forward.callers_left", r),
 		quarantined: metrics.GetOrRegisterCounter("forward.quarantined", r),
+		evacuated:   metrics.GetOrRegisterCounter("forward.evacuated", r),
 		firstEvent:  metrics.GetOrRegisterTimer("forward.first_event", r),
 		duration:    metrics.GetOrRegisterTimer("forward.duration", r),
 	}
--- a/forward/table.go
+++ b/forward/table.go
@@ -67,7 +67,10 @@
 	Slowness float64
 	// MemberUnlisted is true if a member of the group is no longer listed.
 	MemberUnlisted bool
-	Load           *Load
+	// Withdrawing is true if the target will soon be evacuated. It gets only requests for
+	// which no other target has a free slot.
+	Withdrawing bool
+	Load        *Load
 }
 
 // Table maps pools to their targets. It is immutable.
@@ -77,6 +80,9 @@
 	byInstance map[string]*Target
 	// engines maps the pools of models to the properties of their groups.
 	engines map[Pool]engineModel
+	// evacuated is the number of targets that get no requests because their failure domains
+	// are evacuated, by pool.
+	evacuated map[Pool]int
 }
 
 // engineModel is a model and the engines that run it.
@@ -96,6 +102,19 @@
 // Targets returns the targets of a pool.
 func (t *Table) Targets(p Pool) []*Target { return t.pools[p] }
 
+// EvacuatedTargets returns the number of targets that get no requests because their failure
+// domains are evacuated.
+func (t *Table) EvacuatedTargets() int {
+	total := 0
+	for _, n := range t.evacuated {
+		total += n
+	}
+	return total
+}
+
+// isEvacuated reports whether a pool has targets, but all in evacuated failure domains.
+func (t *Table) isEvacuated(p Pool) bool { return len(t.pools[p]) == 0 && t.evacuated[p] > 0 }
+
 // Target returns the target of an instance, or nil.
 func (t *Table) Target(instance string) *Target { return t.byInstance[instance] }
 
@@ -132,18 +151,26 @@
 // Load returns the current table.
 func (t *Tables) Load() *Table { return t.current.Load() }
 
-// Build builds a table from the configuration and the instance list, and publishes it.
+// Build builds a table from the configuration and the instance list, and publishes it. Targets
+// with a member in an evacuated failure domain aren't in it.
 func (t *Tables) Build(c *catalog.Configuration, r *engine.Roster) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	table := &Table{pools: map[Pool][]*Target{}, byInstance: map[string]*Target{}, engines: map[Pool]engineModel{}}
+	table := &Table{pools: map[Pool][]*Target{}, byInstance: map[string]*Target{}, engines: map[Pool]engineModel{}, evacuated: map[Pool]int{}}
 	kept := map[loadKey]*Load{}
-	add := func(target *Target) {
+	add := func(target *Target, members ...*engine.Instance) {
 		key := loadKey{target.Instance.ID, target.Instance.StartedMs, target.Group}
 		if target.Load = t.loads[key]; target.Load == nil {
 			target.Load = &Load{}
 		}
 		kept[key] = target.Load
+		switch r.Evacuations.Of(members...) {
+		case engine.EvacuationInForce:
+			table.evacuated[target.Pool]++
+			return
+		case engine.EvacuationPending:
+			target.Withdrawing = true
+		}
 		target.Server = throttle.ServerOf(target.Instance.ID, target.Instance.StartedMs)
 		table.pools[target.Pool] = append(table.pools[target.Pool], target)
 		table.byInstance[target.Instance.ID] = target
@@ -164,15 +191,15 @@
 	t.current.Store(table)
 }
 
-func addServers(s *catalog.Service, r *engine.Roster, add func(*Target)) {
+func addServers(s *catalog.Service, r *engine.Roster, add func(target *Target, members ...*engine.Instance)) {
 	for _, in := range r.ByService[s.Name] {
 		if !in.Leaving {
-			add(&Target{Instance: in, Pool: Pool{Service: s.Name}, Slots: max(in.Slots, 1), TimeFactor: 1, Slowness: 1})
+			add(&Target{Instance: in, Pool: Pool{Service: s.Name}, Slots: max(in.Slots, 1), TimeFactor: 1, Slowness: 1}, in)
 		}
 	}
 }
 
-func addGroups(s *catalog.Service, r *engine.Roster, add func(*Target)) {
+func addGroups(s *catalog.Service, r *engine.Roster, add func(target *Target, members ...*engine.Instance)) {
 	for _, g := range r.Groups[s.Name] {
 		model := s.Engine.Model(g.Model)
 		if model == nil || !g.IsOpen() || (!g.IsComplete(model.Size) && !g.MissingOnlyUnlisted(model.Size)) {
@@ -187,6 +214,6 @@
 			slots = max(int(float64(slots)/slowness), 1)
 		}
 		add(&Target{Instance: g.Head(), Group: g.ID, Pool: Pool{s.Name, g.Model}, Slots: slots,
-			TimeFactor: model.TimeFactor * slowness, Slowness: slowness, MemberUnlisted: !g.IsComplete(model.Size)})
+			TimeFactor: model.TimeFactor * slowness, Slowness: slowness, MemberUnlisted: !g.IsComplete(model.Size)}, g.Members...)
 	}
 }
--- a/forward/throttle.go
+++ b/forward/throttle.go
@@ -93,17 +93,18 @@
 // throttleDemand returns the requests that arrive at this node for a pool, and those that
 // wait as if they arrived again each second. The caller holds the lock.
 func (d *Dispatcher) throttleDemand(p Pool, now time.Time) throttle.Demand {
+	nodes := d.peers.Nodes()
 	if d.throttle.Empty() {
-		return throttle.Demand{}
+		return throttle.Demand{Nodes: nodes}
 	}
 	t := d.trafficOf(p)
 	t.decay(now)
 	own := t.arrivalRate + t.resumeRate + float64(len(d.waiting[p]))
 	if own <= 0 {
-		return throttle.Demand{}
+		return throttle.Demand{Nodes: nodes}
 	}
-	others := max(t.holdOthers(d.peers.ArrivalRate(p.Service, p.Model), now), float64(d.peers.Nodes()-1)*minNodeArrivalRate)
-	return throttle.Demand{Rate: own, Share: own / (own + others)}
+	others := max(t.holdOthers(d.peers.ArrivalRate(p.Service, p.Model), now), float64(nodes-1)*minNodeArrivalRate)
+	return throttle.Demand{Rate: own, Share: own / (own + others), Nodes: nodes}
 }
 
 // holdOthers returns the rate of the other nodes' arrivals, which decreases slowly.
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -29,6 +29,9 @@
 	ConfigurationVersion uint64 `msgpack:"v"`
 	// ListCursor is the version of the instance list that the node holds.
 	ListCursor object.Version `msgpack:"r"`
+	// EvacuationCursor is the version of the evacuations that the node holds; 0 if it never
+	// had any. It is encoded by extendedNode.
+	EvacuationCursor object.Version `msgpack:"-"`
 }
 
 // stateID identifies one state of a node.
--- a/throttle/permits.go
+++ b/throttle/permits.go
@@ -43,6 +43,8 @@
 	Share float64
 	// Rate is their number per second.
 	Rate float64
+	// Nodes is the number of nodes, including this one.
+	Nodes int
 }
 
 // permitLifetime returns how long a permit is valid.
@@ -51,13 +53,23 @@
 	return max(time.Duration(seconds*float64(time.Second)), minPermitLifetime)
 }
 
+// refillLimits bound the permits in a bucket.
+type refillLimits struct {
+	// burst is the time for which permits accumulate.
+	burst time.Duration
+	// lifetime is how long a single permit is valid.
+	lifetime time.Duration
+	// gap is the longest time for which permits are added at once.
+	gap time.Duration
+}
+
 // refill adds the permits of a rate since the last call.
-func (b *bucket) refill(rate float64, lifetime time.Duration, now time.Time) {
-	elapsed := min(now.Sub(b.refilledAt), maxRefillGap)
+func (b *bucket) refill(rate float64, limits refillLimits, now time.Time) {
+	elapsed := min(now.Sub(b.refilledAt), limits.gap)
 	if elapsed <= 0 {
 		return
 	}
-	capacity := max(rate*burstTime.Seconds(), 1)
+	capacity := max(rate*limits.burst.Seconds(), 1)
 	wasFull := b.level >= capacity
 	b.refilledAt = now
 	b.level = min(b.level+rate*elapsed.Seconds(), capacity)
@@ -65,7 +77,7 @@
 	case b.level < capacity:
 	case !wasFull:
 		b.fullSince = now
-	case capacity == 1 && now.Sub(b.fullSince) >= lifetime:
+	case capacity == 1 && now.Sub(b.fullSince) >= limits.lifetime:
 		b.level = 0
 	}
 }
@@ -89,6 +101,8 @@
 	Limited bool
 	// Rate is the number of requests per second that all nodes together may send.
 	Rate float64
+	// NodeRate is the part of Rate that this node may send.
+	NodeRate float64
 	// Permits is the number of requests that this node may send now.
 	Permits float64
 	// Leaving is true if the server is shutting down.
@@ -100,20 +114,23 @@
 
 // Allowance returns what a node with the given demand may send to a server.
 func (r *Registry) Allowance(key Server, demand Demand) Allowance {
-	if r.count.Load() == 0 {
+	if r.count.Load() == 0 && r.coldCount.Load() == 0 {
 		return Allowance{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.servers[key]
-	if s == nil {
-		return Allowance{}
-	}
 	now := r.now()
-	a := Allowance{Leaving: s.leaving, HeldUntil: s.heldUntil}
-	if a.Rate, a.Limited = s.currentRate(now); a.Limited {
-		s.refill(a.Rate*demand.Share, demand.permitLifetime(), now)
-		a.Permits = s.level
+	var a Allowance
+	if s := r.servers[key]; s != nil {
+		a = Allowance{Leaving: s.leaving, HeldUntil: s.heldUntil}
+		if a.Rate, a.Limited = s.currentRate(now); a.Limited {
+			a.NodeRate = a.Rate * demand.Share
+			s.refill(a.NodeRate, refillLimits{burst: burstTime, lifetime: demand.permitLifetime(), gap: maxRefillGap}, now)
+			a.Permits = s.level
+		}
+	}
+	if cold := r.coldServer(key, now); cold != nil {
+		r.restrict(&a, cold, demand.Nodes, now)
 	}
 	return a
 }
@@ -121,20 +138,26 @@
 // Rate returns the number of requests per second that all nodes together may send to a
 // server, and whether there is a limit.
 func (r *Registry) Rate(key Server) (rate float64, limited bool) {
-	if r.count.Load() == 0 {
+	if r.count.Load() == 0 && r.coldCount.Load() == 0 {
 		return 0, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.now()
 	if s := r.servers[key]; s != nil {
-		return s.currentRate(r.now())
+		rate, limited = s.currentRate(now)
+	}
+	if cold := r.coldServer(key, now); cold != nil {
+		if coldRate := r.coldRate(cold.Rate); !limited || coldRate < rate {
+			rate, limited = coldRate, true
+		}
 	}
-	return 0, false
+	return rate, limited
 }
 
 // Use uses a permit for a request to a server, if it has a limit.
 func (r *Registry) Use(key Server) {
-	if r.count.Load() == 0 {
+	if r.count.Load() == 0 && r.coldCount.Load() == 0 {
 		return
 	}
 	r.mu.Lock()
@@ -142,4 +165,7 @@
 	if s := r.servers[key]; s != nil {
 		s.level--
 	}
+	if s := r.cold[key]; s != nil {
+		s.level--
+	}
 }
--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -43,6 +43,10 @@
 	Now func() time.Time
 	// Random returns a random number below 1; nil means rand.Float64.
 	Random func() float64
+	// ColdOverage and ColdAllowance give the largest number of requests that a cold server may
+	// get in a second: its rate times ColdOverage, and ColdAllowance.
+	ColdOverage   float64
+	ColdAllowance float64
 }
 
 // Registry holds the statements that a node knows. It is safe for concurrent use.
@@ -57,9 +61,17 @@
 	// count is the number of servers. It keeps the request path free of the lock while
 	// no server has stated anything.
 	count atomic.Int64
+	// coldCount is the number of cold servers, for the same reason.
+	coldCount     atomic.Int64
+	coldServers   metrics.Gauge
+	coldOverage   float64
+	coldAllowance float64
+	startedAt     time.Time
 
 	mu      sync.Mutex
 	servers map[Server]*server
+	cold    map[Server]*coldServer
+	nodes   nodeCount
 	// changed is closed and replaced when a server states that it is leaving.
 	changed chan struct{}
 	// ids are the IDs of the servers in the instance list.
@@ -105,7 +117,9 @@
 		lifted:   metrics.GetOrRegisterCounter("throttle.lifted", registry),
 		received: metrics.GetOrRegisterCounter("throttle.received", registry),
 		held:     metrics.GetOrRegisterCounter("throttle.held", registry),
-		servers:  map[Server]*server{}, changed: make(chan struct{})}
+		servers:  map[Server]*server{}, changed: make(chan struct{}),
+		coldServers: metrics.GetOrRegisterGauge("throttle.cold", registry), coldOverage: cfg.ColdOverage, coldAllowance: cfg.ColdAllowance,
+		startedAt: cfg.Now(), cold: map[Server]*coldServer{}}
 }
 
 // Empty reports whether no server has stated anything.
