formation: withdraw evacuated failure domains

Groups that lie wholly in an evacuated domain get no orders and count as no capacity, so that they serve at once when it returns; the rest is divided anew between the models. Groups that span the border are closed without breaking off their requests, and their members outside are used again.

--- a/formation/commands.go
+++ b/formation/commands.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -194,7 +195,7 @@
 				Group: id, AbortInFlight: true})
 		}
 		for _, in := range g.Members {
-			if !s.CommandPending[in.ID] {
+			if !s.CommandPending[in.ID] && !slices.Contains(s.Evacuated, in) {
 				c.send(ctx, engine.Command{Operation: engine.Leave, Instance: in.ID, Address: in.Address, Group: id})
 			}
 		}
--- a/formation/controller.go
+++ b/formation/controller.go
@@ -230,6 +230,7 @@
 		FirstEpoch: c.firstEpoch, UnansweredEpochs: c.unansweredEpochs(now),
 		Reservations: c.reservations, Progress: c.Progress, LastHead: c.lastHead, SeenSince: c.seenSince, Now: now,
 	}
+	s.Withdraw(roster.Evacuations)
 	if len(s.Demand) > 0 && c.demandSince.IsZero() {
 		c.demandSince = now
 	}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -35,6 +35,7 @@
 			p.Commands = append(p.Commands, command)
 		}
 	}
+	p.Commands = append(p.Commands, s.releaseCommands()...)
 	free, need := s.free(), s.needs()
 	completions, reservations := s.completeGroups(free, need)
 	p.Groups = s.planGroups(free, need)
--- a/formation/report.go
+++ b/formation/report.go
@@ -47,7 +47,7 @@
 			"full", fmt.Sprintf("%.1f", need.full[m.Name]), "local_groups", s.localGroups(free, m),
 			"needed", fmt.Sprintf("%.1f", need.target[m.Name]), "demand", fmt.Sprintf("%.1f", s.Demand[m.Name]),
 			"broken_groups", strings.Join(n.brokenGroups, ","),
-			"instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads)
+			"instances", len(s.Instances), "free", idle, "warm", warm, "loading", len(s.Staging), "may_load", s.Loads, "evacuated", len(s.Evacuated))
 	}
 }
 
--- a/formation/snapshot.go
+++ b/formation/snapshot.go
@@ -9,9 +9,15 @@
 
 // Snapshot is the input of a plan.
 type Snapshot struct {
-	Profile   *catalog.EngineProfile
+	Profile *catalog.EngineProfile
+	// Instances and Groups are those outside evacuated failure domains.
 	Instances []*engine.Instance
 	Groups    []*engine.Group
+	// Evacuated are the instances in evacuated failure domains. They get no commands but to
+	// close groups that have members outside, and count as no capacity.
+	Evacuated []*engine.Instance
+	// BorderGroups are the groups with members both inside and outside such domains.
+	BorderGroups []*engine.Group
 	// Demand is the moving average, over some seconds, of the requests that run or
 	// wait, by model. It is empty before the first traffic.
 	Demand map[string]float64
@@ -62,9 +68,11 @@
 
 // group returns the listed group with the given ID, or nil.
 func (s *Snapshot) group(id engine.GroupID) *engine.Group {
-	for _, g := range s.Groups {
-		if g.ID == id {
-			return g
+	for _, list := range [][]*engine.Group{s.Groups, s.BorderGroups} {
+		for _, g := range list {
+			if g.ID == id {
+				return g
+			}
 		}
 	}
 	return nil
@@ -72,9 +80,11 @@
 
 // instance returns the listed instance with the given ID, or nil.
 func (s *Snapshot) instance(id string) *engine.Instance {
-	for _, in := range s.Instances {
-		if in.ID == id {
-			return in
+	for _, list := range [][]*engine.Instance{s.Instances, s.Evacuated} {
+		for _, in := range list {
+			if in.ID == id {
+				return in
+			}
 		}
 	}
 	return nil
--- a/formation/track.go
+++ b/formation/track.go
@@ -58,7 +58,7 @@
 // drops the state of groups that aren't listed any more.
 func (c *Controller) trackGroups(s *Snapshot) {
 	listed := map[engine.GroupID]bool{}
-	for _, g := range s.Groups {
+	for _, g := range slices.Concat(s.Groups, s.BorderGroups) {
 		listed[g.ID] = true
 		if _, known := c.seenSince[g.ID]; !known {
 			c.seenSince[g.ID] = s.Now
@@ -151,7 +151,7 @@
 // of members that joined a group without the weights.
 func (c *Controller) loadsInProgress(s *Snapshot) int {
 	n := len(c.pendingLoads)
-	for _, in := range s.Instances {
+	for _, in := range slices.Concat(s.Instances, s.Evacuated) {
 		joining := in.Membership.Phase == engine.Joining && !slices.Contains(in.StagedModels, in.Model)
 		if joining && c.pendingLoads[in.ID].model == "" {
 			n++
