--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -106,7 +106,7 @@
 	if age := now.Sub(r.startedAt); age < nodesSettleTime || (r.nodes.nodes == 1 && age < soloSettleTime) {
 		s.refilledAt = now
 	} else {
-		s.refill(own, refillLimits{burst: coldBurstTime, lifetime: coldPermitLifetime, gap: coldBurstTime}, now)
+		s.refill(own, 1, refillLimits{burst: coldBurstTime, lifetime: coldPermitLifetime, gap: coldBurstTime}, now)
 		permits = s.level
 	}
 	if !a.Limited {
