--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -26,6 +26,8 @@
 	Peers         []*mesh.Node          `json:"peers"`
 	// Quarantines are the requests and parts of prompts that are refused.
 	Quarantines []quarantineDump `json:"quarantines"`
+	// Evacuations maps evacuated failure domains to their states.
+	Evacuations map[string]string `json:"evacuations,omitempty"`
 	// SilentMs maps documents to the milliseconds since the store last responded.
 	SilentMs map[string]int64 `json:"silentMs"`
 }
@@ -112,6 +114,10 @@
 	gauge("forward.targets", int64(targets))
 	gauge("suspicion.doubtful", int64(doubtful))
 	gauge("suspicion.held", int64(held))
+	gauge("forward.evacuated_targets", int64(i.status.tables.Load().EvacuatedTargets()))
+	if f := i.followers.evacuations; f != nil {
+		gauge("follow.evacuations.silent_ms", f.TimeSinceContact().Milliseconds())
+	}
 }
 
 func (i *inspector) dump() stateDump {
@@ -126,6 +132,15 @@
 	if c := i.status.platformState.Configuration.Load(); c != nil {
 		d.Configuration = c.Version
 	}
+	if f := i.followers.evacuations; f != nil {
+		d.SilentMs["evacuations"] = f.TimeSinceContact().Milliseconds()
+	}
+	if r := i.status.platformState.Roster.Load(); r != nil && len(r.Evacuations) > 0 {
+		d.Evacuations = map[string]string{}
+		for domain, state := range r.Evacuations {
+			d.Evacuations[domain] = state.String()
+		}
+	}
 	for pool, n := range i.status.dispatcher.Waiting() {
 		d.Waiting[pool.Service+"/"+pool.Model] = n
 	}
