forward: tests of the evidence over sockets; no blame for stated limits

A refusal by a server that has stated its limit says nothing about the next request, and a host at whose address nothing answers is silent rather than gone: its streams end the hold.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -82,16 +82,16 @@
 	if failed.Verdict != verdict.MayHaveRun || failed.Cause == nil || !brokeAt.Before(c.deadline) {
 		return
 	}
-	check, down := "refused ", h.Connections.Refused
+	check, down, kind := "refused ", h.Connections.Refused, suspicion.Gone
 	if errors.Is(failed, errStalled) {
-		check, down = "silent ", h.Connections.Silent
+		check, down, kind = "silent ", h.Connections.Silent, suspicion.Silent
 	}
 	instance, subject := slot.Instance, c.subject()
 	subject.EarlierAttempts = c.brokenAttempts
 	c.brokenAttempts++
 	go func() {
 		if h.isDown(check, instance, down) {
-			h.recordFailure(c, slot, suspicion.Gone)
+			h.recordFailure(c, slot, kind)
 			h.Quarantine.Crashed(instance.ID, instance.StartedMs, subject, begun, brokeAt)
 		}
 	}()
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -42,7 +42,7 @@
 
 // failureKind returns what a failed attempt shows of its backend server. An attempt that this
 // node ended because it stops, or has no memory or connection for it, or whose caller has left,
-// shows nothing.
+// shows nothing, and neither does the refusal of a server that has stated its limit.
 func (h *Handler) failureKind(c *call, slot *Slot, failed *verdict.Error) suspicion.Kind {
 	var refused notRunStatus
 	var network net.Error
@@ -53,6 +53,9 @@
 	case errors.As(failed, &refused) && refused == http.StatusMisdirectedRequest:
 		return suspicion.Gone
 	case errors.As(failed, &refused):
+		if _, limited := h.Dispatcher.AcceptedRate(slot.Target); limited {
+			return suspicion.None
+		}
 		return suspicion.Refused
 	case errors.Is(failed, errStalled), !time.Now().Before(c.deadline), errors.As(failed, &network) && network.Timeout():
 		return h.silenceKind(slot)
