suspicion, forward: a group that falls silent is reported at the first stall

The events that other nodes report are up to half a second old, so that a group whose member had died counted as one that loses responses until they expired. Silence now is recorded by what this node receives, and other nodes' events are weighed when a target is chosen: such a server gets one request at a time.

--- a/forward/stall.go
+++ b/forward/stall.go
@@ -96,7 +96,7 @@
 	}
 	m.takeOver = func() bool { return h.takeOver(ctx, s) }
 	m.failed = func(k suspicion.Kind) { h.recordFailure(s.call, slot, k) }
-	m.silenceKind = func() suspicion.Kind { return h.silenceKind(slot) }
+	m.silenceKind = func() suspicion.Kind { return silenceKind(slot) }
 	m.firstTimeout, m.nextTimeout = stallTimeouts(s.route, s.service.Engine, slot.TimeFactor, s.PromptTokens)
 	if slot.TargetFull() {
 		m.firstTimeout += crowdedSlack
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -58,7 +58,7 @@
 		}
 		return suspicion.Refused
 	case errors.Is(failed, errStalled), !time.Now().Before(c.deadline), errors.As(failed, &network) && network.Timeout():
-		return h.silenceKind(slot)
+		return silenceKind(slot)
 	case failed.Verdict == verdict.NotRun:
 		return suspicion.Gone
 	case errors.Is(failed, upstream.ErrForeignResponse):
@@ -70,9 +70,10 @@
 }
 
 // silenceKind returns what the silence of one attempt shows of its backend server: one that
-// sends something to others isn't silent.
-func (h *Handler) silenceKind(slot *Slot) suspicion.Kind {
-	if slot.Load.HasRecentProgress(time.Now()) || h.Peers.Progress(slot.Instance.ID) {
+// answers other requests of this node isn't silent. What others get from it is known late, and
+// weighed when a target is chosen.
+func silenceKind(slot *Slot) suspicion.Kind {
+	if slot.Load.HasRecentProgress(time.Now()) {
 		return suspicion.Lost
 	}
 	return suspicion.Silent
--- a/suspicion/decide.go
+++ b/suspicion/decide.go
@@ -40,9 +40,11 @@
 var sound = Assessment{Trust: 1}
 
 // Assess weighs what this node and the others have seen of a server. progress is true if
-// events of the server arrive at any node now, and ownProgress if they do at this one.
+// events of the server arrive at any node now, and ownProgress if they do at this one. A server
+// that is silent to this node, but not to others, isn't held.
 func Assess(own Evidence, others Report, ownProgress, progress bool) Assessment {
-	if own.Hold != None || (others.Unresponsive() >= minUnresponsive && !ownProgress) {
+	held := own.Hold == Gone || (own.Hold == Silent && !progress)
+	if held || (others.Unresponsive() >= minUnresponsive && !ownProgress) {
 		return Assessment{Held: true}
 	}
 	rate := failureRate(own, others)
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -74,6 +74,8 @@
 	g.Expect(r.Failed(Silent, now)).To(BeTrue())
 	g.Expect(assess()).To(Equal(Assessment{Held: true}))
 	g.Expect(r.Held(now)).To(BeTrue())
+	// Others may still get events from it.
+	g.Expect(Assess(r.Evidence(now), 0, false, true)).To(Equal(Assessment{Trust: 1, Untested: true}))
 	// The hold is renewed while the silence lasts.
 	now = now.Add(holdDuration / 2)
 	g.Expect(r.Failed(Silent, now)).To(BeFalse())
