--- a/formation/probe.go
+++ b/formation/probe.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// minSuspecting is the number of nodes that must suspect a group before its
-	// members are probed: a single node may itself be partitioned.
+	// minSuspecting is the number of nodes to which a group must be silent or gone before
+	// its members are probed: a single node may itself be partitioned.
 	minSuspecting = 2
 	// groupProbeInterval is the minimum time between two probes of a group.
 	groupProbeInterval = 1500 * time.Millisecond
@@ -53,7 +53,7 @@
 	return kept
 }
 
-// probeSuspectGroups probes the members of groups that several nodes suspect. This
+// probeSuspectGroups probes the members of groups that are silent or gone to several nodes. This
 // detects failed members earlier than the instance list, which drops them only after
 // three missed heartbeats.
 func (c *Controller) probeSuspectGroups(ctx context.Context, s *Snapshot) {
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -87,9 +88,9 @@
 	now := time.Now()
 	held := slot.Load.record.Failed(k, now)
 	metrics.GetOrRegisterCounter("suspicion.failures."+k.String(), h.metrics.registry).Inc(1)
-	e := slot.Load.Evidence(now)
+	e, a := slot.Load.Evidence(now), h.Dispatcher.assess(slot.Target, now)
 	_ = level.Info(h.Logger).Log("msg", "backend server failed a request", "request", c.ID, "instance", slot.Instance.ID, "group", slot.Group.Name,
-		"kind", k, "failed", int(e.Failed+0.5), "answered", int(e.Answered+0.5), "held", held)
+		"kind", k, "failed", int(e.Failed+0.5), "answered", int(e.Answered+0.5), "trust", math.Round(100*a.Trust)/100, "held", held)
 }
 
 // assess returns what to expect of a target.
