--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -42,7 +43,7 @@
 
 // failureKind returns what a failed attempt shows of its backend server. An attempt that this
 // node ended because it stops, or has no memory or connection for it, or whose caller has left,
-// shows nothing.
+// shows nothing, and neither does the refusal of a server that has stated its limit.
 func (h *Handler) failureKind(c *call, slot *Slot, failed *verdict.Error) suspicion.Kind {
 	var refused notRunStatus
 	var network net.Error
@@ -53,9 +54,12 @@
 	case errors.As(failed, &refused) && refused == http.StatusMisdirectedRequest:
 		return suspicion.Gone
 	case errors.As(failed, &refused):
+		if _, limited := h.Dispatcher.AcceptedRate(slot.Target); limited {
+			return suspicion.None
+		}
 		return suspicion.Refused
 	case errors.Is(failed, errStalled), !time.Now().Before(c.deadline), errors.As(failed, &network) && network.Timeout():
-		return h.silenceKind(slot)
+		return silenceKind(slot)
 	case failed.Verdict == verdict.NotRun:
 		return suspicion.Gone
 	case errors.Is(failed, upstream.ErrForeignResponse):
@@ -67,9 +71,10 @@
 }
 
 // silenceKind returns what the silence of one attempt shows of its backend server: one that
-// sends something to others isn't silent.
-func (h *Handler) silenceKind(slot *Slot) suspicion.Kind {
-	if slot.Load.HasRecentProgress(time.Now()) || h.Peers.Progress(slot.Instance.ID) {
+// answers other requests of this node isn't silent. What others get from it is known late, and
+// weighed when a target is chosen.
+func silenceKind(slot *Slot) suspicion.Kind {
+	if slot.Load.HasRecentProgress(time.Now()) {
 		return suspicion.Lost
 	}
 	return suspicion.Silent
@@ -83,9 +88,9 @@
 	now := time.Now()
 	held := slot.Load.record.Failed(k, now)
 	metrics.GetOrRegisterCounter("suspicion.failures."+k.String(), h.metrics.registry).Inc(1)
-	e := slot.Load.Evidence(now)
+	e, a := slot.Load.Evidence(now), h.Dispatcher.assess(slot.Target, now)
 	_ = level.Info(h.Logger).Log("msg", "backend server failed a request", "request", c.ID, "instance", slot.Instance.ID, "group", slot.Group.Name,
-		"kind", k, "failed", int(e.Failed+0.5), "answered", int(e.Answered+0.5), "held", held)
+		"kind", k, "failed", int(e.Failed+0.5), "answered", int(e.Answered+0.5), "trust", math.Round(100*a.Trust)/100, "held", held)
 }
 
 // assess returns what to expect of a target.
