settings: the memory of a process in run mode

Cause: run mode had no setting for its memory, and the runtime no limit. Change: limits.memoryBytes, 256 MiB by default, limits the heap as in entry mode.

--- a/node/module.go
+++ b/node/module.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log"
@@ -23,8 +24,12 @@
 // startTimeout limits the start of the listeners.
 const startTimeout = 15 * time.Second
 
+// heapShare is the fraction of the allowed memory that the heap may use.
+const heapShare = 0.6
+
 // New returns the fx application of one daemon.
 func New(s settings.Settings, logger log.Logger) *fx.App {
+	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * heapShare))
 	return fx.New(
 		fx.Supply(s),
 		fx.Provide(func() log.Logger { return logger }),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,6 +92,8 @@
 
 // Limits limit the requests that one node accepts.
 type Limits struct {
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64 `json:"memoryBytes"`
 	// MaxBodyBytes limits the body of a request.
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 	// MaxConcurrentRequests limits the requests in flight.
@@ -132,6 +134,7 @@
 			ClaimRetention:       time.Hour,
 		},
 		Limits: Limits{
+			MemoryBytes:           256 << 20,
 			MaxBodyBytes:          1 << 20,
 			MaxConcurrentRequests: 512,
 			RetryBudgetRatio:      0.1,
