--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -48,6 +48,9 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the write side, if the connection supports that.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
