forward, entry: bodies, responses and connections within the memory of the process

Cause: readBody read each body of up to maxBodyBytes whole, with no bound on the sum; a caller who didn't read his response kept the memory for responses; each connection took a descriptor. Change: bodies and responses are read in blocks of the budget; a body that finds no memory is refused as not run before it is in. A body may be sent after its request has ended, and is kept until then. The connections that a node opens are bounded as those that it accepts. The request's head is no longer allocated with the size of its body.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/internal/connlimit"
 	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
 )
 
@@ -28,6 +29,7 @@
 type callerServer struct {
 	handler  http.Handler
 	listener net.Listener
+	limiter  *connlimit.Limiter
 	logger   log.Logger
 	// accepted is closed when no more connections are accepted.
 	accepted chan struct{}
@@ -41,9 +43,9 @@
 }
 
 // newCallerServer returns a server for the connections of a listener whose Accept fails
-// soon after it was closed.
-func newCallerServer(handler http.Handler, listener net.Listener, logger log.Logger) *callerServer {
-	s := &callerServer{handler: handler, listener: listener, logger: logger, accepted: make(chan struct{})}
+// soon after it was closed. The limiter bounds them.
+func newCallerServer(handler http.Handler, listener net.Listener, limiter *connlimit.Limiter, logger log.Logger) *callerServer {
+	s := &callerServer{handler: limiter.Handler(handler), listener: limiter.Listen(listener), limiter: limiter, logger: logger, accepted: make(chan struct{})}
 	s.applyLimits(catalog.Limits{})
 	return s
 }
@@ -59,6 +61,7 @@
 	s.limits = limits
 	server := httpdrain.NewServer(&http.Server{
 		Handler:           s.handler,
+		ConnContext:       s.limiter.ConnContext,
 		MaxHeaderBytes:    orDefault(limits.MaxHeaderBytes, defaultMaxHeaderBytes),
 		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -20,7 +20,7 @@
 	for range 20 {
 		listener, err := httpdrain.Listen("tcp4", "127.0.0.1:0")
 		g.Expect(err).NotTo(HaveOccurred())
-		s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), listener, log.NewNopLogger())
+		s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), listener, nil, log.NewNopLogger())
 		callers := httpdraintest.Queue(g, listener.Addr().String(), 60)
 		ended := make(chan error, 1)
 		go func() { ended <- s.run() }()
--- a/entry/changes_node_test.go
+++ b/entry/changes_node_test.go
@@ -94,7 +94,7 @@
 	logger, registry := log.NewLogfmtLogger(n), metrics.NewRegistry()
 	s := DefaultSettings()
 	s.Node, s.FailureDomain, s.PeerAddress = "n", "z", "127.0.0.1:9"
-	tables, pool, guard, limits := forward.NewTables(), newPool(), newGuard(s, logger, registry), newThrottle(logger, registry)
+	tables, pool, guard, limits := forward.NewTables(), newPool(newConnectionLimiter(s, newMemory(s, registry), registry)), newGuard(s, logger, registry), newThrottle(logger, registry)
 	r := newRelay(s, nil, logger)
 	f := newFollowers(r, logger)
 	ps := newPlatformState(f, tables, pool, limits, logger)
@@ -102,9 +102,9 @@
 	listener, err := httpdrain.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	n.followers, n.guard, n.address = f, guard, listener.Addr().String()
-	n.handler = newHandler(s, ps, st, pool, logger, registry)
+	n.handler = newHandler(s, ps, st, pool, newMemory(s, registry), logger, registry)
 	n.reloader = &reloader{path: SettingsFile(filepath.Join(t.TempDir(), "settings.json")), mesh: st.mesh, handler: n.handler, logger: logger, current: s}
-	n.callers = newCallerServer(http.HandlerFunc(n.serve), listener, logger)
+	n.callers = newCallerServer(http.HandlerFunc(n.serve), listener, nil, logger)
 	requests := &changesRequests{seen: map[string]bool{}}
 	for range 5 {
 		n.servers = append(n.servers, newChangesServer(g, requests))
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/internal/connlimit"
 	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/lease"
@@ -42,6 +43,7 @@
 	settings      Settings
 	status        *status
 	handler       *forward.Handler
+	limiter       *connlimit.Limiter
 	documents     *Documents
 	followers     followers
 	platformState *PlatformState
@@ -59,10 +61,10 @@
 	running sync.WaitGroup
 }
 
-func newDaemon(s Settings, st *status, h *forward.Handler, d *Documents, f followers, ps *PlatformState, l *lease.Manager,
+func newDaemon(s Settings, st *status, h *forward.Handler, limiter *connlimit.Limiter, d *Documents, f followers, ps *PlatformState, l *lease.Manager,
 	c *formation.Controller, q quarantineKeepers, r *reloader, i *inspector, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
 ) *daemon {
-	return &daemon{settings: s, status: st, handler: h, documents: d, followers: f, platformState: ps, leases: l,
+	return &daemon{settings: s, status: st, handler: h, limiter: limiter, documents: d, followers: f, platformState: ps, leases: l,
 		formation: c, quarantine: q, reloader: r, inspector: i, board: board, logger: logger, shutdown: shutdown}
 }
 
@@ -72,7 +74,7 @@
 	if err != nil {
 		return fmt.Errorf("callerAddress: %w", err)
 	}
-	d.callers = newCallerServer(d.handler, listener, d.logger)
+	d.callers = newCallerServer(d.handler, listener, d.limiter, d.logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	for _, s := range []struct {
@@ -118,9 +120,10 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	server := &http.Server{Handler: d.limiter.Handler(handler), ConnContext: d.limiter.ConnContext,
+		MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	d.running.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(d.limiter.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			d.fail(address, err)
 		}
 	})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/operator"
 	"github.com/rattanlanding/rattanlanding/quarantine"
@@ -61,6 +62,7 @@
 	handler   *forward.Handler
 	followers followers
 	pool      *upstream.Pool
+	memory    *memory.Budget
 	registry  metrics.Registry
 }
 
@@ -93,6 +95,7 @@
 	targets := 0
 	i.status.tables.Load().Each(func(*forward.Target) { targets++ })
 	gauge("forward.targets", int64(targets))
+	i.memory.UpdateGauges(i.registry)
 }
 
 func (i *inspector) dump() stateDump {
--- a/entry/module.go
+++ b/entry/module.go
@@ -18,8 +18,10 @@
 	"github.com/rattanlanding/rattanlanding/follow"
 	"github.com/rattanlanding/rattanlanding/formation"
 	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/internal/connlimit"
 	"github.com/rattanlanding/rattanlanding/internal/suspend"
 	"github.com/rattanlanding/rattanlanding/lease"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
@@ -29,9 +31,6 @@
 )
 
 const (
-	// responseMemoryDivisor divides the process's memory; the quotient limits the
-	// memory for responses that are buffered until they are complete.
-	responseMemoryDivisor = 8
 	// storeTimeout limits one call to the store, in addition to the wait of a watch. The
 	// store responds in milliseconds, and in a quarter of a second when it is slow.
 	storeTimeout = 900 * time.Millisecond
@@ -56,7 +55,7 @@
 	// of memory, since the live heap is small.
 	gcPercent = 300
 	// heapShare is the fraction of the allowed memory that the heap may use.
-	heapShare = 0.6
+	heapShare = 0.7
 )
 
 // New returns the fx application of one node.
@@ -86,6 +85,8 @@
 		newThrottle,
 		newPlatformState,
 		newStatus,
+		newMemory,
+		newConnectionLimiter,
 		newHandler,
 		newDocuments,
 		newLeaseManager,
@@ -120,7 +121,9 @@
 	}
 }
 
-func newPool() *upstream.Pool { return upstream.NewPool(upstream.Config{}) }
+func newPool(l *connlimit.Limiter) *upstream.Pool {
+	return upstream.NewPool(upstream.Config{MaxConns: l.Max()})
+}
 
 func newGuard(s Settings, logger log.Logger, registry metrics.Registry) *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.Config{Duration: s.QuarantineTime}, logger, registry)
@@ -144,10 +147,19 @@
 	return st
 }
 
-func newHandler(s Settings, ps *PlatformState, st *status, pool *upstream.Pool, logger log.Logger, registry metrics.Registry) *forward.Handler {
+func newMemory(s Settings, registry metrics.Registry) *memory.Budget {
+	return memory.NewBudget(memory.Config{Bytes: s.MemoryBytes, Registry: registry})
+}
+
+func newConnectionLimiter(s Settings, budget *memory.Budget, registry metrics.Registry) *connlimit.Limiter {
+	return connlimit.New(s.MaxDescriptors, budget, registry)
+}
+
+func newHandler(s Settings, ps *PlatformState, st *status, pool *upstream.Pool, budget *memory.Budget, logger log.Logger, registry metrics.Registry) *forward.Handler {
 	return forward.NewHandler(
-		forward.Config{RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance, MaxBufferedBytes: s.MemoryBytes / responseMemoryDivisor},
+		forward.Config{RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance, BodyStallTime: s.BodyStallTime},
 		forward.Dependencies{
+			Memory:        budget,
 			Configuration: &ps.Configuration, Dispatcher: st.dispatcher, Connections: pool, Peers: st.mesh, Quarantine: st.quarantine,
 			Codec: platform.Codec{}, Logger: log.With(logger, "component", "forward"), Registry: registry,
 		})
@@ -202,6 +214,6 @@
 	return &reloader{path: file, current: s, mesh: st.mesh, handler: h, logger: logger, signals: signals}
 }
 
-func newInspector(st *status, h *forward.Handler, f followers, pool *upstream.Pool, registry metrics.Registry) *inspector {
-	return &inspector{status: st, handler: h, followers: f, pool: pool, registry: registry}
+func newInspector(st *status, h *forward.Handler, f followers, pool *upstream.Pool, budget *memory.Budget, registry metrics.Registry) *inspector {
+	return &inspector{status: st, handler: h, followers: f, pool: pool, memory: budget, registry: registry}
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/internal/strictjson"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 )
@@ -38,6 +39,11 @@
 	FirstStart bool `json:"firstStart"`
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64 `json:"memoryBytes"`
+	// MaxDescriptors is the number of files and sockets that the process may open; 0 means
+	// as many as the system allows.
+	MaxDescriptors int `json:"maxDescriptors"`
+	// BodyStallTime is how long the body of a request may take for its next 16 KiB.
+	BodyStallTime time.Duration `json:"bodyStallTime"`
 	// ProcessorShare is the number of processor cores that the process may use; it may
 	// be a fraction.
 	ProcessorShare float64 `json:"processorShare"`
@@ -71,8 +77,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryBytes: defaultMemory, ProcessorShare: defaultProcessor, StopTime: defaultStop,
-		QuarantineTime: quarantine.DefaultDuration,
-		AddressTTL:     defaultAddressTTL, RetryRatio: defaultRetryRatio, RetryAllowance: defaultAllowance,
+		QuarantineTime: quarantine.DefaultDuration, BodyStallTime: memory.DefaultBodyStallTime,
+		AddressTTL: defaultAddressTTL, RetryRatio: defaultRetryRatio, RetryAllowance: defaultAllowance,
 		LogLevel: "info",
 	}
 }
@@ -121,6 +127,8 @@
 		p.CheckAddress(fmt.Sprintf("seeds[%d]", i), seed)
 	}
 	p.CheckRange("memoryBytes", float64(s.MemoryBytes), 32<<20, 1<<40)
+	p.CheckRange("maxDescriptors", float64(s.MaxDescriptors), 0, 1<<20)
+	p.CheckRange("bodyStallTime", s.BodyStallTime.Seconds(), 0.1, 3600)
 	p.CheckRange("processorShare", s.ProcessorShare, 0.01, 256)
 	p.CheckRange("stopTime", s.StopTime.Seconds(), 1, 3600)
 	p.CheckRange("addressTtl", s.AddressTTL.Seconds(), 0.1, 300)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -42,7 +42,7 @@
 	})
 	sentAt := time.Now()
 	response, err := conn.Do(ctx, &upstream.Request{
-		Method: c.request.Method, Target: c.target, Host: c.request.Host, Header: header, Body: c.body,
+		Method: c.request.Method, Target: c.target, Host: c.request.Host, Header: header, Body: c.body.Parts(), Retain: c.body.Retain,
 		Watch: watch, Memory: h.oversized,
 		IsOwn: func(status int, header http.Header) bool {
 			return h.Codec.DecodeResponse(status, header).RequestID == c.ID
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -37,7 +37,9 @@
 	for _, field := range []string{c.request.Method, c.request.Host, c.target, c.organisationName()} {
 		_, _ = d.WriteString(strconv.Quote(field))
 	}
-	_, _ = d.Write(c.body)
+	for _, part := range c.body.Parts() {
+		_, _ = d.Write(part)
+	}
 	return hex.EncodeToString(d.Sum(nil))
 }
 
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -22,6 +21,7 @@
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
 
@@ -104,7 +104,8 @@
 	section.Publish(configuration)
 	others := &fakePeers{}
 	handler := NewHandler(Config{}, Dependencies{Configuration: &section, Dispatcher: NewDispatcher(tables, others, "z", newThrottle()), Connections: upstream.NewPool(upstream.Config{}),
-		Peers: others, Codec: headerCodec{}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry()})
+		Peers: others, Codec: headerCodec{}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
+		Memory: memory.NewBudget(memory.Config{Bytes: 128 << 20})})
 	node := httptest.NewServer(handler)
 	DeferCleanup(node.Close)
 	return node
@@ -203,26 +204,6 @@
 		Expect(length).To(Equal(100 * parts))
 	})
 
-	It("buffers long responses unchanged and releases their memory", func() {
-		// Guards against parts of a response that are lost, duplicated or from another
-		// request.
-		memory := newBufferLimit(4 * blockSize)
-		for _, length := range []int{0, 1, blockSize - 1, blockSize, 3*blockSize - 7} {
-			text := strings.Repeat("0123456789abc", length)[:length]
-			body, err := memory.readAll(&slowReader{strings.NewReader(text), 4099})
-			Expect(err).NotTo(HaveOccurred())
-			var written strings.Builder
-			Expect(body.writeTo(&written)).To(Succeed())
-			Expect(written.String()).To(Equal(text))
-			body.release()
-		}
-		_, err := memory.readAll(strings.NewReader(strings.Repeat("x", 5*blockSize)))
-		Expect(err).To(MatchError(errBuffersFull))
-		_, err = memory.readAll(io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)))
-		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
-		Expect(memory.free.TryAcquire(4 * blockSize)).To(BeTrue())
-	})
-
 	It("bounds the memory of many endless responses at the same time", func() {
 		// Guards against a process that is killed because of its memory use.
 		server := &endlessServer{start: okHead, part: strings.Repeat("x", 1<<16)}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -3,21 +3,18 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/upstream"
@@ -39,9 +36,9 @@
 	// RetryAllowance is the number of retries that all nodes together may make
 	// beyond that, within one window of the platform's accounting.
 	RetryAllowance float64
-	// MaxBufferedBytes bounds the memory for responses that are buffered until they are
-	// complete; 0 means the default. Large heads and events get half as much besides.
-	MaxBufferedBytes int64
+	// BodyStallTime is how long the body of a request may take for its next 16 KiB; 0 means
+	// the default.
+	BodyStallTime time.Duration
 }
 
 // Dependencies are the collaborators of a Handler.
@@ -53,9 +50,11 @@
 	// Quarantine holds the requests and parts of prompts that crash engines; nil means an
 	// empty one.
 	Quarantine *quarantine.Guard
-	Codec      Codec
-	Logger     log.Logger
-	Registry   metrics.Registry
+	// Memory is the memory for what the handler holds; nil means one of the default size.
+	Memory   *memory.Budget
+	Codec    Codec
+	Logger   log.Logger
+	Registry metrics.Registry
 }
 
 // Handler serves the requests of callers.
@@ -64,10 +63,9 @@
 	Dependencies
 	metrics  handlerMetrics
 	inFlight atomic.Int64
-	buffers  *bufferLimit
 	// oversized is the memory for large heads and events. It is apart from that for
 	// responses, so that servers that send endless ones don't keep others from theirs.
-	oversized *semaphore.Weighted
+	oversized memory.Fixed
 	// leaving is set once this node has begun to stop.
 	leaving atomic.Pointer[leaving]
 	// ending is cancelled when each request in progress must be answered.
@@ -86,10 +84,12 @@
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewGuard(quarantine.Config{}, deps.Logger, deps.Registry)
 	}
+	if deps.Memory == nil {
+		deps.Memory = memory.NewBudget(memory.Config{Registry: deps.Registry})
+	}
+	cfg.BodyStallTime = cmp.Or(cfg.BodyStallTime, memory.DefaultBodyStallTime)
 	h := &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
-		buffers:   newBufferLimit(cfg.MaxBufferedBytes),
-		oversized: semaphore.NewWeighted(cmp.Or(cfg.MaxBufferedBytes, defaultBufferedBytes) / oversizedDivisor),
-		budgets:   map[string]*retry.Budget{}}
+		oversized: deps.Memory.Fixed(memory.Events), budgets: map[string]*retry.Budget{}}
 	h.ending, h.end = context.WithCancel(context.Background())
 	return h
 }
@@ -116,7 +116,8 @@
 	organisation *catalog.Organisation
 	service      *catalog.Service
 	target       string
-	body         []byte
+	// body is the body of the request; nil until it was read.
+	body *memory.Buffer
 	// identity is equal for requests that are the same but for their request ID; empty until
 	// the body was read.
 	identity string
@@ -151,8 +152,14 @@
 	h.closeIfLeaving(w)
 	c := &call{Meta: h.Codec.DecodeRequest(r.Header), request: r, writer: w, started: time.Now(),
 		tried: map[string]bool{}}
+	if !h.Memory.BeginRequest() {
+		h.refuseUnread(c, h.noMemoryError(memory.ErrNoMemory))
+		return
+	}
+	defer h.Memory.EndRequest()
+	defer c.releaseBody()
 	if err := h.admit(c); err != nil {
-		h.respondError(c, err)
+		h.refuseUnread(c, err)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -230,43 +237,6 @@
 	c.goalAt = c.started.Add(c.route.LatencyGoal)
 }
 
-func (h *Handler) readBody(c *call, limit int64) *verdict.Error {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if c.request.ContentLength > limit {
-		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the body has more than %d bytes", limit)
-	}
-	// A caller that sends its body slowly occupies the connection no longer than it
-	// would wait for the response.
-	control := http.NewResponseController(c.writer)
-	if err := control.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
-		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "setting the write deadline of the response failed").WithCause(err)
-	}
-	if err := control.SetReadDeadline(c.deadline); err != nil {
-		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "setting the read deadline of the body failed").WithCause(err)
-	}
-	stop := context.AfterFunc(h.ending, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
-	stopped := !stop()
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the body has more than %d bytes", limit)
-	case stopped || (errors.Is(err, os.ErrDeadlineExceeded) && h.leaving.Load() != nil):
-		return stoppingError().WithCause(err)
-	case err != nil:
-		return verdict.BadField("body", "not readable").WithCause(err)
-	}
-	c.body = body
-	// After the body, the server reads without a deadline to detect that the caller
-	// disconnects.
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return verdict.New(verdict.NotRun, verdict.ReasonInternal, "clearing the read deadline of the body failed").WithCause(err)
-	}
-	return nil
-}
-
 // budget returns this node's share of the retry budget of a service.
 func (h *Handler) budget(service string) *retry.Budget {
 	h.mu.Lock()
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/upstream"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -62,7 +63,7 @@
 		h.checkCrash(c, slot, failed, false)
 		return failed
 	}
-	body, err := h.buffers.readAll(upstream.NewRateReader(response.Body))
+	body, err := h.readResponse(c, upstream.NewRateReader(response.Body))
 	if err != nil {
 		response.Abort()
 		failed := verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
@@ -70,7 +71,7 @@
 		h.checkCrash(c, slot, failed, true)
 		return failed
 	}
-	defer body.release()
+	defer body.Release()
 	if failed := h.brokenOff(slot, response); failed != nil {
 		h.checkCrash(c, slot, failed, true)
 		return failed
@@ -105,14 +106,15 @@
 }
 
 // deliver sends a complete response to the caller.
-func (h *Handler) deliver(c *call, response *upstream.Response, body *bufferedBody) {
+func (h *Handler) deliver(c *call, response *upstream.Response, body *memory.Buffer) {
 	copyHeader(c.writer.Header(), response.Header)
 	h.closeIfLeaving(c.writer)
 	if c.request.Method != http.MethodHead {
-		setLength(c.writer.Header(), body.length)
+		setLength(c.writer.Header(), body.Len())
 	}
 	c.writer.WriteHeader(response.Status)
-	if err := body.writeTo(c.writer); err != nil {
+	body.Hold().SetRevocable(true)
+	if err := body.Write(c.writer); err != nil {
 		h.abandon(c)
 		return
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -264,11 +264,11 @@
 // relayError forwards an engine's error response to the caller, or returns an error if
 // the request may be sent to another engine.
 func (h *Handler) relayError(s *stream, slot *Slot, response *upstream.Response) *verdict.Error {
-	body, err := h.buffers.readAll(response.Body)
+	body, err := h.readResponse(s.call, response.Body)
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "response with status %d interrupted", response.Status).WithCause(err)
 	}
-	defer body.release()
+	defer body.Release()
 	if failed := h.brokenOff(slot, response); failed != nil {
 		return failed
 	}
--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -40,7 +40,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			defer conn.Close()
 			response, err := conn.Do(context.Background(), &upstream.Request{Method: http.MethodPost, Target: "/x", Host: "h",
-				Body: make([]byte, body), IsOwn: func(int, http.Header) bool { return true }})
+				Body: [][]byte{make([]byte, body)}, IsOwn: func(int, http.Header) bool { return true }})
 			Expect(err).NotTo(HaveOccurred())
 			return response.Early
 		}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -37,7 +37,7 @@
 // write.
 var errInvalidStatus = errors.New("invalid status")
 
-// Request is a request whose body is in memory.
+// Request is a request whose body is in memory, in parts.
 type Request struct {
 	Method string
 	// Target is the request target in origin form.
@@ -45,7 +45,10 @@
 	Host   string
 	// Header is sent except Content-Length, Expect and Host.
 	Header http.Header
-	Body   []byte
+	Body   [][]byte
+	// Retain keeps the body until the returned function was called, since it may still be
+	// sent after the response was read; nil if nothing frees it.
+	Retain func() (release func())
 	// IsOwn reports whether a response belongs to this request.
 	IsOwn func(status int, header http.Header) bool
 	// Watch detects stalls while the response is read; nil means no timeout.
@@ -91,13 +94,23 @@
 	c.markProgress()
 	head := r.head()
 	sent := make(chan error, 1)
-	if len(r.Body) < concurrentBodySize {
-		if err := c.send(append(head, r.Body...)); err != nil {
+	if r.length() < concurrentBodySize {
+		for _, part := range r.Body {
+			head = append(head, part...)
+		}
+		if err := c.send(head); err != nil {
 			return nil, fmt.Errorf("send request: %w", err)
 		}
 		sent <- nil
 	} else {
-		go func() { sent <- c.send(head, r.Body) }()
+		release := func() {}
+		if r.Retain != nil {
+			release = r.Retain()
+		}
+		go func() {
+			defer release()
+			sent <- c.send(append([][]byte{head}, r.Body...)...)
+		}()
 	}
 	// ReadResponse needs the method to determine whether there is a body.
 	httpRequest := &http.Request{Method: r.Method}
@@ -152,10 +165,20 @@
 	return nil
 }
 
+// length returns the length of the body in bytes.
+func (r *Request) length() int {
+	n := 0
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
 // head returns the request line and the headers.
 func (r *Request) head() []byte {
+	length := r.length()
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024 + min(length, concurrentBodySize))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		if name == "Content-Length" || name == "Expect" || name == "Host" {
@@ -165,8 +188,8 @@
 			b.WriteString(name + ": " + value + "\r\n")
 		}
 	}
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -36,17 +36,23 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept if its server sends no timeout.
 	IdleTimeout time.Duration
+	// MaxConns is the number of connections from which idle ones are closed before others are
+	// opened; 0 means no limit.
+	MaxConns int
 }
 
 // Pool is a pool of connections by address.
 type Pool struct {
 	dialer      net.Dialer
 	idleTimeout time.Duration
+	maxConns    int
 
 	mu        sync.Mutex
 	idleConns map[string][]*Conn
 	openCount map[string]int
-	dials     uint64
+	// total is the sum of openCount.
+	total int
+	dials uint64
 }
 
 // NewPool returns an empty pool.
@@ -54,6 +60,7 @@
 	return &Pool{
 		dialer:      net.Dialer{Timeout: cmp.Or(cfg.DialTimeout, DefaultDialTimeout), KeepAlive: -1},
 		idleTimeout: cmp.Or(cfg.IdleTimeout, DefaultIdleTimeout),
+		maxConns:    cfg.MaxConns,
 		idleConns:   map[string][]*Conn{}, openCount: map[string]int{},
 	}
 }
@@ -145,15 +152,36 @@
 		p.mu.Lock()
 	}
 	p.openCount[address]++
+	p.total++
 	p.dials++
+	var surplus *Conn
+	if p.maxConns > 0 && p.total > p.maxConns {
+		surplus = p.takeAnyIdle()
+	}
 	p.mu.Unlock()
+	if surplus != nil {
+		surplus.Close()
+	}
 	return true
 }
 
+// takeAnyIdle removes an idle connection from the pool and returns it, or nil. The caller
+// holds p.mu.
+func (p *Pool) takeAnyIdle() *Conn {
+	for address, list := range p.idleConns {
+		if len(list) > 0 {
+			p.idleConns[address] = list[1:]
+			return list[0]
+		}
+	}
+	return nil
+}
+
 // release removes a closed connection from the count.
 func (p *Pool) release(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.total--
 	if p.openCount[address]--; p.openCount[address] <= 0 {
 		delete(p.openCount, address)
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return "", err
 	}
-	response, err := conn.Do(ctx, &upstream.Request{Method: "POST", Target: "/x", Host: "h", Body: []byte("b"), Watch: watch,
+	response, err := conn.Do(ctx, &upstream.Request{Method: "POST", Target: "/x", Host: "h", Body: [][]byte{[]byte("b")}, Watch: watch,
 		IsOwn: func(_ int, h http.Header) bool { return h.Get("Id") == "r" }})
 	if err != nil {
 		return "", err
