--- a/backend/plain_client.go
+++ b/backend/plain_client.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -25,6 +28,8 @@
 	URL    *url.URL
 	Header http.Header
 	Body   []byte
+	// Hold is the memory for the response, which the caller releases; nil means no limit.
+	Hold *memory.Hold
 }
 
 // Response is a complete response of a plain server.
@@ -63,7 +68,7 @@
 // Do sends a call that may be repeated. net/http may send it twice if a kept-alive
 // connection turns out to be closed.
 func (p *PlainClient) Do(ctx context.Context, call Call) (Response, error) {
-	return do(p.pooled, newCall(ctx, call), call.ID)
+	return do(p.pooled, newCall(ctx, call), call)
 }
 
 // DoOnce sends a call that must not be repeated. net/http resends a request only if it
@@ -72,7 +77,7 @@
 func (p *PlainClient) DoOnce(ctx context.Context, call Call) (Response, error) {
 	request := newCall(ctx, call)
 	request.GetBody = nil
-	return do(p.unpooled, request, call.ID)
+	return do(p.unpooled, request, call)
 }
 
 // newCall returns the HTTP request for call.
@@ -89,9 +94,10 @@
 	return request
 }
 
-// do sends request and returns the response if it belongs to the given attempt and is
+// do sends request and returns the response if it belongs to the call's attempt and is
 // complete.
-func do(transport http.RoundTripper, request *http.Request, attempt string) (Response, error) {
+func do(transport http.RoundTripper, request *http.Request, call Call) (Response, error) {
+	attempt := call.ID
 	response, err := roundTrip(transport, request)
 	if err != nil {
 		return Response{}, err
@@ -106,7 +112,7 @@
 	if response.StatusCode < http.StatusOK {
 		return Response{}, wrongAnswerError("answer has an interim status")
 	}
-	body, err := readBody(response, MaxResponseBytes)
+	body, err := readHeldBody(response, MaxResponseBytes, call.Hold)
 	if err != nil {
 		return Response{}, err
 	}
@@ -116,6 +122,34 @@
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// maxMemoryWait is the longest time that a response waits for memory.
+const maxMemoryWait = 2 * time.Second
+
+// readHeldBody reads a response body as readBody does, with the memory of a hold.
+func readHeldBody(response *http.Response, limit int64, hold *memory.Hold) ([]byte, error) {
+	if hold == nil || response.Request != nil && response.Request.Method == http.MethodHead {
+		return readBody(response, limit)
+	}
+	buffer := memory.NewBuffer(hold)
+	err := buffer.Fill(response.Body, limit, func() time.Duration { return maxMemoryWait })
+	var body []byte
+	if err == nil {
+		body, err = buffer.Join(maxMemoryWait)
+	}
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, memory.ErrTooLarge):
+		err = verdict.New(verdict.Ran, verdict.ReasonIncompleteAnswer, "answer is over %d bytes", limit)
+	case errors.Is(err, memory.ErrNoMemory):
+		err = verdict.New(verdict.MayHaveRun, verdict.ReasonOverloaded, "this node has no memory for the answer").WithCause(err)
+	default:
+		err = verdict.New(verdict.MayHaveRun, verdict.ReasonIncompleteAnswer, "answer was cut").WithCause(err)
+	}
+	buffer.Release()
+	return nil, err
+}
+
 // readBody reads a response body of at most limit bytes. A body with neither a length nor
 // chunks is complete when its connection is closed, not if it is reset.
 func readBody(response *http.Response, limit int64) ([]byte, error) {
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -17,6 +17,10 @@
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
+// completionCopies is the number of copies of a body that a completion holds: its fields, the
+// prompt, and the body that is sent to an engine.
+const completionCopies = 3
+
 // cancelTimeout is the time limit for cancelling an abandoned attempt at its engine.
 const cancelTimeout = 2 * time.Second
 
@@ -50,7 +54,7 @@
 
 // handleCompletions serves POST /v1/completions.
 func (g *Gateway) handleCompletions(r *request) error {
-	body, err := g.readBody(r.ctx)
+	body, err := g.readBody(r, completionCopies)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,12 +13,13 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
 )
 
-// Dependencies are the components that a gateway uses. All fields are required.
+// Dependencies are the components that a gateway uses. All fields but Memory are required.
 type Dependencies struct {
 	Board     *blackboard.Board
 	Table     *blackboard.Section[route.Table]
@@ -31,8 +32,10 @@
 	// Quarantine refuses requests that crash engines.
 	Quarantine *quarantine.Guard
 	Budget     *retry.Budget
-	Logger     log.Logger
-	Registry   metrics.Registry
+	// Memory is the memory for bodies and responses; nil means one of the default size.
+	Memory   *memory.Budget
+	Logger   log.Logger
+	Registry metrics.Registry
 }
 
 // Gateway serves the callers' HTTP API.
@@ -65,6 +68,9 @@
 // New returns a gateway.
 func New(config Config, deps Dependencies) *Gateway {
 	releaseMode()
+	if deps.Memory == nil {
+		deps.Memory = memory.NewBudget(memory.Config{Registry: deps.Registry})
+	}
 	g := &Gateway{Dependencies: deps, config: config.withDefaults(), engine: gin.New(), metrics: newGatewayMetrics(deps.Registry)}
 	g.ending, g.end = context.WithCancel(context.Background())
 	g.engine.RedirectTrailingSlash = false
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -17,6 +17,7 @@
 	"github.com/rattanlanding/rattanlanding/claim"
 	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
@@ -53,11 +54,13 @@
 	subject quarantine.Request
 	// runs is the number of attempts that may have run.
 	runs int
+	// hold is the memory of the response.
+	hold *memory.Hold
 }
 
 // handlePlain serves /services/<service>/<path> for all methods.
 func (g *Gateway) handlePlain(r *request) error {
-	body, err := g.readBody(r.ctx)
+	body, err := g.readBody(r, 0)
 	if err != nil {
 		return err
 	}
@@ -66,6 +69,8 @@
 		return err
 	}
 	p := &plainCall{request: r, gateway: g, service: service, body: body, path: r.ctx.Param("path")}
+	p.hold = p.holdResponse()
+	defer p.hold.Release()
 	if !canonicalPath(p.path) {
 		return verdict.BadField("path", "must have no empty, '.' or '..' segments")
 	}
@@ -233,7 +238,7 @@
 	url.Path = p.path
 	url.RawPath = strings.TrimPrefix(url.RawPath, prefix)
 	call := backend.Call{ID: uuid.NewString(), Address: target.Address, Method: p.ctx.Request.Method,
-		URL: &url, Header: header, Body: p.body}
+		URL: &url, Header: header, Body: p.body, Hold: p.hold}
 	target.Tracker.Add(1)
 	sent, send := g.newSending(target), g.Servers.DoOnce
 	if p.repeatable {
@@ -288,7 +293,7 @@
 	}
 	w.WriteHeader(status)
 	w.WriteHeaderNow()
-	_, _ = w.Write(body)
+	p.writeBody(body)
 }
 
 // bodyAllowed reports whether a response with the given status may have a body.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +13,7 @@
 	"github.com/rattanlanding/rattanlanding/backend"
 	"github.com/rattanlanding/rattanlanding/drain"
 	"github.com/rattanlanding/rattanlanding/fleet"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -31,6 +29,8 @@
 	// kind and callerDeadline decide whether the request may start while this node stops.
 	kind           drain.Kind
 	callerDeadline time.Time
+	// body is the memory of the body that was read; nil if none was.
+	body *memory.Buffer
 }
 
 // handler serves one kind of request. A returned error is written as the response
@@ -81,6 +81,12 @@
 				WithRetryAfter(200 * time.Millisecond)
 		}
 		if err == nil {
+			if !g.Memory.BeginRequest() {
+				g.fail(c, noMemoryError(c, memory.ErrNoMemory))
+				return
+			}
+			defer g.Memory.EndRequest()
+			defer r.releaseBody()
 			err = g.authenticate(r)
 		}
 		if err != nil {
@@ -142,6 +148,7 @@
 		c.Header("Retry-After", strconv.Itoa(int((err.RetryAfter+time.Second-1)/time.Second)))
 	}
 	c.Header(verdict.Header, err.Verdict.String())
+	g.skipBody(c, err)
 	g.extendWriteDeadline(c)
 	c.AbortWithStatusJSON(err.Status(), err.Body(id))
 }
@@ -151,38 +158,6 @@
 	_ = http.NewResponseController(c.Writer).SetWriteDeadline(time.Now().Add(g.config.WriteTimeout))
 }
 
-// readBody reads the whole request body. A body that is shorter than its declared
-// length is an error.
-func (g *Gateway) readBody(c *gin.Context) ([]byte, error) {
-	if c.Request.ContentLength > g.config.MaxBodyBytes {
-		return nil, g.tooLargeError()
-	}
-	control := http.NewResponseController(c.Writer)
-	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
-	stop := context.AfterFunc(g.ending, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, g.config.MaxBodyBytes))
-	if !stop() {
-		return nil, stoppingError()
-	}
-	// net/http keeps reading in the background to detect that the caller disconnects, so
-	// the read deadline is removed.
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, g.tooLargeError()
-	}
-	if err != nil {
-		c.Header("Connection", "close")
-		return nil, verdict.BadField("body", "the body is not whole").WithCause(err)
-	}
-	return body, nil
-}
-
-// tooLargeError returns the refusal of a body that exceeds MaxBodyBytes.
-func (g *Gateway) tooLargeError() *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the body is over %d bytes", g.config.MaxBodyBytes)
-}
-
 // timeout returns the time limit of the request: that of the service, or else fallback,
 // and at most the one that the caller's deadline header gives.
 func (r *request) timeout(service *fleet.Service, fallback time.Duration) (time.Duration, error) {
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
 	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/internal/connlimit"
 	"github.com/rattanlanding/rattanlanding/internal/httpdrain"
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/lease"
@@ -73,6 +74,7 @@
 	board          *blackboard.Board
 	peer           *peer.Node
 	gateway        *gateway.Gateway
+	limiter        *connlimit.Limiter
 	operatorServer operatorServer
 	claims         *claim.Registry
 	controllers    controllers
@@ -86,12 +88,16 @@
 	goroutines sync.WaitGroup
 }
 
-func newDaemon(s settings.Settings, board *blackboard.Board, node *peer.Node, g *gateway.Gateway,
+func newDaemon(s settings.Settings, board *blackboard.Board, node *peer.Node, g *gateway.Gateway, limiter *connlimit.Limiter,
 	operators operatorServer, claims *claim.Registry, controllers controllers, logger log.Logger, shutdown fx.Shutdowner,
 ) *daemon {
+	callers := g.Server()
+	for _, server := range []*http.Server{callers, operators.Server} {
+		server.Handler, server.ConnContext = limiter.Handler(server.Handler), limiter.ConnContext
+	}
 	return &daemon{
-		settings: s, board: board, peer: node, gateway: g, operatorServer: operators, claims: claims,
-		controllers: controllers, logger: logger, shutdown: shutdown, callerServer: httpdrain.NewServer(g.Server()),
+		settings: s, board: board, peer: node, gateway: g, limiter: limiter, operatorServer: operators, claims: claims,
+		controllers: controllers, logger: logger, shutdown: shutdown, callerServer: httpdrain.NewServer(callers),
 	}
 }
 
@@ -114,8 +120,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	d.board.Lifecycle.Publish(&blackboard.Lifecycle{State: fleet.NodeServing, StartedAt: time.Now()})
-	d.serve("callers", d.callerServer, callerListener)
-	d.serve("operators", d.operatorServer.Server, operatorListener)
+	d.serve("callers", d.callerServer, d.limiter.Listen(callerListener))
+	d.serve("operators", d.operatorServer.Server, d.limiter.Listen(operatorListener))
 	for _, c := range d.controllers {
 		d.goroutines.Go(func() { d.runController(ctx, c) })
 	}
--- a/node/module.go
+++ b/node/module.go
@@ -25,7 +25,7 @@
 const startTimeout = 15 * time.Second
 
 // heapShare is the fraction of the allowed memory that the heap may use.
-const heapShare = 0.6
+const heapShare = 0.7
 
 // New returns the fx application of one daemon.
 func New(s settings.Settings, logger log.Logger) *fx.App {
@@ -64,6 +64,8 @@
 		newBuilder,
 		newClaims,
 		newGuard,
+		newMemory,
+		newConnectionLimiter,
 		newGateway,
 		newApplier,
 		newOperatorServer,
--- a/node/serving.go
+++ b/node/serving.go
@@ -12,7 +12,9 @@
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
 	"github.com/rattanlanding/rattanlanding/health"
+	"github.com/rattanlanding/rattanlanding/internal/connlimit"
 	"github.com/rattanlanding/rattanlanding/limit"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/operator"
 	"github.com/rattanlanding/rattanlanding/quarantine"
@@ -50,9 +52,17 @@
 	return quarantine.NewGuard(quarantine.Config{}, logger, registry)
 }
 
+func newMemory(s settings.Settings, registry metrics.Registry) *memory.Budget {
+	return memory.NewBudget(memory.Config{Bytes: s.Limits.MemoryBytes, Registry: registry})
+}
+
+func newConnectionLimiter(s settings.Settings, budget *memory.Budget, registry metrics.Registry) *connlimit.Limiter {
+	return connlimit.New(s.Limits.MaxDescriptors, budget, registry)
+}
+
 func newGateway(s settings.Settings, board *blackboard.Board, builder *route.Builder, engines *backend.EngineClient,
 	servers *backend.PlainClient, limiter *limit.Limiter, claims *claim.Registry, prober *health.Prober,
-	statuses *statusSource, guard *quarantine.Guard, logger log.Logger, registry metrics.Registry,
+	statuses *statusSource, guard *quarantine.Guard, budget *memory.Budget, logger log.Logger, registry metrics.Registry,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		MaxBodyBytes:  s.Limits.MaxBodyBytes,
@@ -70,6 +80,7 @@
 		Statuses:   statuses,
 		Quarantine: guard,
 		Budget:     retry.NewBudget(int(s.Limits.RetryBudgetRatio*percent), retryBurst),
+		Memory:     budget,
 		Logger:     logger,
 		Registry:   registry,
 	})
--- a/settings/check.go
+++ b/settings/check.go
@@ -162,6 +162,7 @@
 // checkLimits checks the ranges of the limits and the placement settings.
 func (s *Settings) checkLimits(p *strictjson.Problems) {
 	p.CheckRange("limits.memoryBytes", float64(s.Limits.MemoryBytes), 32<<20, 1<<40)
+	p.CheckRange("limits.maxDescriptors", float64(s.Limits.MaxDescriptors), 0, 1<<20)
 	p.CheckRange("limits.maxBodyBytes", float64(s.Limits.MaxBodyBytes), 1024, 64<<20)
 	p.CheckRange("limits.maxConcurrentRequests", float64(s.Limits.MaxConcurrentRequests), 1, 100_000)
 	p.CheckRange("limits.retryBudgetRatio", s.Limits.RetryBudgetRatio, 0, 1)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -94,6 +94,9 @@
 type Limits struct {
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64 `json:"memoryBytes"`
+	// MaxDescriptors is the number of files and sockets that the process may open; 0 means
+	// as many as the system allows.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// MaxBodyBytes limits the body of a request.
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 	// MaxConcurrentRequests limits the requests in flight.
