--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -41,6 +41,7 @@
 		path(),
 		groupsMeasurement(),
 		retriesMeasurement(),
+		bodies(),
 	}
 }
 
