--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -37,10 +39,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(store.Close)
 	store.Put("config", "main", entryConfiguration())
-	server := httptest.NewServer(backendServer(func(h, request http.Header) {
-		h.Set("X-Rattanlanding-Request-Id", request.Get("X-Rattanlanding-Request-Id"))
-		h.Set("X-Rattanlanding-Server-Signature", "s-1")
-	}))
+	server := httptest.NewServer(backendServer(func(h, request http.Header) { platformtest.SetResponseHeaders(h, "s-1", request) }))
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -55,7 +54,11 @@
 	})
 	n.address = ip + ":7501"
 	request := func(method, target string) string {
-		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nX-Rattanlanding-Request-Id: q1\r\nAuthorization: Token %s\r\n", method, target, callerKey)
+		header := http.Header{}
+		platformtest.SetRequestHeaders(header, "q1", callerKey, time.Minute)
+		var text strings.Builder
+		g.Expect(header.Write(&text)).To(Succeed())
+		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\n%s", method, target, &text)
 	}
 	n.head = func(method, target string) string { return request(method, "/look/x"+target) }
 	n.stream = request("GET", "/watch/x?events=1000000") + "\r\n"
--- a/internal/measure/bodies.go
+++ b/internal/measure/bodies.go
@@ -31,30 +31,28 @@
 	smallQuantile = 0.95
 )
 
-// bodies measures the memory of a node that receives large bodies, and what they do to small
-// requests.
-func bodies() Measurement {
-	return Measurement{Name: "bodies", Run: func(ctx context.Context, seed uint64, emit Emit) error {
-		for _, mb := range []int64{184, 284} {
-			alone := time.Duration(0)
-			for _, load := range []float64{0, 1, 1.7, 3} {
-				result, err := runBodies(ctx, mb*1e6, int(load*bodyCallers+0.5), seed)
-				if err != nil {
-					return err
-				}
-				policy, name := fmt.Sprintf("%d MB", mb), fmt.Sprintf("%.1f of the usual callers, ", load)
-				emit(policy, name+"most resident memory", float64(result.peak)/float64(mb*1e6), "of the limit")
-				emit(policy, name+"small requests served", result.small.served(), "of requests")
-				latency := result.small.latency()
-				if load == 0 {
-					alone = latency
-					emit(policy, name+"latency of small requests p95", latency.Seconds()*1000, "ms")
-					continue
-				}
-				emit(policy, name+"large requests served", result.large.served(), "of requests")
-				emit(policy, name+"large requests served each second", float64(len(result.large.latencies))/bodiesTime.Seconds(), "requests/s")
-				emit(policy, name+"latency of small requests p95", float64(latency)/float64(alone), "of that alone")
+// bodies measures the memory of a node on a machine with some megabytes that receives large
+// bodies, and what they do to small requests.
+func bodies(mb int64) Measurement {
+	return Measurement{Name: fmt.Sprintf("bodies-%d", mb), Run: func(ctx context.Context, seed uint64, emit Emit) error {
+		alone := time.Duration(0)
+		for _, load := range []float64{0, 1, 1.7, 3} {
+			result, err := runBodies(ctx, mb*1e6, int(load*bodyCallers+0.5), seed)
+			if err != nil {
+				return err
 			}
+			policy, name := fmt.Sprintf("%d MB", mb), fmt.Sprintf("%.1f of the usual callers, ", load)
+			emit(policy, name+"most resident memory", float64(result.peak)/float64(mb*1e6), "of the limit")
+			emit(policy, name+"small requests served", result.small.served(), "of requests")
+			latency := result.small.latency()
+			if load == 0 {
+				alone = latency
+				emit(policy, name+"latency of small requests p95", latency.Seconds()*1000, "ms")
+				continue
+			}
+			emit(policy, name+"large requests served", result.large.served(), "of requests")
+			emit(policy, name+"large requests served each second", float64(len(result.large.latencies))/bodiesTime.Seconds(), "requests/s")
+			emit(policy, name+"latency of small requests p95", float64(latency)/float64(alone), "of that alone")
 		}
 		return nil
 	}}
--- a/internal/measure/bodies_testbed.go
+++ b/internal/measure/bodies_testbed.go
@@ -45,8 +45,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		w.Header().Set("X-Rattanlanding-Request-Id", r.Header.Get("X-Rattanlanding-Request-Id"))
-		w.Header().Set("X-Rattanlanding-Server-Signature", "s-1")
+		platformtest.SetResponseHeaders(w.Header(), "s-1", r.Header)
 		_, _ = io.WriteString(w, "done\n")
 	}))
 	configuration := platformtest.Configuration(1, "k1")
@@ -185,8 +184,14 @@
 		}
 		answered <- answer{response, err}
 	}()
-	_, err = fmt.Fprintf(conn, "PUT /look/x HTTP/1.1\r\nHost: a.example\r\nX-Rattanlanding-Request-Id: q%d\r\nX-Rattanlanding-Deadline-Ms: %d\r\nAuthorization: Token k1\r\nContent-Length: %d\r\n\r\n",
-		time.Now().UnixNano(), time.Until(deadline).Milliseconds(), size)
+	header := http.Header{"Content-Length": {strconv.Itoa(size)}}
+	platformtest.SetRequestHeaders(header, fmt.Sprint("q", time.Now().UnixNano()), "k1", time.Until(deadline))
+	var head bytes.Buffer
+	head.WriteString("PUT /look/x HTTP/1.1\r\nHost: a.example\r\n")
+	// A buffer doesn't fail.
+	_ = header.Write(&head)
+	head.WriteString("\r\n")
+	_, err = conn.Write(head.Bytes())
 	part := bytes.Repeat([]byte("b"), size/parts)
 	for i := 0; i < parts && err == nil && len(answered) == 0; i++ {
 		_, err = conn.Write(part)
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -41,7 +41,8 @@
 		path(),
 		groupsMeasurement(),
 		retriesMeasurement(),
-		bodies(),
+		bodies(184),
+		bodies(284),
 	}
 }
 
