memory: bodies that can't all end don't begin

Cause: at three times the usual callers, bodies were refused after most of their bytes had been received. Change: a large body begins only while the announced sizes of those in progress are within one and a half times the memory for bodies; nothing is taken for them.

--- a/forward/body.go
+++ b/forward/body.go
@@ -49,6 +49,7 @@
 		return nil
 	}
 	stop := context.AfterFunc(h.ending, func() { _ = control.SetReadDeadline(time.Now()) })
+	hold.Expect(max(c.request.ContentLength-memory.FreeSize, 0))
 	source := &bodyReader{source: c.request.Body, control: control, hold: hold, ending: h.ending, deadline: c.deadline, stallTime: h.cfg.BodyStallTime}
 	err := c.body.Fill(source, limit, c.patience)
 	stopped := !stop()
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -39,6 +39,7 @@
 	control := http.NewResponseController(c.Writer)
 	hold := g.Memory.NewHold(memory.Bodies, r.owner(), func() { _ = control.SetReadDeadline(time.Now()) })
 	r.body = memory.NewBuffer(hold)
+	hold.Expect(max(c.Request.ContentLength-memory.FreeSize, 0))
 	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
 	stop := context.AfterFunc(g.ending, func() { _ = control.SetReadDeadline(time.Now()) })
 	err := r.body.Fill(c.Request.Body, g.config.MaxBodyBytes, func() time.Duration { return maxBodyWait })
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -89,6 +89,8 @@
 
 	mu   sync.Mutex
 	used [kinds]int64
+	// expected are the expected bytes of the holds that have some.
+	expected [kinds]int64
 	// holds are those with memory that aren't revoked.
 	holds map[*Hold]struct{}
 	// parties are the organisations and addresses with holds, and their numbers by group.
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -172,6 +172,34 @@
 	})
 }
 
+// Guards against bodies that are refused after most of their bytes were received, because too
+// many have begun.
+func TestBodiesThatCannotAllEndDontBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newBudget()
+		begin := func(expected int64) (holder, error) {
+			h := newHolder(b, ann)
+			h.Expect(expected)
+			return h, h.Acquire(block, 0)
+		}
+		first, err := begin(10 * bodyBlocks * block)
+		g.Expect(err).NotTo(HaveOccurred(), "one body may always begin")
+		first.Release()
+		for range 3 {
+			_, err := begin(bodyBlocks / 2 * block)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		last, err := begin(bodyBlocks / 2 * block)
+		g.Expect(err).To(MatchError(memory.ErrNoMemory))
+		last.Release()
+		_, err = begin(block / 2)
+		g.Expect(err).NotTo(HaveOccurred(), "a small one may begin")
+		_, err = begin(0)
+		g.Expect(err).NotTo(HaveOccurred(), "the length isn't known")
+	})
+}
+
 // Guards against many callers whose bytes wait in the kernel, which counts as memory too.
 func TestFewWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/memory/hold.go
+++ b/memory/hold.go
@@ -38,8 +38,10 @@
 	onRevoke func()
 
 	// The fields below are guarded by budget.mu.
-	order      uint64
-	bytes      int64
+	order uint64
+	bytes int64
+	// expected is the number of bytes that the hold is to have at last; 0 means unknown.
+	expected   int64
 	registered bool
 	// revocable is true while the memory may be given up for the sake of others.
 	revocable, revoked, waiting bool
@@ -93,6 +95,9 @@
 
 // take adds bytes to the hold.
 func (h *Hold) take(bytes int64) {
+	if h.bytes == 0 {
+		h.budget.expected[h.kind] += h.expected
+	}
 	h.bytes += bytes
 	h.budget.used[h.kind] += bytes
 	for _, key := range h.keys() {
@@ -116,6 +121,37 @@
 // relieveInterval is the time between two attempts to make room for a call that waits.
 const relieveInterval = 50 * time.Millisecond
 
+const (
+	// overcommitPart and overcommitWhole bound the expected bytes of all holds of a kind, as a
+	// part of its memory: bodies that arrive together have half of their bytes on average. With
+	// more of them, most would be refused after some of their bytes had been received.
+	overcommitPart, overcommitWhole = 3, 2
+	// largePart divides the memory of a kind; holds that expect at most the quotient begin
+	// regardless of the others.
+	largePart = 64
+)
+
+// Expect sets the number of bytes that the hold is to have at last. It decides whether the hold
+// may begin beside others, and takes no memory.
+func (h *Hold) Expect(bytes int64) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if !h.registered {
+		h.expected = bytes
+	}
+}
+
+// mayTake reports whether there are bytes left for the hold.
+func (h *Hold) mayTake(bytes int64) bool {
+	b := h.budget
+	if h.bytes == 0 && h.expected > b.limits[h.kind]/largePart &&
+		b.expected[h.kind] > 0 && b.expected[h.kind]+h.expected > b.limits[h.kind]/overcommitWhole*overcommitPart {
+		return false
+	}
+	fits, _ := b.fits(h.kind, bytes)
+	return fits
+}
+
 // Acquire takes bytes and waits for them as long as patience allows.
 func (h *Hold) Acquire(bytes int64, patience time.Duration) error {
 	b := h.budget
@@ -125,8 +161,7 @@
 		return ErrRevoked
 	}
 	h.register()
-	fits, _ := b.fits(h.kind, bytes)
-	if fits && len(b.waiters) == 0 {
+	if len(b.waiters) == 0 && h.mayTake(bytes) {
 		h.take(bytes)
 		b.mu.Unlock()
 		return nil
@@ -187,7 +222,7 @@
 func (b *Budget) grant() {
 	for len(b.waiters) > 0 {
 		w := b.first()
-		if fits, _ := b.fits(w.hold.kind, w.bytes); !fits {
+		if !w.hold.mayTake(w.bytes) {
 			return
 		}
 		w.hold.take(w.bytes)
@@ -309,6 +344,9 @@
 	if h.revoked {
 		b.revoked -= h.bytes
 	}
+	if h.bytes > 0 {
+		b.expected[h.kind] -= h.expected
+	}
 	b.used[h.kind] -= h.bytes
 	for _, key := range h.keys() {
 		p := b.parties[key]
@@ -331,6 +369,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if excess := h.bytes - bytes; excess > 0 {
+		if bytes == 0 {
+			b.expected[h.kind] -= h.expected
+		}
 		if h.revoked {
 			b.revoked -= excess
 		}
