connlimit: more descriptors left for the process itself

Cause: with 256 descriptors, 238 were open under a crowd of connections, where 240 are the bound: the process's own listeners and connections to the store weren't counted. Change: a quarter of few descriptors is left for them in place of an eighth; of 4,100 it is 200 as before.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// fileReserve is the number of descriptors that are left for files, and filePart divides
-	// the descriptors of a process that has few; the quotient is left in its place.
-	fileReserve, filePart = 200, 8
+	// fileReserve is the number of descriptors that are left for files and for the connections
+	// of the process to the store and to other nodes. filePart divides the descriptors of a
+	// process that has few; the quotient is left in its place.
+	fileReserve, filePart = 200, 4
 	// connPart divides the other descriptors; the quotient is the number of connections to
 	// this node. As many are for those that it opens, one for each request at most.
 	connPart = 2
