--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/forward"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/operator"
 	"github.com/rattanlanding/rattanlanding/quarantine"
@@ -72,6 +73,7 @@
 	handler   *forward.Handler
 	followers followers
 	pool      *upstream.Pool
+	memory    *memory.Budget
 	registry  metrics.Registry
 }
 
@@ -118,6 +120,7 @@
 	if f := i.followers.evacuations; f != nil {
 		gauge("follow.evacuations.silent_ms", f.TimeSinceContact().Milliseconds())
 	}
+	i.memory.UpdateGauges(i.registry)
 }
 
 func (i *inspector) dump() stateDump {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -41,6 +41,8 @@
 		path(),
 		groupsMeasurement(),
 		retriesMeasurement(),
+		bodies(184),
+		bodies(284),
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,6 +92,11 @@
 
 // Limits limit the requests that one node accepts.
 type Limits struct {
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64 `json:"memoryBytes"`
+	// MaxDescriptors is the number of files and sockets that the process may open; 0 means
+	// as many as the system allows.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// MaxBodyBytes limits the body of a request.
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 	// MaxConcurrentRequests limits the requests in flight.
@@ -132,6 +137,7 @@
 			ClaimRetention:       time.Hour,
 		},
 		Limits: Limits{
+			MemoryBytes:           256 << 20,
 			MaxBodyBytes:          1 << 20,
 			MaxConcurrentRequests: 512,
 			RetryBudgetRatio:      0.1,
