entry: new limits reach the connections of callers that are open

Cause: the limits of an http.Server can't change while it runs, and the connections stayed with it.

The header limit is checked for each request now; the server reads up to 256 KiB within the memory for heads. Connections of a server whose timeouts are outdated are closed after their next response.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -23,9 +25,17 @@
 	defaultIdleTimeout    = 60 * time.Second
 )
 
-// callerServer serves callers on one listener. The limits of an http.Server can't be
-// changed while it runs, so new limits start a new http.Server, which gets the
-// connections accepted from then on.
+const (
+	// readHeaderBytes is the size of a header that is read whatever the limit. The limit is
+	// checked for each request, so that a new one applies to open connections.
+	readHeaderBytes = 256 << 10
+	// headerSlack is the size by which a header may exceed the limit, as in net/http.
+	headerSlack = 4 << 10
+)
+
+// callerServer serves callers on one listener. The timeouts of an http.Server can't be
+// changed while it runs, so new ones start a new http.Server, which gets the connections
+// accepted from then on. Those of the earlier server are closed after their next response.
 type callerServer struct {
 	handler  http.Handler
 	listener net.Listener
@@ -34,8 +44,13 @@
 	// accepted is closed when no more connections are accepted.
 	accepted chan struct{}
 
+	// maxHeaderBytes is the limit of the header of a request.
+	maxHeaderBytes atomic.Int64
+
 	mu     sync.Mutex
-	limits catalog.Limits
+	limits serverLimits
+	// outdated is set once the newest server was replaced.
+	outdated *atomic.Bool
 	// servers are all servers started so far; older ones keep their connections.
 	servers []*httpdrain.Server
 	// current is the listener of the newest server.
@@ -50,31 +65,73 @@
 	return s
 }
 
-// applyLimits starts a server with new limits for the connections accepted from now
-// on. It does nothing if the limits are unchanged.
+// serverLimits are the limits that an http.Server enforces.
+type serverLimits struct {
+	headerBytes                int
+	headerTimeout, idleTimeout time.Duration
+}
+
+// applyLimits applies new limits, also to open connections. It starts another server if
+// the server's own limits change.
 func (s *callerServer) applyLimits(limits catalog.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current != nil && limits == s.limits {
+	maxHeader := orDefault(limits.MaxHeaderBytes, defaultMaxHeaderBytes)
+	s.maxHeaderBytes.Store(int64(maxHeader))
+	own := serverLimits{headerBytes: max(maxHeader, readHeaderBytes), headerTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		idleTimeout: orDefault(limits.IdleTimeout, defaultIdleTimeout)}
+	if s.current != nil && own == s.limits {
 		return
 	}
-	s.limits = limits
+	outdated := new(atomic.Bool)
 	server := httpdrain.NewServer(&http.Server{
-		Handler:           s.handler,
+		Handler:           s.limitHeader(outdated),
 		ConnContext:       s.limiter.ConnContext,
-		MaxHeaderBytes:    orDefault(limits.MaxHeaderBytes, defaultMaxHeaderBytes),
-		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:    own.headerBytes,
+		ReadHeaderTimeout: own.headerTimeout,
+		IdleTimeout:       own.idleTimeout,
 	})
 	if s.current != nil {
 		s.current.stop()
+		s.outdated.Store(true)
 	}
+	s.limits, s.outdated = own, outdated
 	s.current = &connListener{address: s.listener.Addr(), conns: make(chan net.Conn), done: make(chan struct{})}
 	s.servers = append(s.servers, server)
 	current := s.current
 	go func() { _ = server.Serve(current) }()
 }
 
+// limitHeader returns a handler that refuses requests with a header above the limit, and
+// closes the connections of a server that is outdated after their next response.
+func (s *callerServer) limitHeader(outdated *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size, limit := headerBytes(r), s.maxHeaderBytes.Load()
+		tooLarge := size > limit+headerSlack
+		if tooLarge || outdated.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		if tooLarge {
+			http.Error(w, fmt.Sprintf("header: %d bytes, at most %d are allowed", size, limit), http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
+		s.handler.ServeHTTP(w, r)
+	})
+}
+
+// headerBytes returns the size of the first line and the header fields of a request, as
+// they are usually sent.
+func headerBytes(r *http.Request) int64 {
+	const lineEnd, separator = 2, 2
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + separator + len(value) + lineEnd
+		}
+	}
+	return int64(size)
+}
+
 func orDefault[T int | time.Duration](value, fallback T) T {
 	if value > 0 {
 		return value
