forward, entry: how evenly requests are distributed over groups

Nobody could see from a node whether some groups of a model are overrun while others idle: the log named only the group of each request.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -50,6 +50,7 @@
 	quarantine    quarantineKeepers
 	reloader      *reloader
 	inspector     *inspector
+	evenness      *evennessReporter
 	board         *blackboard.Board
 	logger        log.Logger
 	shutdown      fx.Shutdowner
@@ -60,10 +61,10 @@
 }
 
 func newDaemon(s Settings, st *status, h *forward.Handler, d *Documents, f followers, ps *PlatformState, l *lease.Manager,
-	c *formation.Controller, q quarantineKeepers, r *reloader, i *inspector, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
+	c *formation.Controller, q quarantineKeepers, r *reloader, i *inspector, e *evennessReporter, board *blackboard.Board, logger log.Logger, shutdown fx.Shutdowner,
 ) *daemon {
 	return &daemon{settings: s, status: st, handler: h, documents: d, followers: f, platformState: ps, leases: l,
-		formation: c, quarantine: q, reloader: r, inspector: i, board: board, logger: logger, shutdown: shutdown}
+		formation: c, quarantine: q, reloader: r, inspector: i, evenness: e, board: board, logger: logger, shutdown: shutdown}
 }
 
 // start opens the listeners and starts the background loops.
@@ -101,6 +102,7 @@
 		"formation":     d.formation.Run,
 		"quarantine":    d.quarantine.run,
 		"reload":        d.reloader.run,
+		"evenness":      d.evenness.run,
 		"members":       d.publishMembers,
 		"limits":        d.followLimits,
 		"callers":       func(context.Context) error { return d.callers.run() },
--- a/entry/module.go
+++ b/entry/module.go
@@ -93,6 +93,7 @@
 		newQuarantineKeepers,
 		newReloader,
 		newInspector,
+		newEvennessReporter,
 		newDaemon,
 	),
 	fx.Invoke(func(l fx.Lifecycle, d *daemon) { l.Append(fx.Hook{OnStart: d.start, OnStop: d.stop}) }),
@@ -205,3 +206,7 @@
 func newInspector(st *status, h *forward.Handler, f followers, pool *upstream.Pool, registry metrics.Registry) *inspector {
 	return &inspector{status: st, handler: h, followers: f, pool: pool, registry: registry}
 }
+
+func newEvennessReporter(st *status, logger log.Logger, registry metrics.Registry) *evennessReporter {
+	return &evennessReporter{dispatcher: st.dispatcher, logger: log.With(logger, "component", "forward"), registry: registry}
+}
