--- a/forward/choose.go
+++ b/forward/choose.go
@@ -105,15 +105,31 @@
 // candidates with a free slot, and overload them while the others empty. The request is
 // then sent to any candidate of the tier that isn't crowded.
 func Choose(candidates []Candidate, unreported float64, draw func(n int) int) int {
+	eligible, largest := Eligible(candidates, unreported), 1
+	for i := range candidates {
+		largest = max(largest, candidates[i].Slots)
+	}
+	best := -1
+	for range min(drawCount, len(eligible)) {
+		at := draw(len(eligible))
+		drawn := eligible[at]
+		eligible = slices.Delete(eligible, at, at+1)
+		if best < 0 || candidates[drawn].score(largest) < candidates[best].score(largest) {
+			best = drawn
+		}
+	}
+	return best
+}
+
+// Eligible returns the indexes of the candidates that Choose draws from.
+func Eligible(candidates []Candidate, unreported float64) []int {
 	tier, found := lowestFreeTier(candidates)
 	if !found {
-		return -1
+		return nil
 	}
-	free, largest := 0.0, 1
+	free := 0.0
 	for i := range candidates {
-		c := &candidates[i]
-		largest = max(largest, c.Slots)
-		if !c.Excluded && c.tier() == tier {
+		if c := &candidates[i]; !c.Excluded && c.tier() == tier {
 			free += c.free()
 		}
 	}
@@ -127,16 +143,7 @@
 			eligible = append(eligible, i)
 		}
 	}
-	best := -1
-	for range min(drawCount, len(eligible)) {
-		at := draw(len(eligible))
-		drawn := eligible[at]
-		eligible = slices.Delete(eligible, at, at+1)
-		if best < 0 || candidates[drawn].score(largest) < candidates[best].score(largest) {
-			best = drawn
-		}
-	}
-	return best
+	return eligible
 }
 
 // lowestFreeTier returns the lowest tier of the candidates with a free slot, and reports
--- a/internal/measure/accounting_test.go
+++ b/internal/measure/accounting_test.go
@@ -177,7 +177,7 @@
 	It("processes each token once and frees its KV cache space", func() {
 		// Guards against queued tokens and KV cache space that are not released when a
 		// request ends.
-		e := &simEngine{slowdown: 1, kvCapacity: kvTokens, cache: newPrefixCache()}
+		e := &simEngine{slots: decodeSlots, slowdown: 1, kvCapacity: kvTokens, cache: newPrefixCache()}
 		prompts, outputs, done := 0, 0, 0
 		for i := range 20 {
 			r := &simRequest{turn: turn{conversation: i + 1, system: i % 3, systemTokens: 400, prompt: 500 + 100*i, output: 1 + 7*i}}
--- a/internal/measure/choice_engine.go
+++ b/internal/measure/choice_engine.go
@@ -17,7 +17,7 @@
 	stepPerPromptToken = 6 * time.Microsecond
 	// chunkTokens is the maximum number of prompt tokens processed in a step.
 	chunkTokens = 1024
-	// decodeSlots is the maximum number of running streams.
+	// decodeSlots is the number of slots of a group at the design point.
 	decodeSlots = 512
 	// kvTokens is the KV cache capacity of a group, in tokens. The streams of the
 	// design point use about a third of it.
@@ -53,6 +53,8 @@
 	kvUsed int
 	// queuedTokens is the number of prompt tokens not yet processed.
 	queuedTokens int
+	// slots is the maximum number of running streams.
+	slots int
 	// slowdown multiplies the step time.
 	slowdown float64
 	dead     bool
@@ -89,7 +91,7 @@
 // beginStep starts a step and returns its duration.
 func (e *simEngine) beginStep() time.Duration {
 	budget := chunkTokens
-	slots := decodeSlots - len(e.running)
+	slots := e.slots - len(e.running)
 	for i := 0; i < len(e.waiting) && budget > 0 && i < slots; i++ {
 		part := min(e.waiting[i].prefillLeft, budget)
 		e.waiting[i].prefillLeft -= part
@@ -119,7 +121,7 @@
 	}
 	e.running = kept
 	n := 0
-	for n < len(e.waiting) && e.waiting[n].prefillLeft == 0 && len(e.running) < decodeSlots {
+	for n < len(e.waiting) && e.waiting[n].prefillLeft == 0 && len(e.running) < e.slots {
 		r := e.waiting[n]
 		n++
 		r.produced++
--- a/internal/measure/choice_sim.go
+++ b/internal/measure/choice_sim.go
@@ -123,7 +123,7 @@
 	s.result.first = hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
 	s.result.between = hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
 	for i := range c.groups {
-		e := &simEngine{slowdown: 1, kvCapacity: c.kvCapacity, cache: newPrefixCache()}
+		e := &simEngine{slots: decodeSlots, slowdown: 1, kvCapacity: c.kvCapacity, cache: newPrefixCache()}
 		if i < c.stragglers {
 			e.slowdown = 2
 		}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -34,6 +34,7 @@
 func All() []Measurement {
 	return []Measurement{
 		{Name: "choice", Run: choice},
+		{Name: "evenness", Run: evenness},
 		{Name: "limits", Run: limits},
 		{Name: "overload", Run: overloads},
 		dissemination(),
