--- a/internal/measure/evenness_sim.go
+++ b/internal/measure/evenness_sim.go
@@ -107,6 +107,8 @@
 	events   simEvents
 	engines  []*simEngine
 	nodes    []*evenNode
+	// stopped is the number of nodes that don't run.
+	stopped int
 	// scores are the rendezvous scores of the nodes at the groups.
 	scores  [][]uint64
 	states  []*evenReport
