--- a/mesh/node.go
+++ b/mesh/node.go
@@ -28,6 +28,7 @@
 	if n.EvacuationCursor == 0 {
 		return e.Encode((*baseNode)(&n))
 	}
+	// Messages are encoded with this option, see marshal.
 	e.UseArrayEncodedStructs(false)
 	defer e.UseArrayEncodedStructs(true)
 	return e.Encode(&extendedNode{baseNode(n), n.EvacuationCursor})
