--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -67,6 +68,10 @@
 	found []string
 	// deadly sends requests that crash engines.
 	deadly *deadlyCaller
+	// evacuated counts the evacuations of each failure domain.
+	evacuated map[string]int
+	// storeDisturbedUntil is the end of the latest fault of the store or of a link to it.
+	storeDisturbedUntil time.Time
 	// revokedAt is the time at which key k2 was revoked, or zero.
 	revokedAt time.Time
 }
@@ -78,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{prefix: prefix}
+	d := &deployment{prefix: prefix, evacuated: map[string]int{}}
 	if d.store, err = platformtest.NewStore(prefix + ".1:7499"); err != nil {
 		return nil, err
 	}
@@ -125,6 +130,7 @@
 		return l.address(), nil
 	})
 	if err == nil {
+		e.SetZone(zoneOf(domain))
 		d.engines = append(d.engines, e)
 	}
 	return err
@@ -199,6 +205,11 @@
 func (d *deployment) inject(f fault) (end func()) {
 	n := d.nodes[f.target%len(d.nodes)]
 	noop := func() {}
+	if strings.HasPrefix(string(f.kind), "store-") && f.kind != storeOdd {
+		d.mu.Lock()
+		d.storeDisturbedUntil = later(d.storeDisturbedUntil, time.Now().Add(f.duration+settleTime))
+		d.mu.Unlock()
+	}
 	switch f.kind {
 	case nodeKill:
 		n.markDisturbed(settleTime)
@@ -233,6 +244,8 @@
 		d.revokedAt = time.Now()
 		d.mu.Unlock()
 		return noop
+	case evacuation:
+		return d.evacuate(f.target)
 	case deadlyRequest:
 		return d.deadly.begin(f)
 	case storeOdd:
@@ -364,5 +377,13 @@
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // newRandom returns the random source of a load.
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0x10ad)) }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -75,6 +75,7 @@
 		"seeds": s.Seeds, "platformAddress": s.PlatformAddress, "firstStart": s.FirstStart,
 		"stopTime": s.StopTime.String(), "addressTtl": s.AddressTTL.String(),
 		"retryRatio": 0.2, "retryAllowance": 60, "logLevel": "info",
+		"evacuationTime": evacuationTime.String(), "coldOverage": coldOverage, "coldAllowance": coldAllowance,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,6 +54,8 @@
 	// deadlyRequest is a request that crashes each engine that runs it, and that its caller
 	// sends again and again.
 	deadlyRequest kind = "deadly-request"
+	// evacuation evacuates a failure domain, whose engines are cold when it ends.
+	evacuation kind = "evacuation"
 	// keyRevoked revokes one of the two keys; a plan has it at most once.
 	keyRevoked kind = "key-revoked"
 )
@@ -67,11 +69,11 @@
 	{storeDown, 2}, {storeForget, 2}, {storeRestored, 2}, {storeReset, 2}, {storeSilent, 2}, {storeMute, 1}, {storeSlow, 1}, {storeOdd, 3},
 	{engineCrash, 6}, {engineDrain, 2}, {engineReset, 2}, {engineMute, 2}, {engineDeaf, 1}, {engineSlow, 1}, {engineLost, 2}, {engineLimited, 3}, {ordersLate, 5},
 	{engineSilent, 3}, {engineUnframed, 3}, {deadlyRequest, 3},
-	{keyRevoked, 1},
+	{keyRevoked, 1}, {evacuation, 3},
 }
 
 // longKinds last longer than others, because their effects take some time to begin.
-var longKinds = map[kind]bool{engineLimited: true, deadlyRequest: true, storeOdd: true}
+var longKinds = map[kind]bool{evacuation: true, engineLimited: true, deadlyRequest: true, storeOdd: true}
 
 // Times of a plan.
 const (
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -51,6 +51,7 @@
 	time.Sleep(rewriteDelay)
 	d.mu.Lock()
 	d.store.Put("config", "main", platformtest.Configuration(d.configurationVersion, d.keys...))
+	d.rewriteEvacuations()
 	d.mu.Unlock()
 	d.fleet.Republish()
 }
