suspicion: a server that fails everything gets nothing under shortage either

At full utilisation of the sound servers each other one got all of its slots, however hopeless. Below a trust of one half the part now falls in proportion.

The play learns a group that stops with all its streams, and that two nodes know of a lost group at the first stall.

--- a/forward/suspicion_play_test.go
+++ b/forward/suspicion_play_test.go
@@ -33,6 +33,8 @@
 	fault func(at time.Duration, r *rand.Rand) fault
 	// crashAt is when the engine crashes under its requests; zero if it doesn't.
 	crashAt time.Duration
+	// stopAt is when all its streams stop and it answers nothing more; zero if that never happens.
+	stopAt time.Duration
 	// sent are the times of the requests that it was sent.
 	sent []time.Duration
 }
@@ -235,18 +237,18 @@
 		}
 		return false
 	}
+	stopped := func() bool { return e.stopAt > 0 && time.Since(d.started) >= e.stopAt }
+	silent := func() bool {
+		time.Sleep(doubtStall)
+		load.record.Failed(silenceKind(slot), time.Now())
+		return false
+	}
 	switch {
 	case f == dead, down():
 		load.record.Failed(suspicion.Gone, time.Now())
 		return false
-	case f == mute:
-		time.Sleep(doubtStall)
-		if load.HasRecentProgress(time.Now()) {
-			load.record.Failed(suspicion.Lost, time.Now())
-		} else {
-			load.record.Failed(suspicion.Silent, time.Now())
-		}
-		return false
+	case f == mute, stopped():
+		return silent()
 	}
 	e.slots <- struct{}{}
 	defer func() { <-e.slots }()
@@ -258,6 +260,9 @@
 		if down() || (f == resetLate && i == cut) {
 			return lost()
 		}
+		if stopped() {
+			return silent()
+		}
 		load.recordProgress(time.Now())
 		if i == 0 {
 			load.record.Began(time.Now())
--- a/suspicion/decide.go
+++ b/suspicion/decide.go
@@ -81,6 +81,8 @@
 	// soundTrust is the trust, relative to the best server, from which a server counts as
 	// sound.
 	soundTrust = 0.9
+	// fullTrust is the trust from which a server may get all of its slots.
+	fullTrust = 0.5
 	// idleExponent is the power to which trust is raised while the sound servers are idle.
 	idleExponent = 6
 )
@@ -88,10 +90,12 @@
 // Share returns the part of its slots that a server gets, by its trust relative to the best
 // server of the pool and the utilisation of the sound servers. While these have free slots, a
 // server in doubt gets far less than its trust, since each failure costs its caller time. The
-// fewer are left, the more it gets: a doubtful answer is better than a refusal.
+// fewer are left, the more it gets: a doubtful answer is better than a refusal, unless there is
+// hardly a chance of one.
 func Share(trust, utilisation float64) float64 {
+	trust = min(max(trust, 0), 1)
 	idle := 1 - min(max(utilisation, 0), 1)
-	return math.Pow(min(max(trust, 0), 1), idle*idleExponent)
+	return min(math.Pow(trust, idle*idleExponent), trust/fullTrust)
 }
 
 // IsSound reports whether a server with the given trust, relative to the best one, counts as
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -158,6 +158,7 @@
 	g.Expect(Share(0.9, 0.2)).To(BeNumerically("<", 0.7))
 	g.Expect(Share(0.5, 0.2)).To(BeNumerically("<", 0.1))
 	g.Expect(Share(0, 0.5)).To(BeZero())
+	g.Expect(Share(0.01, 1)).To(BeNumerically("<=", 0.02))
 	for u := 0.0; u < 1; u += 0.1 {
 		g.Expect(Share(0.7, u)).To(BeNumerically("<", Share(0.7, u+0.1)))
 	}
