--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -112,14 +112,19 @@
 	return demand * d.peers.ReportAge().Seconds() / holdTime.Seconds()
 }
 
-// slotsAndDemand returns the number of usable slots of a pool's targets, each by the requests
-// that it is expected to answer, and the number of slots that the requests of all nodes would occupy. For plain
-// services nodes report only the slots that they hold. The caller holds the lock.
+// slotsAndDemand returns the number of usable slots of a pool's targets, where a target counts
+// by the part of the requests that it is expected to answer, and the number of slots that the
+// requests of all nodes would occupy. For plain services nodes report only the slots that they
+// hold. The caller holds the lock.
 func (d *Dispatcher) slotsAndDemand(p Pool, now time.Time) (slots int, demand float64) {
 	demand = d.demand(p, now) + d.peers.Demand(p.Model)
 	answering := 0.0
 	for _, t := range d.tables.Load().Targets(p) {
-		answering += float64(d.usableSlots(t)) * d.assess(t, now).Trust
+		if a := d.assess(t, now); a.Untested {
+			answering++
+		} else {
+			answering += float64(d.usableSlots(t)) * a.Trust
+		}
 		if p.Model == "" {
 			demand += float64(d.peers.Running(t.Instance.ID))
 		}
--- a/forward/evidence_test.go
+++ b/forward/evidence_test.go
@@ -149,3 +149,30 @@
 		Expect(pick(true).Instance.ID).To(Equal("a"))
 	})
 })
+
+var _ = Describe("The slots of a pool", func() {
+	It("count a target by what it is expected to answer", func() {
+		// Guards against refusals because a target in doubt counts as none, and against late
+		// answers because one that is gone counts as whole.
+		tables, pool := newTables(3, 20)
+		d := NewDispatcher(tables, &fakePeers{}, "", newThrottle())
+		now := time.Now()
+		slots := func(at time.Time) int {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			n, _ := d.slotsAndDemand(pool, at)
+			return n
+		}
+		Expect(slots(now)).To(Equal(60))
+		lossy := &tables.Load().Target("a").Load.record
+		for range 9 {
+			lossy.Answered(now)
+		}
+		lossy.Failed(suspicion.Lost, now)
+		Expect(slots(now)).To(And(BeNumerically("<", 60), BeNumerically(">=", 57)))
+		tables.Load().Target("b").Load.record.Failed(suspicion.Gone, now)
+		Expect(slots(now)).To(And(BeNumerically("<", 40), BeNumerically(">=", 37)))
+		// The target is on trial once the hold has expired.
+		Expect(slots(now.Add(4 * time.Second))).To(BeElementOf(40, 41))
+	})
+})
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -112,7 +112,7 @@
 }
 
 // recordSilence records the silence of an attempt that goes on, and renews it while the engine
-// sends nothing to anyone.
+// sends nothing to this node.
 func (m *stallMonitor) recordSilence() {
 	switch k := m.silenceKind(); {
 	case k == suspicion.Silent && m.silence == suspicion.Silent:
