--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -86,6 +86,11 @@
 // newTestNode starts a node that forwards to one plain server and one engine at the
 // address.
 func newTestNode(address string) *httptest.Server {
+	return newLimitedNode(address, Config{}, memory.NewBudget(memory.Config{Bytes: 128 << 20}))
+}
+
+// newLimitedNode starts such a node with limits.
+func newLimitedNode(address string, cfg Config, budget *memory.Budget) *httptest.Server {
 	configuration := (&catalog.Configuration{
 		Services: []catalog.Service{{Name: "desk"}, {Name: "llm", Engine: &catalog.EngineProfile{Slots: 300, Models: []catalog.Model{{Name: "m", Size: 1, TimeFactor: 1}}}}},
 		Routes: []catalog.Route{
@@ -103,9 +108,9 @@
 	var section blackboard.Section[catalog.Configuration]
 	section.Publish(configuration)
 	others := &fakePeers{}
-	handler := NewHandler(Config{}, Dependencies{Configuration: &section, Dispatcher: NewDispatcher(tables, others, "z", newThrottle()), Connections: upstream.NewPool(upstream.Config{}),
+	handler := NewHandler(cfg, Dependencies{Configuration: &section, Dispatcher: NewDispatcher(tables, others, "z", newThrottle()), Connections: upstream.NewPool(upstream.Config{}),
 		Peers: others, Codec: headerCodec{}, Logger: log.NewNopLogger(), Registry: metrics.NewRegistry(),
-		Memory: memory.NewBudget(memory.Config{Bytes: 128 << 20})})
+		Memory: budget})
 	node := httptest.NewServer(handler)
 	DeferCleanup(node.Close)
 	return node
