--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"github.com/rattanlanding/rattanlanding/claim"
 	"github.com/rattanlanding/rattanlanding/fleet"
 	"github.com/rattanlanding/rattanlanding/gateway"
+	"github.com/rattanlanding/rattanlanding/memory"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/route"
@@ -49,6 +50,7 @@
 	statuses  gateway.StatusSource
 	admitter  gateway.Limiter
 	guard     *quarantine.Guard
+	memory    *memory.Budget
 	gateway   *gateway.Gateway
 	url       string
 
@@ -156,7 +158,7 @@
 	registry := metrics.NewRegistry()
 	e.gateway = gateway.New(e.settings, gateway.Dependencies{Board: &e.board, Table: &e.builder.Table,
 		Engines: backend.NewEngineClient(registry), Servers: backend.NewPlainClient(registry), Limiter: e.admitter,
-		Claims: &e.claims, Refresher: e.refresher, Statuses: e.statuses, Quarantine: e.guard, Budget: retry.NewBudget(0, 0), Logger: log.NewNopLogger(), Registry: registry})
+		Claims: &e.claims, Refresher: e.refresher, Statuses: e.statuses, Quarantine: e.guard, Budget: retry.NewBudget(0, 0), Memory: e.memory, Logger: log.NewNopLogger(), Registry: registry})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = e.gateway.Server()
 	server.Start()
