--- a/forward/evacuated_test.go
+++ b/forward/evacuated_test.go
@@ -132,5 +132,7 @@
 		g.Expect(refused.took).To(BeZero())
 		z.build(nil)
 		g.Expect((<-begun).took).To(BeNumerically(">=", time.Second))
+		// The goroutine that rechecks the queue ends.
+		time.Sleep(time.Second)
 	})
 }
