forward: use permits for cold groups before they expire

Cause: a permit lasts a quarter of a second, in which a node sends some three requests, and a request draws two of some 24 groups. A cold group for which the node has a permit is now compared beside the two drawn ones: no other node can use that permit, so there is no herd.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -41,6 +41,7 @@
 			Slots:          t.Slots,
 			Throttled:      allowance.Limited,
 			Permits:        allowance.Permits,
+			Cold:           allowance.Cold,
 			Ahead:          d.peers.Ahead(p.Model, t.Instance.ID),
 			SameDomain:     t.Instance.FailureDomain == d.failureDomain,
 			Excluded:       !d.isEligible(t, now) || allowance.Leaving || now.Before(allowance.HeldUntil),
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -14,6 +14,8 @@
 	Throttled bool
 	// Permits is the number of requests that this node may send to a throttled target.
 	Permits float64
+	// Cold is true if the target is throttled because it is cold. Its permits expire soon.
+	Cold bool
 	// Ahead is the number of nodes with waiting requests that have precedence over
 	// this node at the target.
 	Ahead int
@@ -104,6 +106,9 @@
 // reports show them. If it exceeds the free slots, all nodes would choose the few
 // candidates with a free slot, and overload them while the others empty. The request is
 // then sent to any candidate of the tier that isn't crowded.
+//
+// Cold candidates for which this node has a permit are compared in addition: no other node can
+// use the permit, and it expires soon.
 func Choose(candidates []Candidate, unreported float64, draw func(n int) int) int {
 	tier, found := lowestFreeTier(candidates)
 	if !found {
@@ -136,6 +141,11 @@
 			best = drawn
 		}
 	}
+	for _, i := range eligible {
+		if candidates[i].Cold && candidates[i].score(largest) < candidates[best].score(largest) {
+			best = i
+		}
+	}
 	return best
 }
 
--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -102,6 +102,7 @@
 // number. The caller holds the lock.
 func (r *Registry) restrict(a *Allowance, s *coldServer, nodes int, now time.Time) {
 	rate := r.coldRate(s.Rate)
+	a.Cold = true
 	own, permits := rate/float64(r.nodes.hold(nodes, now)), 0.0
 	if age := now.Sub(r.startedAt); age < nodesSettleTime || (r.nodes.nodes == 1 && age < soloSettleTime) {
 		s.refilledAt = now
--- a/throttle/permits.go
+++ b/throttle/permits.go
@@ -129,6 +129,8 @@
 	NodeRate float64
 	// Permits is the number of requests that this node may send now.
 	Permits float64
+	// Cold is true if the server is cold.
+	Cold bool
 	// Leaving is true if the server is shutting down.
 	Leaving bool
 	// HeldUntil is when the server takes requests of this node again; a time in the past, or
