memory: a larger part for bodies, so that fewer are refused in calm

Cause: 56 callers a node with bodies of 4 MB in 4 s need 112 MB on average; the part for bodies of a machine of 284 MB was 106 MB, and only 39 of them might begin. Change: 7 sixteenths in place of 6, 8 in place of 7 for all kinds, and twice the part in place of one and a half for announced sizes.

--- a/memory/budget.go
+++ b/memory/budget.go
@@ -34,13 +34,13 @@
 
 // parts are the largest parts of the process's memory that the kinds may take, in
 // sixteenths. Together they exceed totalPart: a kind may use what others leave.
-var parts = [kinds]int64{Bodies: 6, Responses: 2, Events: 1, Heads: 1, Requests: 4, Connections: 4}
+var parts = [kinds]int64{Bodies: 7, Responses: 2, Events: 1, Heads: 1, Requests: 4, Connections: 4}
 
 const (
 	wholePart = 16
 	// totalPart is the part that Bodies and Responses leave to all kinds together, in
 	// sixteenths. The rest is for the program, its own state and garbage.
-	totalPart = 7
+	totalPart = 8
 	// requestSize and connectionSize are the bytes that a request in progress and a
 	// connection are counted with: stacks, buffers and a usual head.
 	requestSize    = 32 << 10
--- a/memory/hold.go
+++ b/memory/hold.go
@@ -125,7 +125,7 @@
 	// overcommitPart and overcommitWhole bound the expected bytes of all holds of a kind, as a
 	// part of its memory: bodies that arrive together have half of their bytes on average. With
 	// more of them, most would be refused after some of their bytes had been received.
-	overcommitPart, overcommitWhole = 3, 2
+	overcommitPart, overcommitWhole = 2, 1
 	// largePart divides the memory of a kind; holds that expect at most the quotient begin
 	// regardless of the others.
 	largePart = 64
