--- a/forward/evacuated_test.go
+++ b/forward/evacuated_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -132,7 +133,27 @@
 		g.Expect(refused.took).To(BeZero())
 		z.build(nil)
 		g.Expect((<-begun).took).To(BeNumerically(">=", time.Second))
-		// The goroutine that assigns slots to waiting requests ends at its next check.
-		time.Sleep(2 * recheckInterval)
+		// The goroutine that rechecks the queue ends.
+		time.Sleep(time.Second)
 	})
 }
+
+// The load is that of a domain that returns cold in a burst: all other groups are full, and the
+// permits for its groups expire unless they are used.
+func TestPermitsForColdTargetsAreUsedUnderShortage(t *testing.T) {
+	g := NewWithT(t)
+	candidates := []Candidate{{Requests: 20, Slots: 20}, {Requests: 20, Slots: 20}, {Requests: 4, Slots: 20, Throttled: true, Cold: true, Permits: 1.2},
+		{Requests: 1, Slots: 20, Throttled: true, Cold: true, Permits: 0.4}, {Requests: 2, Slots: 20, Throttled: true, Permits: 1}}
+	chosen := func(unreported float64) map[int]bool {
+		found := map[int]bool{}
+		for range 500 {
+			found[Choose(candidates, unreported, rand.IntN)] = true
+		}
+		return found
+	}
+	g.Expect(chosen(90)).To(Equal(map[int]bool{2: true, 4: true}), "the less loaded ones of the drawn and the cold")
+	candidates[4].Excluded = true
+	g.Expect(chosen(90)).To(Equal(map[int]bool{2: true}))
+	candidates[2].Permits = 0
+	g.Expect(chosen(90)).To(Equal(map[int]bool{0: true, 1: true}), "without permits")
+}
