--- a/catalog/types.go
+++ b/catalog/types.go
@@ -28,6 +28,9 @@
 	// LatencyGoal is the desired time to a complete response, or to the first event
 	// of a stream.
 	LatencyGoal time.Duration
+	// EventGap is the longest time between two events of a stream for which it is on time; 0
+	// means no limit.
+	EventGap time.Duration
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
 	// Targets are the services that receive the requests, by weight.
@@ -73,10 +76,16 @@
 	// StepTimePerRequest is added to the duration of a token step for each request
 	// that runs in the group.
 	StepTimePerRequest time.Duration
+	// StepTimePerContext is added to the duration of a token step for each 1,000 tokens of
+	// context of each request that runs in the group.
+	StepTimePerContext time.Duration
 	// PrefillRate is the number of prompt tokens read per second.
 	PrefillRate float64
 	// PrefillChunk is the largest number of prompt tokens that one step reads.
 	PrefillChunk int
+	// PrefillTimePerPairs is added to the time of reading for each million pairs of a prompt
+	// token and an earlier one.
+	PrefillTimePerPairs time.Duration
 	// CrossDomainFactor multiplies the times of a group over several fabric domains.
 	CrossDomainFactor float64
 	// StepsPerEvent is the number of token steps between two events.
@@ -88,6 +97,12 @@
 	MaxConcurrentLoads int
 }
 
+// PredictsFirstEvent reports whether the profile holds the times from which the time to the first
+// event of a response is estimated.
+func (p *EngineProfile) PredictsFirstEvent() bool {
+	return p.StepTime > 0 && p.PrefillRate > 0 && p.Slots > 0
+}
+
 // EventGap returns the usual time between two events of a group with all slots in use
 // and a time factor of 1, and the longest one, when prompts are read in every step.
 func (p *EngineProfile) EventGap() (usual, longest time.Duration) {
