forward: admit requests by the time to the first event

Under shortage, groups were sent 1.1 to 1.35 requests for each slot, and most answers were late. Now a node refuses at once what the engines of all nodes can't answer on time, draws the group in proportion to what it may be sent, recognises callers that return, and sends the priority header by what is left until the goal.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -26,7 +26,7 @@
 	c.sends++
 	_ = level.Info(h.Logger).Log("msg", "sent", "request", c.ID, "route", c.route.Name, "send", c.sends,
 		"instance", slot.Instance.ID, "group", slot.Group.Name, "own", slot.Own, "others", slot.Others,
-		"slots", slot.Slots, "after_ms", time.Since(c.started).Milliseconds(), "last_event", lastEventID)
+		"slots", slot.Slots, "expected_ms", slot.estimate.firstEvent.Milliseconds(), "after_ms", time.Since(c.started).Milliseconds(), "last_event", lastEventID)
 	fresh := c.route.Kind == catalog.Unsafe
 	conn, err := h.Connections.Get(ctx, slot.Instance.Address, fresh, h.connectionLimit(c.service))
 	if err != nil {
@@ -38,7 +38,7 @@
 		Instance:     slot.Instance.ID,
 		Remaining:    h.remaining(c),
 		LastEventID:  lastEventID,
-		Priority:     noEnginePriority,
+		Priority:     slot.priority,
 	})
 	sentAt := time.Now()
 	response, err := conn.Do(ctx, &upstream.Request{
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -20,6 +20,8 @@
 	// unreported is the expected number of requests of all nodes that the reports don't
 	// show yet.
 	unreported float64
+	// admission is nil if the times to the first event can't be estimated.
+	admission *admission
 }
 
 // candidates returns the candidates of a pool. The caller holds the lock.
@@ -45,6 +47,7 @@
 			RecentlyFailed: t.Load.Suspected(now),
 		}
 	}
+	f.admission = d.newAdmission(p, f, now)
 	return f
 }
 
@@ -61,10 +64,11 @@
 			candidates[i].Excluded = candidates[i].Excluded || w.avoid[t.Instance.ID]
 		}
 	}
-	best := Choose(candidates, s.unreported, rand.IntN)
+	best := s.choose(candidates, w)
 	if best < 0 {
 		return nil
 	}
+	s.admission.assign(best, w)
 	s.candidates[best].Requests++
 	s.candidates[best].PromptTokens += float64(w.promptTokens)
 	s.candidates[best].Permits--
@@ -75,6 +79,15 @@
 	return s.targets[best]
 }
 
+// choose returns the index of the candidate for a waiter, or -1. During a shortage the estimates
+// decide. A stream that its caller has a part of takes the least loaded target even then.
+func (s *candidateSet) choose(candidates []Candidate, w *waiter) int {
+	if s.admission.shortage() && !w.key.Begun {
+		return s.admission.choose(candidates, w)
+	}
+	return Choose(candidates, s.unreported, rand.IntN)
+}
+
 // isEligible reports whether requests may be sent to a target at all. A stalled group
 // delays every request, while a plain server that failed one request may well serve
 // the next.
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -1,6 +1,9 @@
 package forward
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Candidate is the state of a target that Choose uses.
 type Candidate struct {
@@ -9,7 +12,10 @@
 	// PromptTokens is the number of prompt tokens that this node has sent to the
 	// target and that aren't read yet.
 	PromptTokens float64
-	Slots        int
+	// FirstEvent is the estimated time to the first event of a request of usual length; 0 if
+	// it is unknown.
+	FirstEvent time.Duration
+	Slots      int
 	// Throttled is true if the target accepts a limited request rate.
 	Throttled bool
 	// Permits is the number of requests that this node may send to a throttled target.
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -23,6 +23,8 @@
 	HasTimeout bool
 	// PromptTokens is the length of the prompt, 0 if unknown.
 	PromptTokens int
+	// OutputTokens is the length of the response that the caller expects, 0 if unknown.
+	OutputTokens int
 	// Prompt holds the IDs of the parts of the prompt in order. Requests share parts
 	// except the last one, which belongs to the request or its session.
 	Prompt []string
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -46,10 +46,6 @@
 	ErrFull = errors.New("all slots are taken")
 )
 
-// recheckInterval is the interval at which waiting requests are checked for a slot
-// that another node has released.
-const recheckInterval = 25 * time.Millisecond
-
 // Dispatcher assigns the slots at backend servers to requests.
 type Dispatcher struct {
 	tables        *Tables
@@ -64,15 +60,6 @@
 	traffic    map[Pool]*traffic
 }
 
-// waiter is a request that waits for a slot.
-type waiter struct {
-	key      QueueKey
-	assigned chan *Target
-	avoid    map[string]bool
-	// promptTokens is the length of the request's prompt in tokens.
-	promptTokens int
-}
-
 // NewDispatcher returns a dispatcher for the targets of the current table. The failure
 // domain is that of this node.
 func NewDispatcher(tables *Tables, peers Peers, failureDomain string, registry *throttle.Registry) *Dispatcher {
@@ -87,12 +74,19 @@
 	Rank int
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
+	// OutputTokens is the expected length of the response in tokens, 0 if unknown.
+	OutputTokens int
 	// Avoid holds the IDs of instances that were tried before.
 	Avoid map[string]bool
 	// Begun is true if the caller has received a part of the response.
 	Begun bool
 	// GoalAt is the time after which the response is late.
 	GoalAt time.Time
+	// Goal is the latency goal, from the time at which the caller first asked until GoalAt.
+	Goal time.Duration
+	// EventGap is the longest time between two events of a stream that is on time; 0 if there
+	// is no limit.
+	EventGap time.Duration
 	// Until is the time after which waiting is pointless.
 	Until time.Time
 	// Blocked reports whether the request must not be sent any more, and returns a channel
@@ -116,6 +110,11 @@
 	// Others is the number of other nodes' requests at that time.
 	Others     int
 	acquiredAt time.Time
+	estimate   slotEstimate
+	// firstEventAt is when the first event arrived.
+	firstEventAt time.Time
+	// priority is the priority at the engine.
+	priority   int
 	dispatcher *Dispatcher
 	// unreadPrompt is the number of prompt tokens still counted as unread at the target.
 	unreadPrompt atomic.Int64
@@ -142,13 +141,14 @@
 func (d *Dispatcher) Acquire(ctx context.Context, r SlotRequest) (*Slot, error) {
 	w := &waiter{
 		key:      QueueKey{Begun: r.Begun, Rank: r.Rank, GoalAt: r.GoalAt},
-		assigned: make(chan *Target, 1), avoid: r.Avoid, promptTokens: r.PromptTokens,
+		assigned: make(chan *Target, 1), avoid: r.Avoid, promptTokens: r.PromptTokens, eventGap: r.EventGap,
 	}
 	d.mu.Lock()
 	if r.Begun {
 		d.trafficOf(r.Pool).recordResume(time.Now())
 	} else {
-		d.trafficOf(r.Pool).recordArrival(time.Now(), r.PromptTokens)
+		d.trafficOf(r.Pool).recordArrival(time.Now(), r.PromptTokens, time.Until(r.GoalAt))
+		d.trafficOf(r.Pool).recordLengthHint(r.OutputTokens)
 	}
 	// A stream that its caller has a part of would be cut; a target may soon be back.
 	if !r.Begun && len(d.tables.Load().Targets(r.Pool)) == 0 {
@@ -157,6 +157,11 @@
 		return nil, ErrNoTarget
 	}
 	now, candidates := time.Now(), d.candidates(r.Pool)
+	if err := d.admit(r, candidates, now); err != nil {
+		d.mu.Unlock()
+		return nil, err
+	}
+	w.key.FirstEvent = candidates.admission.usualFirstEvent()
 	var target *Target
 	if permits := candidates.permitsFor(w); permits.throttled {
 		var err error
@@ -178,57 +183,11 @@
 	}
 	d.mu.Unlock()
 	if target != nil {
-		return d.newSlot(target, r.PromptTokens), nil
+		return d.newSlot(target, w), nil
 	}
 	return d.wait(ctx, r, w)
 }
 
-// wait waits for a slot. Once the response can't be on time any more, the request keeps
-// waiting only if late requests are expected to get slots.
-func (d *Dispatcher) wait(ctx context.Context, r SlotRequest, w *waiter) (*Slot, error) {
-	limit := time.NewTimer(time.Until(r.Until))
-	defer limit.Stop()
-	late := time.NewTimer(max(time.Until(r.GoalAt.Add(-firstEventTime)), 0))
-	defer late.Stop()
-	blocked, changed := r.blocked()
-	for waiting := !blocked; waiting; {
-		select {
-		case <-changed:
-			blocked, changed = r.blocked()
-			waiting = !blocked
-		case target := <-w.assigned:
-			return d.newSlot(target, r.PromptTokens), nil
-		case <-late.C:
-			waiting = r.Begun || d.canServeLate(r.Pool, time.Until(r.Until))
-		case <-limit.C:
-			waiting = false
-		case <-ctx.Done():
-			waiting = false
-		}
-	}
-	if target := d.cancelWait(r.Pool, w); target != nil {
-		return d.newSlot(target, r.PromptTokens), nil
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if permits := d.candidates(r.Pool).permitsFor(w); permits.throttled && ctx.Err() == nil {
-		return nil, d.refuseThrottled(r.Pool, permits, time.Now())
-	}
-	d.trafficOf(r.Pool).recordRefusal(time.Now())
-	slots, demand := d.slotsAndDemand(r.Pool, time.Now())
-	return nil, fmt.Errorf("%w: demand of %.1f slots for %d available ones, %d more requests wait on this node", ErrFull, demand, slots, len(d.waiting[r.Pool]))
-}
-
-// canServeLate reports whether a request that is already late is expected to get a slot
-// within the remaining time.
-func (d *Dispatcher) canServeLate(p Pool, remaining time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	slots, demand := d.slotsAndDemand(p, time.Now())
-	share := float64(slots) / float64(max(d.peers.Nodes(), 1))
-	return d.trafficOf(p).lateWaitTime(demand, float64(slots), share, len(d.waiting[p])) <= remaining
-}
-
 // slotsAndDemand returns the number of usable slots of a pool's targets that aren't suspected,
 // and the number of slots that the requests of all nodes would occupy. For plain
 // services nodes report only the slots that they hold. The caller holds the lock.
@@ -264,54 +223,14 @@
 	return d.traffic[p]
 }
 
-// recheck assigns slots that other nodes have released until no request waits. At most
-// one goroutine runs it for each pool.
-func (d *Dispatcher) recheck(p Pool) {
-	ticker := time.NewTicker(recheckInterval)
-	defer ticker.Stop()
-	for range ticker.C {
-		d.assignSlots(p)
-		d.mu.Lock()
-		idle := len(d.waiting[p]) == 0
-		if idle {
-			delete(d.rechecking, p)
-		}
-		d.mu.Unlock()
-		if idle {
-			return
-		}
-	}
-}
-
-func (d *Dispatcher) newSlot(t *Target, prompt int) *Slot {
+func (d *Dispatcher) newSlot(t *Target, w *waiter) *Slot {
 	p := &Slot{Target: t, Own: t.Load.Running(), Others: d.peers.Running(t.Instance.ID),
-		acquiredAt: time.Now(), dispatcher: d}
-	p.unreadPrompt.Store(int64(prompt))
+		acquiredAt: time.Now(), estimate: w.estimate, dispatcher: d,
+		priority: enginePriority(w, time.Now())}
+	p.unreadPrompt.Store(int64(w.promptTokens))
 	return p
 }
 
-// enqueue adds a waiter and starts the recheck goroutine of the pool if necessary. The
-// caller holds the lock.
-func (d *Dispatcher) enqueue(p Pool, w *waiter) {
-	d.waiting[p] = append(d.waiting[p], w)
-	if !d.rechecking[p] {
-		d.rechecking[p] = true
-		go d.recheck(p)
-	}
-}
-
-// cancelWait removes a waiter from the queue, or returns the target that it was assigned
-// in the meantime.
-func (d *Dispatcher) cancelWait(p Pool, w *waiter) *Target {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if at := slices.Index(d.waiting[p], w); at >= 0 {
-		d.waiting[p] = slices.Delete(d.waiting[p], at, at+1)
-		return nil
-	}
-	return <-w.assigned
-}
-
 // assignSlots assigns free slots to waiting requests.
 func (d *Dispatcher) assignSlots(p Pool) {
 	d.mu.Lock()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -272,7 +272,7 @@
 		f.recordHoldTime(time.Second)
 		for i := range 400 {
 			at := now.Add(time.Duration(i) * 10 * time.Millisecond)
-			f.recordArrival(at, 0)
+			f.recordArrival(at, 0, time.Second)
 			if i%2 == 0 {
 				f.recordRefusal(at)
 			}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -18,6 +18,7 @@
 
 	"github.com/rattanlanding/rattanlanding/blackboard"
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/estimate"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/retry"
 	"github.com/rattanlanding/rattanlanding/upstream"
@@ -77,6 +78,8 @@
 	crashChecks singleflight.Group
 
 	mu sync.Mutex
+	// timeouts are the timeouts that callers send, by route.
+	timeouts map[string]*estimate.Timeouts
 	// budgets are the retry budgets by service.
 	budgets map[string]*retry.Budget
 }
@@ -89,7 +92,7 @@
 	h := &Handler{cfg: cfg, Dependencies: deps, metrics: newHandlerMetrics(deps.Registry),
 		buffers:   newBufferLimit(cfg.MaxBufferedBytes),
 		oversized: semaphore.NewWeighted(cmp.Or(cfg.MaxBufferedBytes, defaultBufferedBytes) / oversizedDivisor),
-		budgets:   map[string]*retry.Budget{}}
+		budgets:   map[string]*retry.Budget{}, timeouts: map[string]*estimate.Timeouts{}}
 	h.ending, h.end = context.WithCancel(context.Background())
 	return h
 }
@@ -190,6 +193,7 @@
 	if c.service = configuration.Service(c.route.PickTarget()); c.service == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "the service of route %s is not configured", c.route.Name)
 	}
+	h.countReturn(c)
 	if _, err := h.latestStart(c); err != nil {
 		return err
 	}
@@ -230,6 +234,22 @@
 	c.goalAt = c.started.Add(c.route.LatencyGoal)
 }
 
+// countReturn finds from what is left of the caller's timeout when the caller first asked, and
+// sets the goal from then. Only the admission to model engines depends on it.
+func (h *Handler) countReturn(c *call) {
+	if !c.HasTimeout || c.service.Engine == nil || !c.service.Engine.PredictsFirstEvent() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.timeouts[c.route.Name]
+	if t == nil {
+		t = &estimate.Timeouts{}
+		h.timeouts[c.route.Name] = t
+	}
+	c.goalAt = c.goalAt.Add(-t.Add(c.Timeout))
+}
+
 func (h *Handler) readBody(c *call, limit int64) *verdict.Error {
 	if limit <= 0 {
 		limit = defaultMaxBody
--- a/forward/queuekey.go
+++ b/forward/queuekey.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// firstEventTime is the time from a free slot to the first event of a response: reading
-// the prompt and one step of the batch.
+// firstEventTime is the time from a free slot to the first event of a response, reading the
+// prompt and one step of the batch, if it isn't estimated.
 const firstEventTime = 180 * time.Millisecond
 
 // QueueKey determines the order of waiting requests. Requests that compare equal stay
@@ -18,6 +18,8 @@
 	Rank int
 	// GoalAt is the time after which the response is late.
 	GoalAt time.Time
+	// FirstEvent is the estimated time from a free slot to the first event; 0 if unknown.
+	FirstEvent time.Duration
 }
 
 // Compare orders requests for the next free slot: first those with a partial response,
@@ -32,7 +34,10 @@
 	)
 }
 
-func (k QueueKey) late(now time.Time) bool { return now.Add(firstEventTime).After(k.GoalAt) }
+func (k QueueKey) late(now time.Time) bool { return now.After(k.startBy()) }
+
+// startBy returns the time by which the request needs a slot for a response that is on time.
+func (k QueueKey) startBy() time.Time { return k.GoalAt.Add(-cmp.Or(k.FirstEvent, firstEventTime)) }
 
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
--- a/forward/response.go
+++ b/forward/response.go
@@ -34,6 +34,10 @@
 		return verdict.New(v, verdict.ReasonNoServer, "no backend server can run the request").
 			WithRetryAfter(jitter(noTargetRetry))
 	}
+	var refused *refusedError
+	if errors.As(err, &refused) && refused.notAdmitted {
+		h.metrics.notAdmitted.Inc(1)
+	}
 	return verdict.New(v, verdict.ReasonOverloaded, "no slot at a backend server became free in time").WithCause(err).WithRetryAfter(retryAfterOf(err, fullRetry))
 }
 
@@ -121,18 +125,50 @@
 	// quarantined counts the requests refused because of a quarantine.
 	quarantined metrics.Counter
 	firstEvent  metrics.Timer
+	// firstEventEarly and firstEventLate hold by how many milliseconds first events arrive
+	// before and after their estimate.
+	firstEventEarly, firstEventLate metrics.Histogram
+	// notAdmitted counts the requests that were refused because the engines could only
+	// answer them late, or make others late.
+	notAdmitted metrics.Counter
 	duration    metrics.Timer
 }
 
 func newHandlerMetrics(r metrics.Registry) handlerMetrics {
 	return handlerMetrics{
-		registry:    r,
-		retries:     metrics.GetOrRegisterCounter("forward.repeats", r),
-		broken:      metrics.GetOrRegisterCounter("forward.streams_broken_off", r),
-		abandoned:   metrics.GetOrRegisterCounter("forward.callers_left", r),
-		quarantined: metrics.GetOrRegisterCounter("forward.quarantined", r),
-		firstEvent:  metrics.GetOrRegisterTimer("forward.first_event", r),
-		duration:    metrics.GetOrRegisterTimer("forward.duration", r),
+		registry:        r,
+		retries:         metrics.GetOrRegisterCounter("forward.repeats", r),
+		broken:          metrics.GetOrRegisterCounter("forward.streams_broken_off", r),
+		abandoned:       metrics.GetOrRegisterCounter("forward.callers_left", r),
+		quarantined:     metrics.GetOrRegisterCounter("forward.quarantined", r),
+		firstEventEarly: newDelayHistogram("forward.first_event_early_ms", r),
+		firstEventLate:  newDelayHistogram("forward.first_event_late_ms", r),
+		notAdmitted:     metrics.GetOrRegisterCounter("forward.not_admitted", r),
+		firstEvent:      metrics.GetOrRegisterTimer("forward.first_event", r),
+		duration:        metrics.GetOrRegisterTimer("forward.duration", r),
+	}
+}
+
+// newDelayHistogram returns a histogram of recent delays.
+func newDelayHistogram(name string, r metrics.Registry) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(delaySamples, delaySampleAlpha))
+}
+
+// Parameters of the samples of delays, as the timers of the metrics library have them.
+const (
+	delaySamples     = 1028
+	delaySampleAlpha = 0.015
+)
+
+// recordFirstEvent records the first event of an attempt.
+func (h *Handler) recordFirstEvent(slot *Slot) {
+	estimated, observed := slot.RecordFirstEvent(time.Now())
+	switch {
+	case estimated <= 0:
+	case observed < estimated:
+		h.metrics.firstEventEarly.Update((estimated - observed).Milliseconds())
+	default:
+		h.metrics.firstEventLate.Update((observed - estimated).Milliseconds())
 	}
 }
 
--- a/forward/saturation_test.go
+++ b/forward/saturation_test.go
@@ -96,6 +96,10 @@
 func (s *saturation) report(ctx context.Context) {
 	for ; ctx.Err() == nil; time.Sleep(reportInterval) {
 		var views []*othersReport
+		demands, arrivals := map[*saturatedNode]float64{}, map[*saturatedNode]float64{}
+		for _, n := range s.nodes {
+			demands[n], arrivals[n] = n.dispatcher.Demand()[s.pool], n.dispatcher.ArrivalRates()[s.pool]
+		}
 		for _, n := range s.nodes {
 			view := &othersReport{running: map[string]int{}}
 			for _, other := range s.nodes {
@@ -108,7 +112,8 @@
 				if other.dispatcher.Waiting()[s.pool] > 0 {
 					view.waiting = append(view.waiting, other.name)
 				}
-				view.demand += other.dispatcher.Demand()[s.pool]
+				view.demand += demands[other]
+				view.arrivals += arrivals[other]
 			}
 			views = append(views, view)
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -95,7 +95,7 @@
 		return refused
 	}
 	slot, err := h.Dispatcher.Acquire(ctx, SlotRequest{Pool: s.pool(), Rank: rank(s.route, s.organisation),
-		PromptTokens: s.PromptTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Until: until, Blocked: h.blocked(s.call)})
+		PromptTokens: s.PromptTokens, OutputTokens: s.OutputTokens, Avoid: s.tried, Begun: s.begun, GoalAt: s.goalAt, Goal: s.route.LatencyGoal, EventGap: s.route.EventGap, Until: until, Blocked: h.blocked(s.call)})
 	if err == nil {
 		defer slot.Release()
 	}
@@ -184,7 +184,7 @@
 			response.Progress()
 			slot.Load.recordProgress(time.Now())
 			if monitor.event() {
-				slot.PromptRead()
+				h.recordFirstEvent(slot)
 			}
 			if received++; received == soundEvents {
 				h.Quarantine.Begun(s.subject())
@@ -203,6 +203,7 @@
 	if received > 0 && received < soundEvents {
 		h.Quarantine.Begun(s.subject())
 	}
+	slot.RecordEvents(received, time.Now())
 	if received > 0 {
 		h.recordComplete(s.call, response)
 	}
--- a/forward/table.go
+++ b/forward/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/estimate"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
 
@@ -27,6 +28,9 @@
 	progressAt atomic.Int64
 	// suspectUntil is when the target stops being suspected, in Unix nanoseconds.
 	suspectUntil atomic.Int64
+	// correction corrects the estimates for the target. The dispatcher's lock
+	// guards it.
+	correction estimate.TargetCorrection
 }
 
 // Running returns the number of this node's requests at the target.
--- a/forward/throttle.go
+++ b/forward/throttle.go
@@ -45,7 +45,9 @@
 type refusedError struct {
 	// retryAfter is when this node expects that a server takes the request.
 	retryAfter time.Duration
-	err        error
+	// notAdmitted is true if the engines could only answer it late, or make others late.
+	notAdmitted bool
+	err         error
 }
 
 func (e *refusedError) Error() string { return e.err.Error() }
@@ -72,15 +74,16 @@
 }
 
 // ArrivalRates returns this node's arrivals per second at the pools with a throttled
-// target. It also adds the permits since the last call, so it must be called regularly.
+// target, and at those of which most slots are taken. It also adds the permits since the last call, so it must be called regularly.
 func (d *Dispatcher) ArrivalRates() map[Pool]float64 {
-	if d.throttle.Empty() {
-		return nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	rates := map[Pool]float64{}
+	defer d.reportArrivals(rates, now)
+	if d.throttle.Empty() {
+		return rates
+	}
 	d.tables.Load().Each(func(t *Target) {
 		demand := d.throttleDemand(t.Pool, now)
 		if d.throttle.Allowance(t.Server, demand).Limited {
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/estimate"
 )
 
 const (
@@ -20,6 +22,8 @@
 	// lateFraction is the fraction of the slots that become free for late requests when
 	// demand drops for a short time.
 	lateFraction = 0.15
+	// minGoal is the shortest goal that counts.
+	minGoal = 10 * time.Millisecond
 	// never is an unlimited wait.
 	never = time.Duration(math.MaxInt64)
 )
@@ -39,6 +43,14 @@
 	promptTokens average
 	// events is the average number of events of a complete response.
 	events average
+	// outputTokens is the average length of the responses that callers expect.
+	outputTokens average
+	// urgency is the average of one over the time in seconds from a request to its goal.
+	urgency average
+	// ranks are the requests by rank.
+	ranks estimate.Ranks
+	// correction corrects the estimates for the targets.
+	correction estimate.Correction
 	// others is the rate of the other nodes' arrivals at othersAt, while a target is
 	// throttled.
 	others   float64
@@ -51,11 +63,30 @@
 	nextReturn time.Time
 }
 
-// recordArrival counts a request with a prompt of the given length.
-func (t *traffic) recordArrival(now time.Time, promptTokens int) {
+// recordArrival counts a request with a prompt of the given length and the time to its goal.
+func (t *traffic) recordArrival(now time.Time, promptTokens int, goal time.Duration) {
 	t.decay(now)
 	t.arrivalRate += 1 / rateWindow.Seconds()
 	t.promptTokens.add(float64(promptTokens))
+	if goal > 0 {
+		t.urgency.add(1 / max(goal.Seconds(), minGoal.Seconds()))
+	}
+}
+
+// recordLengthHint adds the expected length of a response in tokens, 0 if unknown.
+func (t *traffic) recordLengthHint(outputTokens int) {
+	if outputTokens > 0 {
+		t.outputTokens.add(float64(outputTokens))
+	}
+}
+
+// eventCount returns the usual number of events of a response, with the given number of tokens
+// in each: that of complete responses, or else what callers expect; 0 if neither is known.
+func (t *traffic) eventCount(tokensPerEvent int) float64 {
+	if t.events.known {
+		return t.events.value
+	}
+	return t.outputTokens.value / float64(max(tokensPerEvent, 1))
 }
 
 // recordResume counts a stream that is to be resumed.
