--- a/estimate/correction.go
+++ b/estimate/correction.go
@@ -28,6 +28,9 @@
 	paces            int
 }
 
+// Known reports whether a first event was observed.
+func (c *Correction) Known() bool { return c.delays > 0 }
+
 // Delay returns by how much first events come later than estimated from the profile.
 func (c *Correction) Delay() time.Duration { return time.Duration(c.delay) }
 
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -67,6 +67,9 @@
 		c := &s.candidates[i]
 		a.paces[i] = t.correction.Pace() * target.Load.correction.Pace(now)
 		engine := estimate.Engine{Profile: e.profile, Slots: target.Slots, Lengths: lengths, TimeFactor: target.TimeFactor * a.paces[i], Delay: t.correction.Delay()}
+		if !t.correction.Known() {
+			engine.Delay = max(firstEventTime-engine.FirstEvent(estimate.Load{}, a.promptTokens), 0)
+		}
 		a.engines[i], a.loads[i] = engine, engineLoad(engine, c, target)
 		c.FirstEvent = engine.FirstEvent(a.loads[i], a.promptTokens)
 		if c.Excluded || c.RecentlyFailed {
