--- a/forward/evacuated.go
+++ b/forward/evacuated.go
@@ -24,9 +24,9 @@
 
 // newAssignedSlot returns the slot at the target that a waiter was assigned, or the error for
 // a request that is refused.
-func (d *Dispatcher) newAssignedSlot(target *Target, r SlotRequest) (*Slot, error) {
+func (d *Dispatcher) newAssignedSlot(target *Target, w *waiter, p Pool) (*Slot, error) {
 	if target != nil {
-		return d.newSlot(target, r.PromptTokens), nil
+		return d.newSlot(target, w), nil
 	}
-	return nil, d.noTargetError(r.Pool)
+	return nil, d.noTargetError(p)
 }
--- a/forward/table.go
+++ b/forward/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/engine"
+	"github.com/rattanlanding/rattanlanding/estimate"
 	"github.com/rattanlanding/rattanlanding/suspicion"
 	"github.com/rattanlanding/rattanlanding/throttle"
 )
@@ -28,6 +29,9 @@
 	progressAt atomic.Int64
 	// record is what this node has seen the target fail and answer.
 	record suspicion.Record
+	// correction corrects the estimates for the target. The dispatcher's lock
+	// guards it.
+	correction estimate.TargetCorrection
 }
 
 // Running returns the number of this node's requests at the target.
