--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -24,6 +24,8 @@
 	unreported float64
 	// evacuated is true if there are targets, but all in evacuated failure domains.
 	evacuated bool
+	// admission is nil if the times to the first event can't be estimated.
+	admission *admission
 }
 
 // candidates returns the candidates of a pool. The caller holds the lock.
@@ -54,6 +56,7 @@
 		}
 	}
 	f.weigh(assessments)
+	f.admission = d.newAdmission(p, f, now)
 	return f
 }
 
@@ -73,10 +76,11 @@
 	if w.once {
 		candidates = preferSound(candidates)
 	}
-	best := Choose(candidates, s.unreported, rand.IntN)
+	best := s.choose(candidates, w)
 	if best < 0 {
 		return nil
 	}
+	s.admission.assign(best, w)
 	s.candidates[best].Requests++
 	s.candidates[best].PromptTokens += float64(w.promptTokens)
 	s.candidates[best].Permits--
@@ -87,6 +91,15 @@
 	return s.targets[best]
 }
 
+// choose returns the index of the candidate for a waiter, or -1. During a shortage the estimates
+// decide. A stream that its caller has a part of takes the least loaded target even then.
+func (s *candidateSet) choose(candidates []Candidate, w *waiter) int {
+	if s.admission.shortage() && !w.key.Begun {
+		return s.admission.choose(candidates, w)
+	}
+	return Choose(candidates, s.unreported, rand.IntN)
+}
+
 // isEligible reports whether requests may be sent to a target at all. A stalled group
 // delays every request, while a plain server that failed one request may well serve
 // the next.
