--- a/estimate/engine.go
+++ b/estimate/engine.go
@@ -131,7 +131,9 @@
 	slots := float64(e.Slots)
 	base := e.FirstEvent(Load{Requests: slots - 1}, e.Lengths.PromptTokens)
 	rate := e.CompletionRate(slots)
-	spare := (within-base).Seconds()*rate/e.waitFactor() - math.Sqrt(rate*reportAge.Seconds())
+	// A level above the slots keeps the least urgent requests waiting at the target, even if the
+	// others hardly wait.
+	spare := (within-base).Seconds()*rate/max(e.waitFactor(), 1) - math.Sqrt(rate*reportAge.Seconds())
 	return slots - 1 + min(max(spare, -maxFree*slots), maxWaiting*slots)
 }
 
