--- a/forward/admission.go
+++ b/forward/admission.go
@@ -30,13 +30,10 @@
 type admission struct {
 	engines []estimate.Engine
 	loads   []estimate.Load
-	// slow tells at which candidates a request of usual length would be late even with a free
-	// slot, unless it would be so at all of them.
-	slow []bool
 	// sendRates are the requests per second that all nodes may send to the candidates.
 	sendRates []float64
-	// rate is the sum for those that aren't slow, slowRate for the others, and arrivals the requests per second that arrive at all nodes.
-	rate, slowRate, arrivals float64
+	// rate is their sum, and arrivals the requests per second that arrive at all nodes.
+	rate, arrivals float64
 	// paces are the factors of observed to estimated times at the candidates.
 	paces []float64
 	// usual is the time from a free slot to the first event for a prompt of usual length.
@@ -62,7 +59,7 @@
 		return nil
 	}
 	a := &admission{ranks: &t.ranks, promptTokens: t.promptTokens.value,
-		paces: make([]float64, len(s.targets)), slow: make([]bool, len(s.targets)), engines: make([]estimate.Engine, len(s.targets)), loads: make([]estimate.Load, len(s.targets)), sendRates: make([]float64, len(s.targets))}
+		paces: make([]float64, len(s.targets)), engines: make([]estimate.Engine, len(s.targets)), loads: make([]estimate.Load, len(s.targets)), sendRates: make([]float64, len(s.targets))}
 	goal := time.Duration(float64(time.Second) / t.urgency.value)
 	within := goal - callerTime - time.Duration(deviationMargin*float64(t.correction.Deviation()))
 	a.usual = never
@@ -80,21 +77,8 @@
 			continue
 		}
 		a.sendRates[i] = engine.SendRate(c.Requests, engine.Level(within, d.peers.ReportAge()))
-		usual := engine.FirstEvent(estimate.Load{Requests: min(c.Requests, float64(target.Slots-1))}, a.promptTokens)
-		a.usual = min(a.usual, usual)
-		if a.slow[i] = usual > goal-callerTime; a.slow[i] {
-			a.slowRate += a.sendRates[i]
-		} else {
-			a.rate += a.sendRates[i]
-		}
-	}
-	if a.rate <= 0 {
-		// The goal can't be reached: no target is worse than the others.
-		a.rate, a.slowRate = a.slowRate, 0
-		clear(a.slow)
-	}
-	for i := range s.candidates {
-		s.candidates[i].Slow = s.candidates[i].Slow || a.slow[i]
+		a.rate += a.sendRates[i]
+		a.usual = min(a.usual, engine.FirstEvent(estimate.Load{Requests: min(c.Requests, float64(target.Slots-1))}, a.promptTokens))
 	}
 	t.decay(now)
 	a.arrivals = t.arrivalRate + d.peers.ArrivalRate(p.Service, p.Model)
@@ -127,7 +111,7 @@
 	}
 	chance := a.ranks.Chance(r.Rank, a.rate/a.arrivals)
 	if a.late(r, now) {
-		chance = max(chance*lateChance, a.slowRate/max(a.arrivals-a.rate, a.slowRate, 1))
+		chance *= lateChance
 	}
 	if rand.Float64() < chance {
 		return nil
@@ -153,11 +137,10 @@
 // choose returns the index of a candidate, chosen at random in proportion to the requests that
 // all nodes may send there, or -1. The reports of other nodes are too old to choose the least
 // loaded one: all nodes would choose the same.
-func (a *admission) choose(candidates []Candidate, w *waiter, now time.Time) int {
+func (a *admission) choose(candidates []Candidate, w *waiter) int {
 	onTime, all := 0.0, 0.0
-	late := a.slowRate > 0 && w.key.late(now)
 	for i := range candidates {
-		if rate := a.rateFor(i, &candidates[i], late); rate > 0 {
+		if rate := a.rateFor(i, &candidates[i]); rate > 0 {
 			all += rate
 			if a.gapOnTime(i, w) {
 				onTime += rate
@@ -169,7 +152,7 @@
 		draw = rand.Float64() * onTime
 	}
 	for i := range candidates {
-		rate := a.rateFor(i, &candidates[i], late)
+		rate := a.rateFor(i, &candidates[i])
 		if rate <= 0 || (onTime > 0 && !a.gapOnTime(i, w)) {
 			continue
 		}
@@ -181,10 +164,8 @@
 	return best
 }
 
-// rateFor returns the rate at which requests are sent to a candidate. Those that are late anyway
-// go to the slow ones.
-func (a *admission) rateFor(i int, c *Candidate, late bool) float64 {
-	if c.Excluded || a.slow[i] != late || (c.Throttled && c.Permits < 1) {
+func (a *admission) rateFor(i int, c *Candidate) float64 {
+	if c.Excluded || (c.Throttled && c.Permits < 1) {
 		return 0
 	}
 	return a.sendRates[i]
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -83,7 +83,7 @@
 // decide. A stream that its caller has a part of takes the least loaded target even then.
 func (s *candidateSet) choose(candidates []Candidate, w *waiter) int {
 	if s.admission.shortage() && !w.key.Begun {
-		return s.admission.choose(candidates, w, time.Now())
+		return s.admission.choose(candidates, w)
 	}
 	return Choose(candidates, s.unreported, rand.IntN)
 }
