--- a/estimate/engine.go
+++ b/estimate/engine.go
@@ -124,7 +124,7 @@
 }
 
 // Level returns the number of requests at the target with which one more of usual length gets
-// its first event within the given time. It leaves room for the usual deviation of the requests
+// its first event within the given time. It leaves room for half of the usual deviation of the requests
 // that reports of the given age don't show yet. A target with free slots is hardly slower than an
 // empty one, so a level far below the slots would help no request.
 func (e Engine) Level(within, reportAge time.Duration) float64 {
@@ -133,7 +133,7 @@
 	rate := e.CompletionRate(slots)
 	// A level above the slots keeps the least urgent requests waiting at the target, even if the
 	// others hardly wait.
-	spare := (within-base).Seconds()*rate/max(e.waitFactor(), 1) - math.Sqrt(rate*reportAge.Seconds())
+	spare := (within-base).Seconds()*rate/max(e.waitFactor(), 1) - math.Sqrt(rate*reportAge.Seconds())/2
 	return slots - 1 + min(max(spare, -maxFree*slots), maxWaiting*slots)
 }
 
