--- a/entry/evenness.go
+++ b/entry/evenness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-kit/log"
@@ -48,9 +49,12 @@
 		}
 		if logged++; logged <= maxEvennessPools {
 			_ = level.Info(r.logger).Log("msg", "evenness", "service", pool.Service, "model", pool.Model, "groups", e.Targets,
-				"fill", e.Fill, "highest_fill", e.HighestFill, "busiest_to_mean", e.BusiestToMean, "spread", e.Spread)
+				"fill", rounded(e.Fill), "highest_fill", rounded(e.HighestFill), "busiest_to_mean", rounded(e.BusiestToMean), "spread", rounded(e.Spread))
 		}
 	}
 	metrics.GetOrRegisterGaugeFloat64("forward.evenness.busiest_to_mean", r.registry).Update(worst.BusiestToMean)
 	metrics.GetOrRegisterGaugeFloat64("forward.evenness.spread", r.registry).Update(worst.Spread)
 }
+
+// rounded returns a ratio with three decimals, as it is logged.
+func rounded(ratio float64) float64 { return math.Round(ratio*1000) / 1000 }
