--- a/internal/measure/evenness_policies.go
+++ b/internal/measure/evenness_policies.go
@@ -29,7 +29,7 @@
 // among in a subset.
 const evenSubset = 4
 
-// evenPolicies are the compared choices: the first is the baseline, the last one in use.
+// evenPolicies are the compared choices: the first one is in use.
 var evenPolicies = []evenPolicy{
 	{"two draws, unaligned reports", reportsAtRounds, twoDraws},
 	{"own sends unknown", reportsAtRounds, func(s *evenSim, n *evenNode, c []forward.Candidate, unreported float64) int {
--- a/mesh/accept.go
+++ b/mesh/accept.go
@@ -49,10 +49,6 @@
 	if summary = parts.add(summary, part); summary == nil || !from.storeSummary(summary, now) {
 		return
 	}
-	m.phase.observe(address, summary.Total, now)
-	if summary.Total {
-		m.publishTotal(now)
-	}
 	m.acceptMember(Member{Node: summary.From}, &summary.From, now)
 	for _, other := range summary.Members {
 		if err := other.Node.validate(); err != nil {
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -24,8 +24,6 @@
 	address     netip.AddrPort
 	dead        bool
 	nextRoundAt time.Time
-	// totalsAt is when the node sends the sums of all nodes; zero if it doesn't.
-	totalsAt time.Time
 	// ledger exchanges its observations over the network; nil for none.
 	guard *quarantine.Guard
 	// sent is the number of bytes sent.
@@ -66,7 +64,7 @@
 	if i < 6 {
 		capacity = 80
 	}
-	n.dead, n.totalsAt, n.nextRoundAt = false, time.Time{}, nw.now.Add(time.Duration(nw.rng.IntN(300))*time.Millisecond)
+	n.dead, n.nextRoundAt = false, nw.now.Add(time.Duration(nw.rng.IntN(300))*time.Millisecond)
 	n.state = State{Node: Node{Name: fmt.Sprint("node-", i), CallerAddress: addressOf(i), PeerAddress: addressOf(i),
 		FailureDomain: domain, Capacity: capacity, Serving: true},
 		Load:   map[uint32]Load{Key("all"): NewLoad(2, false), Key(fmt.Sprint("g", i%40)): NewLoad(1, true)},
@@ -83,15 +81,11 @@
 func (nw *network) run(d time.Duration) {
 	for end := nw.now.Add(d); nw.now.Before(end); nw.now = nw.now.Add(5 * time.Millisecond) {
 		for _, n := range nw.ordered {
-			if !n.dead && !n.totalsAt.IsZero() && !nw.now.Before(n.totalsAt) {
-				n.totalsAt = time.Time{}
-				nw.deliver(n, n.mesh.prepareTotals(nw.now))
-			}
 			if n.dead || nw.now.Before(n.nextRoundAt) {
 				continue
 			}
 			nw.round(n)
-			n.nextRoundAt = nw.now.Add(n.mesh.untilNextRound(nw.now))
+			n.nextRoundAt = nw.now.Add(n.mesh.interval())
 		}
 	}
 }
@@ -104,16 +98,7 @@
 		n.guard.Absorb(n.mesh.View().Quarantine)
 		state.Quarantine = n.guard.Report()
 	}
-	messages, totals := n.mesh.prepare(state, nw.now)
-	nw.deliver(n, messages)
-	if n.totalsAt = (time.Time{}); totals {
-		n.totalsAt = nw.now.Add(totalDelay)
-	}
-}
-
-// deliver delivers messages of a node.
-func (nw *network) deliver(n *simNode, messages []message) {
-	for _, message := range messages {
+	for _, message := range n.mesh.prepare(state, nw.now) {
 		nw.g.Expect(len(message.data)).To(BeNumerically("<=", maxDatagram))
 		for _, to := range message.recipients {
 			n.sent += len(message.data)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -69,12 +69,6 @@
 	chosenSince time.Time
 	// latestState is this node's state of the current round.
 	latestState *State
-	// totalRecipients are the nodes that get the sum of all others in this round.
-	totalRecipients []netip.AddrPort
-	// usesTotal is true if the view holds the sum that an aggregator sent.
-	usesTotal bool
-	// phase aligns the rounds with those of other nodes.
-	phase phase
 
 	// observedSentAt is when observations were last sent, by scope.
 	observedSentAt [scopeCount]time.Time
@@ -140,12 +134,8 @@
 	defer func() { _ = conn.Close() }()
 	go m.receive(conn)
 	for ctx.Err() == nil {
-		began := time.Now()
-		if m.round(conn, began) {
-			wait.For(ctx, totalDelay)
-			m.send(conn, m.prepareTotals(time.Now()))
-		}
-		wait.For(ctx, m.untilNextRound(began)-time.Since(began))
+		m.round(conn, time.Now())
+		wait.For(ctx, m.interval())
 	}
 	return nil
 }
@@ -183,17 +173,11 @@
 	recipients []netip.AddrPort
 }
 
-// round sends this node's state and, if the node is an aggregator, the sum of its domain.
-// It reports whether nodes get the sum of all others in this round.
-func (m *Mesh) round(conn *net.UDPConn, now time.Time) bool {
+// round sends this node's state and, if the node is an aggregator, its summaries.
+func (m *Mesh) round(conn *net.UDPConn, now time.Time) {
 	state := m.localState()
 	state.Node.Boot, state.Node.Count = m.boot, m.nextCount()
-	messages, totals := m.prepare(state, now)
-	m.send(conn, messages)
-	return totals
-}
-
-func (m *Mesh) send(conn *net.UDPConn, messages []message) {
+	messages := m.prepare(state, now)
 	for _, message := range messages {
 		if len(message.data) > maxDatagram {
 			_ = level.Error(m.logger).Log("msg", "mesh message not sent: larger than the datagram limit", "bytes", len(message.data))
--- a/mesh/prepare.go
+++ b/mesh/prepare.go
@@ -20,9 +20,8 @@
 	convergenceTime = 3 * time.Second
 )
 
-// prepare publishes a new view and returns the messages of a round, except those of
-// prepareTotals, and whether there are such.
-func (m *Mesh) prepare(state State, now time.Time) (messages []message, totals bool) {
+// prepare publishes a new view and returns the messages of a round.
+func (m *Mesh) prepare(state State, now time.Time) []message {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.latestState = &state
@@ -33,7 +32,7 @@
 	local := m.localSum(live, now)
 	m.markGone(live, local, now)
 	m.publish(live, local, now)
-	m.followLeader(live, now)
+	var messages []message
 	if 1+len(live) <= maxDirectNodes {
 		// A node that receives no states requests summaries from all known addresses.
 		isolated := !slices.ContainsFunc(live, func(other *member) bool { return other.hasFreshState(now) })
@@ -46,28 +45,11 @@
 		stateRecipients = messages[0].recipients
 	}
 	aggregator := m.isAggregator(live, now)
-	m.totalRecipients = nil
 	if aggregator {
-		messages = append(messages, m.domainMessages(live, now)...)
-		m.totalRecipients = summaryRecipients(live, now)
+		messages = append(messages, m.summaryMessages(live, now)...)
 	}
-	if 1+len(live) <= maxDirectNodes {
-		messages = append(messages, m.totalMessages(live, local, now)...)
-		m.totalRecipients = nil
-	}
-	messages = append(messages, m.noticeMessages(append(messages, message{recipients: m.totalRecipients}))...)
-	return append(messages, m.observationMessages(stateRecipients, live, aggregator, now)...), len(m.totalRecipients) > 0
-}
-
-// prepareTotals publishes a view with the sums that have arrived since prepare, and returns
-// the messages with the sum of all nodes.
-func (m *Mesh) prepareTotals(now time.Time) []message {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	live := m.liveMembers(now)
-	local := m.localSum(live, now)
-	m.publish(live, local, now)
-	return m.totalMessages(live, local, now)
+	messages = append(messages, m.noticeMessages(messages)...)
+	return append(messages, m.observationMessages(stateRecipients, live, aggregator, now)...)
 }
 
 // markGone marks the nodes of this domain that no longer send their state here as
@@ -190,15 +172,13 @@
 }
 
 // bestDomainSum returns the valid sum of another domain that covers the most nodes,
-// the newest one of these, or nil.
+// or nil.
 func bestDomainSum(domain string, live []*member, now time.Time) *Sum {
 	var best *Sum
-	var at time.Time
 	for _, other := range live {
 		if other.Node.FailureDomain == domain && other.domainSummary != nil && now.Sub(other.domainSummaryAt) <= stateLifetime {
-			n := other.domainSummary.Sum.nodes()
-			if best == nil || n > best.nodes() || n == best.nodes() && other.domainSummaryAt.After(at) {
-				best, at = other.domainSummary.Sum, other.domainSummaryAt
+			if best == nil || other.domainSummary.Sum.nodes() > best.nodes() {
+				best = other.domainSummary.Sum
 			}
 		}
 	}
@@ -206,15 +186,13 @@
 }
 
 // bestTotalSum returns the valid sum of all other nodes, as sent by an aggregator,
-// that covers the most nodes, the newest one of these, or nil.
+// that covers the most nodes, or nil.
 func (m *Mesh) bestTotalSum(now time.Time) *Sum {
 	var best *Sum
-	var at time.Time
 	for _, other := range m.byAddress {
 		if other.totalSummary != nil && now.Sub(other.totalSummaryAt) <= stateLifetime {
-			n := other.totalSummary.Sum.nodes()
-			if best == nil || n > best.nodes() || n == best.nodes() && other.totalSummaryAt.After(at) {
-				best, at = other.totalSummary.Sum, other.totalSummaryAt
+			if best == nil || other.totalSummary.Sum.nodes() > best.nodes() {
+				best = other.totalSummary.Sum
 			}
 		}
 	}
@@ -225,8 +203,7 @@
 // covers more nodes than the local one.
 func (m *Mesh) publish(live []*member, local *Sum, now time.Time) {
 	others := local.without(m.latestState)
-	total := m.bestTotalSum(now)
-	if m.usesTotal = total != nil && total.nodes() > others.nodes(); m.usesTotal {
+	if total := m.bestTotalSum(now); total != nil && total.nodes() > others.nodes() {
 		others = total
 	}
 	view := &View{Others: others, Quarantine: m.allObservations(now)}
@@ -240,12 +217,3 @@
 	}
 	m.view.Store(view)
 }
-
-// publishTotal puts a new sum of an aggregator into the view, if that holds such a sum.
-func (m *Mesh) publishTotal(now time.Time) {
-	if total := m.bestTotalSum(now); m.usesTotal && total != nil {
-		view := *m.View()
-		view.Others = total
-		m.view.Store(&view)
-	}
-}
--- a/mesh/summaries.go
+++ b/mesh/summaries.go
@@ -8,36 +8,20 @@
 	"github.com/go-kit/log/level"
 )
 
-// domainMessages returns the messages with the sum of an aggregator's domain for the
-// aggregators of other domains.
-func (m *Mesh) domainMessages(live []*member, now time.Time) []message {
+// summaryMessages returns the messages of an aggregator: the sum of its domain for
+// the aggregators of other domains, and the sum of all other nodes for each node that
+// wants summaries.
+func (m *Mesh) summaryMessages(live []*member, now time.Time) []message {
 	own := m.latestState.Node
-	summary := Summary{From: own, Sum: m.domainSum(live, now), Members: m.membersToReport(own.FailureDomain, false, m.reportedToDomains, now)}
-	messages := m.appendSummary(nil, &summary, m.remoteAggregators(live, now))
-	m.reportedToDomains.record(summary.Members, now)
-	return messages
-}
-
-// summaryRecipients returns the nodes that want summaries.
-func summaryRecipients(live []*member, now time.Time) []netip.AddrPort {
-	var recipients []netip.AddrPort
-	for _, other := range live {
-		if other.wantsSummary && other.hasFreshState(now) {
-			recipients = append(recipients, other.address)
-		}
-	}
-	return recipients
-}
+	domainSummary := Summary{From: own, Sum: m.domainSum(live, now), Members: m.membersToReport(own.FailureDomain, false, m.reportedToDomains, now)}
+	messages := m.appendSummary(nil, &domainSummary, m.remoteAggregators(live, now))
+	m.reportedToDomains.record(domainSummary.Members, now)
 
-// totalMessages returns the messages of an aggregator with the sum of all other nodes for
-// each node that wants summaries.
-func (m *Mesh) totalMessages(live []*member, sum *Sum, now time.Time) []message {
-	own := m.latestState.Node
+	sum := m.localSum(live, now)
 	total := Summary{From: own, Total: true,
 		Members: append(m.peerAggregators(live, now), m.membersToReport(own.FailureDomain, true, m.reportedToNodes, now)...)}
-	var messages []message
 	for _, other := range live {
-		if !slices.Contains(m.totalRecipients, other.address) {
+		if !other.wantsSummary || !other.hasFreshState(now) {
 			continue
 		}
 		total.Sum = sum
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -93,8 +93,8 @@
 	return 1 + v.countServing()
 }
 
-// ReportAge implements forward.Peers. Beyond maxDirectNodes, states pass through
-// aggregators, which takes another interval where their rounds aren't aligned.
+// ReportAge implements forward.Peers. Beyond maxDirectNodes, states pass through an
+// aggregator, which sends them on in its next round.
 func (m *Mesh) ReportAge() time.Duration {
 	interval := m.interval()
 	if 1+len(m.View().Live) > maxDirectNodes {
