--- a/entry/evenness_test.go
+++ b/entry/evenness_test.go
@@ -32,7 +32,7 @@
 	tables := forward.NewTables()
 	tables.Build(configuration, engine.NewRoster(instances))
 	peers := mesh.New(mesh.Config{Node: "n"}, nil, nil, logger, registry)
-	dispatcher := forward.NewDispatcher(tables, peers, "z", newThrottle(logger, registry))
+	dispatcher := forward.NewDispatcher(tables, peers, "z", newThrottle(Settings{}, logger, registry))
 	// Of four requests, three are at one group.
 	for _, avoid := range []string{"i-1", "i-1", "i-1", "i-0"} {
 		_, err := dispatcher.Acquire(context.Background(), forward.SlotRequest{Pool: forward.Pool{Service: "llm", Model: "m"}, Avoid: map[string]bool{avoid: true}})
