connlimit: requests are read before the tests take their connections for busy

Cause: a connection counts as idle until its request is read; the first probe came before that and took the place of a caller that the test counted as busy. The two tests wait for the requests now; what they check is unchanged.

--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	address string
 	budget  *memory.Budget
 	release chan struct{}
+	// waiting is the number of requests to /wait that have arrived.
+	waiting atomic.Int64
 }
 
 func newServer(t *testing.T, bytes int64) *server {
@@ -37,6 +40,7 @@
 	limiter := connlimit.New(descriptors, s.budget, metrics.NewRegistry())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
+			s.waiting.Add(1)
 			<-s.release
 		}
 		w.WriteHeader(http.StatusNoContent)
@@ -95,6 +99,7 @@
 		defer busy[i].Close()
 		send(busy[i], "/wait")
 	}
+	g.Eventually(s.waiting.Load, 10*time.Second).Should(BeEquivalentTo(len(busy)))
 	for range 3 * maxConns {
 		conn := s.dial(g)
 		defer conn.Close()
@@ -121,6 +126,8 @@
 		send(conn, "/wait")
 		busy = append(busy, conn)
 	}
+	// A connection counts as idle until its request is read.
+	g.Eventually(s.waiting.Load, 10*time.Second).Should(BeEquivalentTo(maxConns))
 	g.Eventually(func() int {
 		conn := s.dial(g)
 		defer conn.Close()
