--- /dev/null
+++ b/review/standins-2/main.go
@@ -0,0 +1,44 @@
+// Command standins-2 runs the cases of the second review: it starts a stand-in of the platform,
+// stand-ins of engines and clients, and processes of the system.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+func main() {
+	cases := map[string]func(*lab) (broken bool, err error){
+		"case-6": case6,
+		"case-7": case7,
+		"case-8": case8,
+	}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE RECORD")
+		os.Exit(exitFailed)
+	}
+	l, err := newLab(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+	broken, err := cases[os.Args[1]](l)
+	if err != nil {
+		l.say("the case couldn't run: %v", err)
+	}
+	l.close()
+	switch {
+	case err != nil:
+		os.Exit(exitFailed)
+	case broken:
+		os.Exit(exitBroken)
+	}
+	os.Exit(exitHeld)
+}
