--- a/review/standins-2/lab.go
+++ b/review/standins-2/lab.go
@@ -26,6 +26,7 @@
 	nodes       []*node
 	models      map[string]model
 	started     time.Time
+	closing     sync.Once
 
 	mu          sync.Mutex
 	record      *bufio.Writer
@@ -59,8 +60,10 @@
 	return l, nil
 }
 
-// close ends all processes.
-func (l *lab) close() {
+// close ends all processes. Only the first call does.
+func (l *lab) close() { l.closing.Do(l.end) }
+
+func (l *lab) end() {
 	for _, n := range l.nodes {
 		n.stop()
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -5,8 +5,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// limit is the longest time of a run.
+const limit = 115 * time.Second
+
 // Exit codes of a case.
 const (
 	exitHeld   = 0
@@ -30,6 +36,19 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
+	// A run that takes too long, or is told to end, ends its processes and counts as not run.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case s := <-signals:
+			l.say("the case was ended by %v", s)
+		case <-time.After(limit):
+			l.say("the case took longer than %s", limit)
+		}
+		l.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := cases[os.Args[1]](l)
 	if err != nil {
 		l.say("the case couldn't run: %v", err)
