Don't take a reset for the end of a stream whose engine was silent

Cause: while another engine is asked to go on with a stream, takeOver looks every 20 ms whether the silent engine went on (Response.Pending). Its peek takes the error of a connection that was reset, and the kernel reports that error once. The next read returned io.EOF, which completes a response that has neither a length nor chunks.

Both new tests fail without the change: the read after Pending returned EOF in place of ECONNRESET, and the caller got one event of an interrupted stream as complete.

The connection now keeps the error that peek got, and a read that would return io.EOF returns it. Bytes that had arrived before the reset are still delivered, as the kernel returns them first. readPending, which had its own rule for the same error, uses this one.

--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -42,6 +44,23 @@
 	return listener.Addr().String()
 }
 
+// listenServing starts a server that calls serve for each connection.
+func listenServing(serve func(net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 var _ = Describe("Handler with an engine that falls silent in the middle of a stream", func() {
 	DescribeTable("delivers the stream whole if no other engine can go on with it", func(parts ...string) {
 		// Guards against answers that are cut because their engine was silent for a while.
@@ -85,6 +104,44 @@
 	)
 })
 
+var _ = Describe("Handler with a silent engine that resets its stream while another one is asked", func() {
+	It("doesn't deliver the part of the stream as whole", func() {
+		// Guards against a stream without a length that looks complete after its connection
+		// was reset, as the check whether the silent engine went on consumed the error.
+		asked, reset := make(chan struct{}), make(chan struct{})
+		first := func(conn net.Conn) {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(unframedHead, "ID", "r")+"id: 1\ndata: x\n\n")
+			<-asked
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			close(reset)
+		}
+		second := func(net.Conn) {
+			close(asked)
+			<-reset
+			time.Sleep(time.Second)
+		}
+		var requests atomic.Int32
+		serve := func(conn net.Conn) {
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+			switch requests.Add(1) {
+			case 1:
+				first(conn)
+			case 2:
+				second(conn)
+			}
+		}
+		status, body, complete := sendScripted(newScriptedNode(listenServing(serve), listenServing(serve)), "/stream/x", "r")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("id: 1\ndata: x\n\n"))
+		Expect(complete).To(BeFalse())
+		Expect(reset).To(BeClosed())
+	})
+})
+
 var _ = Describe("Dispatcher with a stream that its caller has a part of", func() {
 	It("waits for a target", func() {
 		// Guards against streams that are cut because their engine failed while no other one
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -45,7 +46,10 @@
 	// desynchronised is true once a response to another request was skipped: its server
 	// may send further ones when the next request expects its response.
 	desynchronised bool
-	closeOnce      sync.Once
+	// broken is the error of the connection if peek got it. The kernel reports it once, and
+	// later reads return io.EOF.
+	broken    error
+	closeOnce sync.Once
 }
 
 // Read implements io.Reader for the read buffer. It limits the head of a response.
@@ -80,7 +84,7 @@
 		}
 		n, err := c.raw.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return n, err
+			return n, c.readError(err)
 		}
 	}
 }
@@ -95,7 +99,6 @@
 	case errors.Is(err, syscall.EAGAIN):
 		return 0, timeout
 	case err != nil:
-		// The kernel reports an error once; a read would return io.EOF now.
 		return 0, err
 	}
 	if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
@@ -103,7 +106,16 @@
 	}
 	n, err := c.raw.Read(p)
 	c.pendingRead += n
-	return n, err
+	return n, c.readError(err)
+}
+
+// readError returns the error of a read. The end of a broken connection isn't io.EOF, which
+// would make a body that ends with the connection look complete.
+func (c *Conn) readError(err error) error {
+	if errors.Is(err, io.EOF) && c.broken != nil {
+		return c.broken
+	}
+	return err
 }
 
 // markProgress restarts the time that the watch gets.
@@ -113,7 +125,8 @@
 func (c *Conn) isQuiet() bool { return errors.Is(c.peek(), syscall.EAGAIN) }
 
 // peek looks for unread bytes in the kernel. It returns nil if there are some or the peer has
-// closed the connection, EAGAIN if there are none, or the error of the connection.
+// closed the connection, EAGAIN if there are none, or the error of the connection. It must
+// not be called during a read.
 func (c *Conn) peek() error {
 	sys, ok := c.raw.(syscall.Conn)
 	if !ok {
@@ -128,6 +141,9 @@
 		var one [1]byte
 		_, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
+	if peekErr != nil && !errors.Is(peekErr, syscall.EAGAIN) {
+		c.broken = peekErr
+	}
 	return cmp.Or(err, peekErr)
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -237,6 +238,48 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("doesn't take a reset that Pending saw for the end of a body", func() {
+		// Guards against an incomplete body that looks complete because the connection was
+		// reset while another engine was asked to go on: looking for unread bytes consumes the
+		// error.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		reset := make(chan struct{})
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r\r\n\r\nab")
+			<-reset
+			_, _ = io.WriteString(conn, "cd")
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}()
+		conn, err := upstream.NewPool(upstream.Config{}).Get(context.Background(), listener.Addr().String(), true, 0)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := conn.Do(context.Background(), &upstream.Request{Method: http.MethodGet, Target: "/x", Host: "h",
+			IsOwn: func(int, http.Header) bool { return true }})
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Abort()
+		read := func(n int) (string, error) {
+			b := make([]byte, n)
+			_, err := io.ReadFull(response.Body, b)
+			return string(b), err
+		}
+		Expect(read(2)).To(Equal("ab"))
+		Expect(response.Pending()).To(BeFalse())
+		close(reset)
+		Eventually(response.Pending).Should(BeTrue())
+		time.Sleep(50 * time.Millisecond)
+		Expect(read(2)).To(Equal("cd"))
+		Expect(response.Pending()).To(BeTrue())
+		_, err = read(1)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+
 	It("opens no more connections than allowed", func() {
 		// Guards against connections that a backend server would reset.
 		address, _ := newServer(responseWith("r", "one"))
