Don't take a reset that the request ran into for the end of its response

A body of 16 KiB or more is sent while the response is read. If the write gets the error of a connection that was reset, the next read returns io.EOF, which completes a response that has neither a length nor chunks. The error of the write was looked at only to decide whether the connection can be used again.

A read that would return io.EOF now ends the transmission of the request, by its deadline, and returns the error that it got. Waiting for it makes the result independent of which goroutine gets there first. EPIPE isn't one of these errors: it means that the server had ended its side before, so that the response has arrived whole.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -35,7 +35,9 @@
 	// idleUntil is when the idle connection becomes too old to be reused.
 	idleUntil time.Time
 
-	watch Watch
+	// sending is the transmission of the current request; nil before the first one.
+	sending *sending
+	watch   Watch
 	// progressAt is when progress was last made; the watch gets the time since then.
 	progressAt time.Time
 	// pendingRead is the number of bytes read since the watch ended the wait.
@@ -112,10 +114,10 @@
 // readError returns the error of a read. The end of a broken connection isn't io.EOF, which
 // would make a body that ends with the connection look complete.
 func (c *Conn) readError(err error) error {
-	if errors.Is(err, io.EOF) && c.broken != nil {
-		return c.broken
+	if !errors.Is(err, io.EOF) {
+		return err
 	}
-	return err
+	return cmp.Or(c.broken, c.endSending(), err)
 }
 
 // markProgress restarts the time that the watch gets.
