Ignore an older entry of an instance that the store writes late

Cause: an entry replaced the known one whenever its version in the store was another one. A write without a response may be executed seconds later; an entry from before a join then showed an open head as an engine without a group, and its members as free. Entries were ordered by start and sequence for five seconds after a restore of the store only.

An entry is now compared with the last one of the same start at any time, also if that was removed meanwhile. Entries of different starts are still compared after a restore only, since the clock of an instance may be set back, and those that don't tell their start as well, since a restart begins a new count.

--- a/engine/history.go
+++ b/engine/history.go
@@ -16,8 +16,10 @@
 
 // History merges the versions of the instance list. If the platform's store is restored from
 // an older copy, the list shows entries that have been replaced or removed since, and lacks
-// newer ones. Entries of one instance are ordered by its start and its own count of them;
-// an older entry than the one known is no news. It isn't safe for concurrent use.
+// newer ones. A write that the store executes late shows an older entry, too. Entries of one
+// instance are ordered by its start and its own count of them; an older entry than the one
+// known is no news. Without a restore, entries of different starts aren't compared, as the
+// clock of an instance may be set back. It isn't safe for concurrent use.
 type History struct {
 	era   uint64
 	known map[string]*Instance
@@ -51,10 +53,7 @@
 	next := make(map[string]*Instance, len(listed))
 	comparing := !h.restoredAt.IsZero() && now.Before(h.restoredAt.Add(rewriteTime))
 	for _, in := range listed {
-		if comparing {
-			in = h.newest(in)
-		}
-		if in != nil {
+		if in = h.newest(in, comparing); in != nil {
 			next[in.ID] = in
 		}
 	}
@@ -88,24 +87,37 @@
 }
 
 // newest returns the newest of an entry and those known of the same instance, or nil if the
-// instance has been removed since the entry was written.
-func (h *History) newest(in *Instance) *Instance {
+// instance has been removed since the entry was written. comparing is true for a list that
+// may be restored.
+func (h *History) newest(in *Instance, comparing bool) *Instance {
+	isOlder := in.isOlderInStart
+	if comparing {
+		isOlder = in.isOlder
+	}
 	if old := h.known[in.ID]; old != nil {
-		if in.isOlderThan(old) {
+		if isOlder(old) {
 			return old
 		}
 		return in
 	}
-	if old, removed := h.removed[in.ID]; removed && !old.isOlderThan(in) {
+	old, removed := h.removed[in.ID]
+	if removed && (isOlder(old.Instance) || comparing && !old.isOlder(in)) {
 		return nil
 	}
 	return in
 }
 
-// isOlderThan reports whether an entry of the same instance was written before another one.
-func (in *Instance) isOlderThan(other *Instance) bool {
+// isOlder reports whether an entry of the same instance was written before another one.
+func (in *Instance) isOlder(other *Instance) bool {
 	if in.StartedMs != other.StartedMs {
 		return in.StartedMs < other.StartedMs
 	}
 	return in.Sequence < other.Sequence
 }
+
+// isOlderInStart reports whether an entry was written by the same start of the instance as
+// another one, and before it. Entries that don't tell the start can't be compared, since a
+// restart begins a new count.
+func (in *Instance) isOlderInStart(other *Instance) bool {
+	return in.StartedMs != 0 && in.StartedMs == other.StartedMs && in.Sequence < other.Sequence
+}
--- a/engine/history_test.go
+++ b/engine/history_test.go
@@ -67,3 +67,32 @@
 	merged, _ = h.Merge(0, []*Instance{{ID: "a", StartedMs: 5, Sequence: 1}}, now)
 	g.Expect(merged).To(HaveLen(1))
 }
+
+// Guards against an entry from before a join that the store writes late, and by which the
+// members of an open group count as free (TWO).
+func TestEntriesThatAreWrittenLateAreNoNews(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	merge := func(listed ...*Instance) []*Instance {
+		merged, again := h.Merge(0, listed, now)
+		g.Expect(again).To(BeZero())
+		return merged
+	}
+	early := &Instance{ID: "a", StartedMs: 5, Sequence: 3}
+	joined := &Instance{ID: "a", StartedMs: 5, Sequence: 4, Membership: Membership{Group: "g", Epoch: 1, Phase: Open}}
+	closed := &Instance{ID: "a", StartedMs: 5, Sequence: 9}
+	g.Expect(merge(early)).To(ConsistOf(early))
+	g.Expect(merge(joined)).To(ConsistOf(joined))
+	g.Expect(merge(early)).To(ConsistOf(joined))
+	now = now.Add(time.Minute)
+	g.Expect(merge(early)).To(ConsistOf(joined))
+	g.Expect(merge(closed)).To(ConsistOf(closed), "a newer entry counts")
+
+	g.Expect(merge()).To(BeEmpty())
+	g.Expect(merge(joined)).To(BeEmpty(), "older than the entry that was removed")
+	g.Expect(merge(closed)).To(ConsistOf(closed), "the instance is back")
+	restarted := &Instance{ID: "a", StartedMs: 6, Sequence: 1}
+	g.Expect(merge(restarted)).To(ConsistOf(restarted))
+	g.Expect(merge(&Instance{ID: "b", Sequence: 7})).To(HaveLen(1))
+	g.Expect(merge(&Instance{ID: "b", Sequence: 1})[0].Sequence).To(BeEquivalentTo(1), "perhaps a restart")
+}
