Give connections that tell a reset from their end a package of their own

upstream kept the error of a broken connection in two places: in peek, and in the transmission of a request. internal/resetconn does both, for any call on a connection, so that other clients can use it.

Nothing changes for callers.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,14 +2,13 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
-	"io"
-	"net"
 	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/resetconn"
 )
 
 // Watch decides how long a read may block. It is called before a read blocks, and again
@@ -27,7 +26,7 @@
 
 // Conn is a connection that carries one request at a time.
 type Conn struct {
-	raw         net.Conn
+	raw         *resetconn.Conn
 	reader      *bufio.Reader
 	pool        *Pool
 	address     string
@@ -35,9 +34,7 @@
 	// idleUntil is when the idle connection becomes too old to be reused.
 	idleUntil time.Time
 
-	// sending is the transmission of the current request; nil before the first one.
-	sending *sending
-	watch   Watch
+	watch Watch
 	// progressAt is when progress was last made; the watch gets the time since then.
 	progressAt time.Time
 	// pendingRead is the number of bytes read since the watch ended the wait.
@@ -48,10 +45,7 @@
 	// desynchronised is true once a response to another request was skipped: its server
 	// may send further ones when the next request expects its response.
 	desynchronised bool
-	// broken is the error of the connection if peek got it. The kernel reports it once, and
-	// later reads return io.EOF.
-	broken    error
-	closeOnce sync.Once
+	closeOnce      sync.Once
 }
 
 // Read implements io.Reader for the read buffer. It limits the head of a response.
@@ -86,7 +80,7 @@
 		}
 		n, err := c.raw.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return n, c.readError(err)
+			return n, err
 		}
 	}
 }
@@ -97,7 +91,7 @@
 	if c.pendingRead >= maxPending {
 		return 0, timeout
 	}
-	switch err := c.peek(); {
+	switch err := c.raw.Peek(); {
 	case errors.Is(err, syscall.EAGAIN):
 		return 0, timeout
 	case err != nil:
@@ -108,46 +102,14 @@
 	}
 	n, err := c.raw.Read(p)
 	c.pendingRead += n
-	return n, c.readError(err)
-}
-
-// readError returns the error of a read. The end of a broken connection isn't io.EOF, which
-// would make a body that ends with the connection look complete.
-func (c *Conn) readError(err error) error {
-	if !errors.Is(err, io.EOF) {
-		return err
-	}
-	return cmp.Or(c.broken, c.endSending(), err)
+	return n, err
 }
 
 // markProgress restarts the time that the watch gets.
 func (c *Conn) markProgress() { c.progressAt, c.pendingRead = time.Now(), 0 }
 
 // isQuiet reports whether the connection is open and has no unread bytes in the kernel.
-func (c *Conn) isQuiet() bool { return errors.Is(c.peek(), syscall.EAGAIN) }
-
-// peek looks for unread bytes in the kernel. It returns nil if there are some or the peer has
-// closed the connection, EAGAIN if there are none, or the error of the connection. It must
-// not be called during a read.
-func (c *Conn) peek() error {
-	sys, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return syscall.EAGAIN
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	if peekErr != nil && !errors.Is(peekErr, syscall.EAGAIN) {
-		c.broken = peekErr
-	}
-	return cmp.Or(err, peekErr)
-}
+func (c *Conn) isQuiet() bool { return errors.Is(c.raw.Peek(), syscall.EAGAIN) }
 
 // Close closes the connection and removes it from the pool's count.
 func (c *Conn) Close() {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -70,6 +69,7 @@
 
 	conn     *Conn
 	response *http.Response
+	sent     chan error
 	// complete is true once the body was read to its end.
 	complete bool
 }
@@ -93,26 +93,24 @@
 	c.watch, c.head.memory = r.Watch, r.Memory
 	c.markProgress()
 	head := r.head()
-	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return nil, fmt.Errorf("send request: %w", err)
-	}
-	c.sending = &sending{done: make(chan struct{})}
+	sent := make(chan error, 1)
 	if r.length() < concurrentBodySize {
 		for _, part := range r.Body {
 			head = append(head, part...)
 		}
-		if c.sending.finish(c.send(head)); c.sending.err != nil {
-			return nil, fmt.Errorf("send request: %w", c.sending.err)
+		if err := c.send(head); err != nil {
+			return nil, fmt.Errorf("send request: %w", err)
 		}
+		sent <- nil
 	} else {
 		release := func() {}
 		if r.Retain != nil {
 			release = r.Retain()
 		}
-		go func(s *sending) {
+		go func() {
 			defer release()
-			s.finish(c.send(append([][]byte{head}, r.Body...)...))
-		}(c.sending)
+			sent <- c.send(append([][]byte{head}, r.Body...)...)
+		}()
 	}
 	// ReadResponse needs the method to determine whether there is a body.
 	httpRequest := &http.Request{Method: r.Method}
@@ -130,7 +128,7 @@
 		if r.IsOwn(response.StatusCode, response.Header) {
 			c.markProgress()
 			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-				Early: !c.sending.isDone(), conn: c, response: response}, nil
+				Early: len(sent) == 0, conn: c, response: response, sent: sent}, nil
 		}
 		c.desynchronised = true
 		switch _, err := io.CopyN(io.Discard, response.Body, maxForeignBody+1); {
@@ -156,6 +154,9 @@
 }
 
 func (c *Conn) send(parts ...[]byte) error {
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	for _, part := range parts {
 		if _, err := c.raw.Write(part); err != nil {
 			return err
@@ -164,48 +165,6 @@
 	return nil
 }
 
-// sending is the transmission of a request, which may go on while its response is read.
-type sending struct {
-	// done is closed at its end.
-	done chan struct{}
-	// err is its error once done is closed.
-	err error
-}
-
-func (s *sending) finish(err error) {
-	s.err = err
-	close(s.done)
-}
-
-func (s *sending) isDone() bool {
-	select {
-	case <-s.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// endSending ends the transmission of the request, and returns the error by which the
-// connection broke in it, or nil. Sending to a server that has ended its side of the
-// connection fails with EPIPE, also if the server rejects the rest of the request by a reset.
-func (c *Conn) endSending() error {
-	s := c.sending
-	if s == nil {
-		return nil
-	}
-	if !s.isDone() {
-		if err := c.raw.SetWriteDeadline(time.Now()); err != nil {
-			return err
-		}
-		<-s.done
-	}
-	if errno := syscall.Errno(0); errors.As(s.err, &errno) && errno != syscall.EPIPE {
-		return s.err
-	}
-	return nil
-}
-
 // length returns the length of the body in bytes.
 func (r *Request) length() int {
 	n := 0
@@ -280,7 +239,12 @@
 func (r *Response) recycle(contextActive bool) {
 	c := r.conn
 	c.head.release()
-	requestSent := c.sending.isDone() && c.sending.err == nil
+	requestSent := false
+	select {
+	case err := <-r.sent:
+		requestSent = err == nil
+	default:
+	}
 	if !contextActive || !requestSent || r.EndsWithConnection() || r.response.Close || c.desynchronised || c.reader.Buffered() > 0 {
 		c.Close()
 		return
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rattanlanding/rattanlanding/internal/resetconn"
 )
 
 // Defaults of Config and properties of connections.
@@ -82,7 +84,7 @@
 		p.release(address)
 		return nil, err
 	}
-	c := &Conn{raw: raw, pool: p, address: address, idleTimeout: p.idleTimeout}
+	c := &Conn{raw: resetconn.New(raw), pool: p, address: address, idleTimeout: p.idleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
