--- a/backend/transport.go
+++ b/backend/transport.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rattanlanding/rattanlanding/internal/resetconn"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
 
@@ -76,7 +77,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn, sent: sent, received: received}, nil
+			return &countingConn{Conn: resetconn.New(conn), sent: sent, received: received}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnections,
