Ignore an entry of another writer that lacks an open head's group

Cause: an entry without a group is that of an engine in none, and nothing compared it with the one known. An engine leaves its group by a command only, after which its sequence is another one, and tells its start in each entry or in none.

An entry with the start and the sequence of the one known, but without its group, is no news now; nor is one without a start, if the one known has one. An entry that repeats the sequence with its group counts as before.

--- a/engine/history.go
+++ b/engine/history.go
@@ -18,8 +18,9 @@
 // an older copy, the list shows entries that have been replaced or removed since, and lacks
 // newer ones. A write that the store executes late shows an older entry, too. Entries of one
 // instance are ordered by its start and its own count of them; an older entry than the one
-// known is no news. Without a restore, entries of different starts aren't compared, as the
-// clock of an instance may be set back. It isn't safe for concurrent use.
+// known is no news, nor is one that another writer has stored under the instance's name.
+// Without a restore, entries of different starts aren't compared, as the clock of an instance
+// may be set back. It isn't safe for concurrent use.
 type History struct {
 	era   uint64
 	known map[string]*Instance
@@ -90,18 +91,17 @@
 // instance has been removed since the entry was written. comparing is true for a list that
 // may be restored.
 func (h *History) newest(in *Instance, comparing bool) *Instance {
-	isOlder := in.isOlderInStart
-	if comparing {
-		isOlder = in.isOlder
+	noNews := func(old *Instance) bool {
+		return in.isOlderInStart(old) || in.isForeign(old) || comparing && in.isOlder(old)
 	}
 	if old := h.known[in.ID]; old != nil {
-		if isOlder(old) {
+		if noNews(old) {
 			return old
 		}
 		return in
 	}
 	old, removed := h.removed[in.ID]
-	if removed && (isOlder(old.Instance) || comparing && !old.isOlder(in)) {
+	if removed && (noNews(old.Instance) || comparing && !old.isOlder(in)) {
 		return nil
 	}
 	return in
@@ -121,3 +121,14 @@
 func (in *Instance) isOlderInStart(other *Instance) bool {
 	return in.StartedMs != 0 && in.StartedMs == other.StartedMs && in.Sequence < other.Sequence
 }
+
+// isForeign reports whether an entry, by what it lacks of an earlier one of the same instance,
+// is of another writer. An instance tells its start in each entry or in none, and leaves its
+// group by a command only, after which its count is another one.
+func (in *Instance) isForeign(earlier *Instance) bool {
+	if in.StartedMs == 0 {
+		return earlier.StartedMs != 0
+	}
+	return in.StartedMs == earlier.StartedMs && in.Sequence == earlier.Sequence &&
+		in.Membership.Group == "" && earlier.Membership.Group != ""
+}
--- a/engine/history_test.go
+++ b/engine/history_test.go
@@ -96,3 +96,38 @@
 	g.Expect(merge(&Instance{ID: "b", Sequence: 7})).To(HaveLen(1))
 	g.Expect(merge(&Instance{ID: "b", Sequence: 1})[0].Sequence).To(BeEquivalentTo(1), "perhaps a restart")
 }
+
+// Guards against an entry of another writer that lacks the group of an open head, or its start
+// as well, and by which the members of the group count as free (TWO).
+func TestEntriesThatLackTheGroupAreNoNews(t *testing.T) {
+	for _, known := range []*Instance{
+		{ID: "a", StartedMs: 5, Sequence: 4, Membership: Membership{Group: "g", Epoch: 1, Phase: Open}},
+		{ID: "a", StartedMs: 5, Membership: Membership{Group: "g", Epoch: 1, Phase: Ready}},
+	} {
+		g := NewWithT(t)
+		h, now := NewHistory(), time.Unix(1e9, 0)
+		merge := func(listed ...*Instance) []*Instance {
+			merged, _ := h.Merge(0, listed, now)
+			return merged
+		}
+		foreign := []*Instance{
+			{ID: "a", StartedMs: 5, Sequence: known.Sequence},
+			{ID: "a", Sequence: known.Sequence}, {ID: "a", Sequence: known.Sequence + 1},
+		}
+		g.Expect(merge(known)).To(ConsistOf(known))
+		for _, in := range foreign {
+			g.Expect(merge(in)).To(ConsistOf(known))
+			now = now.Add(time.Second)
+		}
+		g.Expect(merge()).To(BeEmpty())
+		for _, in := range foreign {
+			g.Expect(merge(in)).To(BeEmpty())
+		}
+		g.Expect(merge(known)).To(ConsistOf(known), "the instance is back")
+		broken := *known
+		broken.Membership.Phase = Broken
+		g.Expect(merge(&broken)).To(ConsistOf(&broken), "the same count, but its group is there")
+		left := &Instance{ID: "a", StartedMs: 5, Sequence: known.Sequence + 1}
+		g.Expect(merge(left)).To(ConsistOf(left))
+	}
+}
