--- a/internal/resetconn/resetconn.go
+++ b/internal/resetconn/resetconn.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// Conn is a connection. Reads, and writes, may not be concurrent with each other.
+// Conn is a connection for one reader and one writer at a time.
 type Conn struct {
 	net.Conn
 	// writing is held during a write.
@@ -62,7 +62,8 @@
 }
 
 // Peek looks for unread bytes in the kernel. It returns nil if there are some or the peer has
-// ended its side, EAGAIN if there are none, or the error of the connection.
+// ended its side, EAGAIN if there are none, or the error of the connection. It must not be
+// called during a read.
 func (c *Conn) Peek() error {
 	sys, ok := c.Conn.(syscall.Conn)
 	if !ok {
