--- a/forward/endless_sum_test.go
+++ b/forward/endless_sum_test.go
@@ -21,27 +21,15 @@
 // sendAndFallSilent starts a server that sends a part of a response to each request and then
 // nothing until the client closes the connection.
 func sendAndFallSilent(part string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, part)
-				_, _ = io.Copy(io.Discard, reader)
-			}()
+	return listenServing(func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		_, _ = io.WriteString(conn, part)
+		_, _ = io.Copy(io.Discard, reader)
+	})
 }
 
 // shortLines returns the lines of a head with as many headers as fit into a size.
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -36,21 +36,7 @@
 	closed atomic.Int64
 }
 
-func (s *endlessServer) listen() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.answer(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
+func (s *endlessServer) listen() string { return listenServing(s.answer) }
 
 func (s *endlessServer) answer(conn net.Conn) {
 	defer conn.Close()
