backend: a reset may also end a call before its response is read

The server resets the connection 5 ms after its response; a client that is slower has its write fail first, and net/http then returns no response at all. Both reasons are right, and neither takes the part for the whole response, which is what the test guards against.

--- a/backend/reset_test.go
+++ b/backend/reset_test.go
@@ -51,7 +51,9 @@
 			Expect(err).To(matcher)
 		}
 	},
-		Entry("reset", func(c *net.TCPConn) { _ = c.SetLinger(0) }, haveVerdict(verdict.MayHaveRun, verdict.ReasonIncompleteAnswer)),
+		// The call fails before its response is read if the reset is faster than the client.
+		Entry("reset", func(c *net.TCPConn) { _ = c.SetLinger(0) }, Or(
+			haveVerdict(verdict.MayHaveRun, verdict.ReasonIncompleteAnswer), haveVerdict(verdict.MayHaveRun, verdict.ReasonBackendFailed))),
 		Entry("ended", func(c *net.TCPConn) {
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, c)
