Let an entry count against the order once the store keeps confirming it

Seen: an entry of the instance list with a sequence that the instance never reaches, or with a start where the instance tells none, is never superseded. Everything that the instance writes afterwards is older or foreign by the order of entries, so one bad entry holds for as long as the instance runs.

Cause: History orders entries, but has no limit to how long the order may contradict the list.

Change: an entry that is no news is held back. The store delays a write by seconds at most, a live instance replaces an older entry by its next heartbeat, and the entry of one that is gone expires within three heartbeats. So the known entry is the wrong one if the list has lacked it for 10 s in which the store kept confirming the list. Time in which the store isn't reached proves nothing: the follower's contact confirms the list, and a pause of over 3 s starts the count anew. While an entry is held back, the list is merged each second. Heartbeats that follow each other aren't required: one that changes only the sequence may leave the entry as it is.

The earlier tests of the package are unchanged.

--- a/engine/history.go
+++ b/engine/history.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// returnTime is how long instances are kept that a restored instance list lacks. Live
@@ -12,34 +15,64 @@
 	// keepRemoved is how long it is remembered which instances were removed. It exceeds the
 	// age of the copies from which the platform's store is restored.
 	keepRemoved = 2 * time.Minute
+	// maxWriteDelay exceeds the time for which the store may delay a write, and the interval
+	// of the heartbeats with which a live instance replaces an older entry.
+	maxWriteDelay = 10 * time.Second
+	// maxConfirmInterval is the longest time between two confirmations of a list that the
+	// store kept confirming meanwhile.
+	maxConfirmInterval = 3 * time.Second
+	// recheckInterval is the time between two merges while an entry is held back.
+	recheckInterval = time.Second
 )
 
 // History merges the versions of the instance list. If the platform's store is restored from
 // an older copy, the list shows entries that have been replaced or removed since, and lacks
 // newer ones. A write that the store executes late shows an older entry, too. Entries of one
-// instance are ordered by its start and its own count of them; an older entry than the one
-// known is no news, nor is one that another writer has stored under the instance's name.
-// Without a restore, entries of different starts aren't compared, as the clock of an instance
-// may be set back. It isn't safe for concurrent use.
+// instance are ordered by its start and its own count of them (see entry_order.go); an older
+// entry than the one known is no news, nor is one that another writer has stored under the
+// instance's name. Such an entry is held back. The one known is the wrong one if the store
+// keeps confirming a list without it: a live instance replaces an older entry by its next
+// heartbeat, and the entry of another one expires. It isn't safe for concurrent use.
 type History struct {
-	era   uint64
+	era uint64
+	// known are the instances of the merged list; nil before the first one.
 	known map[string]*Instance
-	// removed are the last entries of instances that were removed from the list.
-	removed map[string]removedInstance
+	// records also hold instances that were removed from the list.
+	records map[string]*record
 	// restoredAt is when the list was first seen in the current era; zero in the first one.
 	restoredAt time.Time
 	// missing are instances that the list lacks since then.
 	missing map[string]bool
+	// confirmedSince and confirmedAt are the first and the last of the confirmations of the
+	// list that followed each other closely; zero without any.
+	confirmedSince, confirmedAt time.Time
 }
 
-type removedInstance struct {
-	*Instance
-	at time.Time
+// record is what is known of the entries of one instance.
+type record struct {
+	newest *Instance
+	// heldSince is since when the list has shown only entries that are held back; zero if it
+	// shows the newest one.
+	heldSince time.Time
+	// removedAt is when the instance was removed from the merged list; zero while it is there.
+	removedAt time.Time
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
-	return &History{removed: map[string]removedInstance{}, missing: map[string]bool{}}
+	return &History{records: map[string]*record{}, missing: map[string]bool{}}
+}
+
+// Confirm tells that the store confirmed at the given time that the last version of the list
+// is the current one. Without confirmations, entries are held back for as long as they are
+// listed.
+func (h *History) Confirm(at time.Time) {
+	if h.confirmedAt.IsZero() || at.Sub(h.confirmedAt) > maxConfirmInterval {
+		h.confirmedSince = at
+	}
+	if at.After(h.confirmedAt) {
+		h.confirmedAt = at
+	}
 }
 
 // Merge returns the instances that a version of the list shows, in an era of the store. The
@@ -51,13 +84,37 @@
 		h.restoredAt = now
 		clear(h.missing)
 	}
-	next := make(map[string]*Instance, len(listed))
 	comparing := !h.restoredAt.IsZero() && now.Before(h.restoredAt.Add(rewriteTime))
+	next := make(map[string]*Instance, len(listed))
+	holding := map[string]bool{}
 	for _, in := range listed {
-		if in = h.newest(in, comparing); in != nil {
-			next[in.ID] = in
+		r := h.records[in.ID]
+		if r == nil {
+			r = &record{newest: in}
+			h.records[in.ID] = r
+		}
+		if h.isNews(r, in, comparing) {
+			r.accept(in)
+		} else {
+			r.hold(now)
+			holding[in.ID] = true
 		}
+		if r.removedAt.IsZero() {
+			next[in.ID] = r.newest
+		}
+	}
+	h.updateMissing(next, restored, now)
+	h.updateRecords(holding, now)
+	h.known = next
+	for _, in := range next {
+		merged = append(merged, in)
 	}
+	return merged, h.nextChange(comparing, len(holding) > 0, now)
+}
+
+// updateMissing adds the instances to the next list that a restored one lacks for now, and
+// records which others were removed.
+func (h *History) updateMissing(next map[string]*Instance, restored bool, now time.Time) {
 	for id, in := range h.known {
 		switch {
 		case next[id] != nil:
@@ -66,69 +123,82 @@
 			h.missing[id], next[id] = true, in
 		default:
 			delete(h.missing, id)
-			h.removed[id] = removedInstance{in, now}
+			h.records[id].removedAt = now
 		}
 	}
-	for id, r := range h.removed {
-		if next[id] != nil || now.Sub(r.at) > keepRemoved {
-			delete(h.removed, id)
+}
+
+// updateRecords forgets instances that were removed long ago, and since when entries have been
+// held back that are no longer listed.
+func (h *History) updateRecords(holding map[string]bool, now time.Time) {
+	for id, r := range h.records {
+		if !holding[id] {
+			r.heldSince = time.Time{}
+		}
+		if !r.removedAt.IsZero() && now.Sub(r.removedAt) > keepRemoved {
+			delete(h.records, id)
 		}
 	}
-	h.known = next
-	for _, in := range next {
-		merged = append(merged, in)
+}
+
+// nextChange returns when the merged list may change without a new version, or zero.
+func (h *History) nextChange(comparing, holding bool, now time.Time) time.Time {
+	var times []time.Time
+	if len(h.missing) > 0 {
+		times = append(times, h.restoredAt.Add(returnTime))
 	}
-	switch {
-	case len(h.missing) > 0:
-		again = h.restoredAt.Add(returnTime)
-	case comparing:
-		again = h.restoredAt.Add(rewriteTime)
+	if comparing {
+		times = append(times, h.restoredAt.Add(rewriteTime))
+	}
+	if holding && !h.confirmedAt.IsZero() {
+		times = append(times, now.Add(recheckInterval))
 	}
-	return merged, again
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	return slices.MinFunc(times, time.Time.Compare)
 }
 
-// newest returns the newest of an entry and those known of the same instance, or nil if the
-// instance has been removed since the entry was written. comparing is true for a list that
-// may be restored.
-func (h *History) newest(in *Instance, comparing bool) *Instance {
-	noNews := func(old *Instance) bool {
-		return in.isOlderInStart(old) || in.isForeign(old) || comparing && in.isOlder(old)
-	}
-	if old := h.known[in.ID]; old != nil {
-		if noNews(old) {
-			return old
-		}
-		return in
+// isNews reports whether a listed entry of an instance is as new as the newest one known, or
+// shows that this one is wrong. comparing is true for a list that may be restored.
+func (h *History) isNews(r *record, in *Instance, comparing bool) bool {
+	if r.newest == in {
+		return r.removedAt.IsZero() || !comparing
 	}
-	old, removed := h.removed[in.ID]
-	if removed && (noNews(old.Instance) || comparing && !old.isOlder(in)) {
-		return nil
+	switch {
+	case r.isHeldLong(h.confirmedSince, h.confirmedAt):
+		return true
+	case in.isOlderInStart(r.newest), in.lacksStart(r.newest):
+		return false
+	case comparing && r.removedAt.IsZero():
+		return !in.isOlder(r.newest)
+	case comparing:
+		return r.newest.isOlder(in)
 	}
-	return in
+	return true
 }
 
-// isOlder reports whether an entry of the same instance was written before another one.
-func (in *Instance) isOlder(other *Instance) bool {
-	if in.StartedMs != other.StartedMs {
-		return in.StartedMs < other.StartedMs
+// isHeldLong reports whether the list has shown only entries that are held back for longer
+// than the store may delay a write, in a time in which it was confirmed.
+func (r *record) isHeldLong(confirmedSince, confirmedAt time.Time) bool {
+	if r.heldSince.IsZero() || confirmedAt.IsZero() {
+		return false
 	}
-	return in.Sequence < other.Sequence
+	since := r.heldSince
+	if confirmedSince.After(since) {
+		since = confirmedSince
+	}
+	return confirmedAt.Sub(since) >= maxWriteDelay
 }
 
-// isOlderInStart reports whether an entry was written by the same start of the instance as
-// another one, and before it. Entries that don't tell the start can't be compared, since a
-// restart begins a new count.
-func (in *Instance) isOlderInStart(other *Instance) bool {
-	return in.StartedMs != 0 && in.StartedMs == other.StartedMs && in.Sequence < other.Sequence
+// accept makes a listed entry the newest one.
+func (r *record) accept(in *Instance) {
+	r.newest, r.removedAt = in, time.Time{}
 }
 
-// isForeign reports whether an entry, by what it lacks of an earlier one of the same instance,
-// is of another writer. An instance tells its start in each entry or in none, and leaves its
-// group by a command only, after which its count is another one.
-func (in *Instance) isForeign(earlier *Instance) bool {
-	if in.StartedMs == 0 {
-		return earlier.StartedMs != 0
-	}
-	return in.StartedMs == earlier.StartedMs && in.Sequence == earlier.Sequence &&
-		in.Membership.Group == "" && earlier.Membership.Group != ""
+// hold records that the list shows an entry that is held back.
+func (r *record) hold(now time.Time) {
+	if r.heldSince.IsZero() {
+		r.heldSince = now
+	}
 }
--- a/engine/history_test.go
+++ b/engine/history_test.go
@@ -131,3 +131,114 @@
 		g.Expect(merge(left)).To(ConsistOf(left))
 	}
 }
+
+// Guards against an entry that no later one of the instance supersedes, and that stays for as
+// long as the instance runs.
+func TestAFalseEntryIsSupersededWithinSeconds(t *testing.T) {
+	member := Membership{Group: "g1", Epoch: 1, Phase: Open}
+	for name, c := range map[string]struct {
+		heartbeats, wrong Instance
+	}{
+		"a sequence that the instance doesn't reach": {Instance{StartedMs: 5000, Sequence: 10, Membership: member}, Instance{StartedMs: 5000, Sequence: 9_000_000}},
+		"a start that the instance doesn't reach":    {Instance{StartedMs: 5000, Sequence: 10, Membership: member}, Instance{StartedMs: 9_000_000, Sequence: 1}},
+		"an earlier start":                           {Instance{StartedMs: 5000, Sequence: 10, Membership: member}, Instance{StartedMs: 1, Sequence: 1}},
+		"a start where the instance tells none":      {Instance{Sequence: 10, Membership: member}, Instance{StartedMs: 5000, Sequence: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h, now := NewHistory(), time.Unix(1e9, 0)
+			c.heartbeats.ID, c.wrong.ID = "a", "a"
+			heartbeat := func() *Instance {
+				c.heartbeats.Sequence++
+				in := c.heartbeats
+				return &in
+			}
+			h.Merge(0, []*Instance{&c.heartbeats}, now)
+			h.Merge(0, []*Instance{&c.wrong}, now)
+			end := now.Add(maxWriteDelay + 3*time.Second)
+			for ; now.Before(end); now = now.Add(1200 * time.Millisecond) {
+				h.Confirm(now)
+				h.Merge(0, []*Instance{heartbeat()}, now)
+			}
+			last := heartbeat()
+			merged, again := h.Merge(0, []*Instance{last}, now)
+			g.Expect(merged).To(ConsistOf(last))
+			g.Expect(again).To(BeZero())
+		})
+	}
+}
+
+// Guards against an entry that heals only with the next change: an instance whose heartbeats
+// change nothing but the sequence may leave its entry as it is.
+func TestAnEntryThatStaysListedCounts(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	wrong := &Instance{ID: "a", StartedMs: 5000, Sequence: 9_000_000}
+	right := &Instance{ID: "a", StartedMs: 5000, Sequence: 11, Membership: Membership{Group: "g1", Epoch: 1, Phase: Open}}
+	merge := func(listed *Instance) ([]*Instance, time.Time) {
+		h.Confirm(now)
+		return h.Merge(0, []*Instance{listed}, now)
+	}
+	_, _ = merge(wrong)
+	start := now
+	merged, again := merge(right)
+	g.Expect(merged).To(ConsistOf(wrong))
+	for !again.IsZero() {
+		g.Expect(again).To(BeTemporally(">", now))
+		g.Expect(again).To(BeTemporally("<=", start.Add(maxWriteDelay)))
+		now = again
+		merged, again = merge(right)
+	}
+	g.Expect(merged).To(ConsistOf(right))
+	g.Expect(now).To(Equal(start.Add(maxWriteDelay)))
+}
+
+// Guards against a late entry that counts because the store was down, and nobody could
+// replace it.
+func TestTimeWithoutTheStoreDoesNotProveAnEntry(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	late := &Instance{ID: "a", StartedMs: 5000, Sequence: 3}
+	joined := &Instance{ID: "a", StartedMs: 5000, Sequence: 4, Membership: Membership{Group: "g", Epoch: 1, Phase: Open}}
+	merge := func() []*Instance {
+		merged, _ := h.Merge(0, []*Instance{late}, now)
+		return merged
+	}
+	h.Confirm(now)
+	h.Merge(0, []*Instance{joined}, now)
+	for range 60 {
+		g.Expect(merge()).To(ConsistOf(joined))
+		now = now.Add(time.Second)
+	}
+	for range int(maxWriteDelay / time.Second) {
+		h.Confirm(now)
+		g.Expect(merge()).To(ConsistOf(joined), "the store has been back for less than the delay")
+		now = now.Add(time.Second)
+	}
+	h.Confirm(now)
+	g.Expect(merge()).To(ConsistOf(late))
+}
+
+// Guards against delays of several entries that add up to the time after which one counts.
+func TestEachEntryIsHeldBackAnew(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	late := &Instance{ID: "a", StartedMs: 5000, Sequence: 3}
+	joined := &Instance{ID: "a", StartedMs: 5000, Sequence: 4, Membership: Membership{Group: "g", Epoch: 1, Phase: Open}}
+	merge := func(listed ...*Instance) []*Instance {
+		h.Confirm(now)
+		merged, _ := h.Merge(0, listed, now)
+		now = now.Add(time.Second)
+		return merged
+	}
+	merge(joined)
+	for range 2 * maxWriteDelay / time.Second {
+		g.Expect(merge(late)).To(ConsistOf(joined))
+		g.Expect(merge(joined)).To(ConsistOf(joined))
+	}
+	g.Expect(merge()).To(BeEmpty())
+	for range 2 * maxWriteDelay / time.Second {
+		g.Expect(merge(late)).To(BeEmpty())
+		g.Expect(merge()).To(BeEmpty())
+	}
+}
--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -106,6 +106,7 @@
 	evacuations, known, evacuationsChange := ps.evacuations.update(now)
 	if s := ps.instances.Current.Load(); s != nil && known {
 		var merged []*engine.Instance
+		ps.history.Confirm(now.Add(-ps.instances.TimeSinceContact()))
 		merged, again = ps.history.Merge(s.Cursor.Era(), ps.decode(s), now)
 		roster := engine.NewRoster(ps.markLeaving(merged))
 		roster.Evacuations = evacuations
