Ignore a late entry of an earlier start of an instance

Seen: known is start 9000 of an engine, a member of group g2; the store executes a write of start 1000 late, which names no group.

Cause: entries of different starts were compared after a restore only, as the clock of an instance may be set back. Nothing told the two cases apart.

Change: a start that another one has replaced doesn't come back, whichever of the two is the earlier by its time, also in a restored list; it is remembered for two minutes, as removed instances are. A node that has seen only the later start takes an entry of an earlier one for late if it counts more writes than a start can have when it is first seen (10), as long as the later start has been known for less than the store may delay a write. After that an earlier start is one whose clock was set back. Not covered: a node that has seen neither start before the late entry, and an earlier start that wrote at most ten entries and was never seen.

--- a/engine/entry_order.go
+++ b/engine/entry_order.go
@@ -1,5 +1,9 @@
 package engine
 
+// maxNewSequence is the highest sequence of an entry by which a start of an instance is first
+// seen: an instance writes its entry about once a second and at each change.
+const maxNewSequence = 10
+
 // isOlder reports whether an entry of the same instance was written before another one, if no
 // clock was set back.
 func (in *Instance) isOlder(other *Instance) bool {
--- a/engine/history.go
+++ b/engine/history.go
@@ -12,8 +12,9 @@
 	// rewriteTime is how long entries of a restored list are compared with the newer ones
 	// known. In this time live instances write theirs again, and those of others expire.
 	rewriteTime = 5 * time.Second
-	// keepRemoved is how long it is remembered which instances were removed. It exceeds the
-	// age of the copies from which the platform's store is restored.
+	// keepRemoved is how long it is remembered which instances were removed, and which
+	// starts were replaced. It exceeds the age of the copies from which the platform's store
+	// is restored.
 	keepRemoved = 2 * time.Minute
 	// maxWriteDelay exceeds the time for which the store may delay a write, and the interval
 	// of the heartbeats with which a live instance replaces an older entry.
@@ -51,6 +52,10 @@
 // record is what is known of the entries of one instance.
 type record struct {
 	newest *Instance
+	// startSeenAt is when the start of the newest entry was first seen.
+	startSeenAt time.Time
+	// replaced are earlier starts of the instance.
+	replaced []replacedStart
 	// heldSince is since when the list has shown only entries that are held back; zero if it
 	// shows the newest one.
 	heldSince time.Time
@@ -58,6 +63,12 @@
 	removedAt time.Time
 }
 
+// replacedStart is a start of an instance that another one has followed.
+type replacedStart struct {
+	startedMs int64
+	at        time.Time
+}
+
 // NewHistory returns an empty history.
 func NewHistory() *History {
 	return &History{records: map[string]*record{}, missing: map[string]bool{}}
@@ -90,11 +101,11 @@
 	for _, in := range listed {
 		r := h.records[in.ID]
 		if r == nil {
-			r = &record{newest: in}
+			r = &record{newest: in, startSeenAt: now}
 			h.records[in.ID] = r
 		}
-		if h.isNews(r, in, comparing) {
-			r.accept(in)
+		if h.isNews(r, in, comparing, now) {
+			r.accept(in, now)
 		} else {
 			r.hold(now)
 			holding[in.ID] = true
@@ -161,14 +172,14 @@
 
 // isNews reports whether a listed entry of an instance is as new as the newest one known, or
 // shows that this one is wrong. comparing is true for a list that may be restored.
-func (h *History) isNews(r *record, in *Instance, comparing bool) bool {
+func (h *History) isNews(r *record, in *Instance, comparing bool, now time.Time) bool {
 	if r.newest == in {
 		return r.removedAt.IsZero() || !comparing
 	}
 	switch {
 	case r.isHeldLong(h.confirmedSince, h.confirmedAt):
 		return true
-	case in.isOlderInStart(r.newest), in.lacksStart(r.newest):
+	case in.isOlderInStart(r.newest), in.lacksStart(r.newest), r.isOfEarlierStart(in, now):
 		return false
 	case comparing && r.removedAt.IsZero():
 		return !in.isOlder(r.newest)
@@ -191,8 +202,27 @@
 	return confirmedAt.Sub(since) >= maxWriteDelay
 }
 
+// isOfEarlierStart reports whether an entry is of a start that ended before the one of the
+// newest entry. Starts can't be ordered by their times alone, as the clock of an instance may
+// be set back, but one that was replaced doesn't come back. A start that wasn't seen ended
+// earlier if it has written more than a new one can have. If the start of the newest entry
+// has been known for longer than writes are delayed, no write of an earlier one is to come.
+func (r *record) isOfEarlierStart(in *Instance, now time.Time) bool {
+	if slices.ContainsFunc(r.replaced, func(s replacedStart) bool { return s.startedMs == in.StartedMs }) {
+		return true
+	}
+	return in.StartedMs < r.newest.StartedMs && in.Sequence > maxNewSequence && now.Sub(r.startSeenAt) < maxWriteDelay
+}
+
 // accept makes a listed entry the newest one.
-func (r *record) accept(in *Instance) {
+func (r *record) accept(in *Instance, now time.Time) {
+	if old := r.newest.StartedMs; old != in.StartedMs {
+		r.replaced = slices.DeleteFunc(r.replaced, func(s replacedStart) bool {
+			return s.startedMs == in.StartedMs || now.Sub(s.at) > keepRemoved
+		})
+		r.replaced = append(r.replaced, replacedStart{old, now})
+		r.startSeenAt = now
+	}
 	r.newest, r.removedAt = in, time.Time{}
 }
 
--- a/engine/history_test.go
+++ b/engine/history_test.go
@@ -132,6 +132,55 @@
 	}
 }
 
+// Guards against an entry of an earlier start that the store writes late, and by which the
+// members of an open group count as free (TWO).
+func TestEntriesOfAReplacedStartAreNoNews(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	merge := func(era uint64, listed ...*Instance) []*Instance {
+		merged, _ := h.Merge(era, listed, now)
+		return merged
+	}
+	first := &Instance{ID: "a", StartedMs: 1000, Sequence: 40}
+	late := &Instance{ID: "a", StartedMs: 1000, Sequence: 41}
+	second := &Instance{ID: "a", StartedMs: 9000, Sequence: 4, Membership: Membership{Group: "g2", Epoch: 2, Phase: Open}}
+	merge(0, first)
+	g.Expect(merge(0, second)).To(ConsistOf(second))
+	g.Expect(merge(0, late)).To(ConsistOf(second), "replaced by a later start")
+	now = now.Add(2 * time.Second)
+	g.Expect(merge(0, late)).To(ConsistOf(second))
+	g.Expect(merge(0)).To(BeEmpty())
+	g.Expect(merge(0, late)).To(BeEmpty(), "also while the instance isn't listed")
+	g.Expect(merge(0, second)).To(ConsistOf(second))
+
+	setBack := &Instance{ID: "a", StartedMs: 5000, Sequence: 1}
+	g.Expect(merge(0, setBack)).To(ConsistOf(setBack), "the clock of the instance was set back")
+	second.Sequence++
+	g.Expect(merge(0, second)).To(ConsistOf(setBack), "replaced by an earlier start")
+	g.Expect(merge(1, second)).To(ConsistOf(setBack), "also in a restored list")
+	now = now.Add(rewriteTime)
+	g.Expect(merge(1, second)).To(ConsistOf(setBack))
+}
+
+// Guards against the same for a node that has seen the later start only: an entry that counts
+// far too many writes for a new start is of an earlier one.
+func TestLateEntriesOfAnUnseenStartAreNoNews(t *testing.T) {
+	g := NewWithT(t)
+	h, now := NewHistory(), time.Unix(1e9, 0)
+	known := &Instance{ID: "a", StartedMs: 9000, Sequence: 4, Membership: Membership{Group: "g2", Epoch: 2, Phase: Open}}
+	late := &Instance{ID: "a", StartedMs: 1000, Sequence: 41}
+	merge := func(listed *Instance) []*Instance {
+		merged, _ := h.Merge(0, []*Instance{listed}, now)
+		return merged
+	}
+	merge(known)
+	g.Expect(merge(late)).To(ConsistOf(known))
+	now = now.Add(time.Second)
+	g.Expect(merge(known)).To(ConsistOf(known))
+	now = now.Add(maxWriteDelay)
+	g.Expect(merge(late)).To(ConsistOf(late), "too late for a delayed write: the clock was set back")
+}
+
 // Guards against an entry that no later one of the instance supersedes, and that stays for as
 // long as the instance runs.
 func TestAFalseEntryIsSupersededWithinSeconds(t *testing.T) {
