Order entries of an instance that repeat its sequence

Seen: of two entries of one start with the same sequence, the one listed last counted: a late "ready" made a leaving instance count as ready again, a late phase or epoch of a group replaced a newer one.

Cause: only the sequence was compared, and the group where it was missing.

Change: with the same sequence, an entry is older if it shows the instance not leaving, in no group, in a group of a lower epoch, or in a phase that the member reports before the other one without a further command (closing, joining, ready, open, broken).

--- a/engine/entry_order.go
+++ b/engine/entry_order.go
@@ -20,7 +20,10 @@
 	if in.StartedMs == 0 || in.StartedMs != other.StartedMs {
 		return false
 	}
-	return in.Sequence < other.Sequence || in.Sequence == other.Sequence && in.Membership.Group == "" && other.Membership.Group != ""
+	if in.Sequence != other.Sequence {
+		return in.Sequence < other.Sequence
+	}
+	return in.precedes(other)
 }
 
 // lacksStart reports whether an entry is of another writer because it doesn't tell the start
@@ -28,3 +31,26 @@
 func (in *Instance) lacksStart(other *Instance) bool {
 	return in.StartedMs == 0 && other.StartedMs != 0
 }
+
+// precedes reports whether the state in an entry comes before that in another one of the same
+// start and sequence. An instance doesn't cease to leave, and begins and leaves a group, opens
+// and closes it by commands only, after which its sequence is another one.
+func (in *Instance) precedes(other *Instance) bool {
+	if in.Leaving != other.Leaving {
+		return other.Leaving
+	}
+	a, b := in.Membership, other.Membership
+	switch {
+	case a.Group == "" || b.Group == "":
+		return a.Group == "" && b.Group != ""
+	case a.Epoch != b.Epoch:
+		return a.Epoch < b.Epoch
+	case a.Group != b.Group:
+		return false
+	}
+	return phaseOrder[a.Phase] < phaseOrder[b.Phase]
+}
+
+// phaseOrder is the order in which a member reports phases without a further command: it
+// finishes closing, joins, opens after the command to do so, or breaks.
+var phaseOrder = map[Phase]int{Closing: 0, Joining: 1, Ready: 2, Open: 3, Broken: 4}
--- a/engine/history_test.go
+++ b/engine/history_test.go
@@ -192,6 +192,7 @@
 		"a start that the instance doesn't reach":    {Instance{StartedMs: 5000, Sequence: 10, Membership: member}, Instance{StartedMs: 9_000_000, Sequence: 1}},
 		"an earlier start":                           {Instance{StartedMs: 5000, Sequence: 10, Membership: member}, Instance{StartedMs: 1, Sequence: 1}},
 		"a start where the instance tells none":      {Instance{Sequence: 10, Membership: member}, Instance{StartedMs: 5000, Sequence: 1}},
+		"the same sequence, but leaving":             {Instance{StartedMs: 5000, Sequence: 10, Membership: member}, Instance{StartedMs: 5000, Sequence: 10, Leaving: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -268,6 +269,35 @@
 	g.Expect(merge()).To(ConsistOf(late))
 }
 
+// Guards against entries that repeat the sequence of a newer one: a leaving instance that
+// counts as ready again (DRAIN), or a group in an earlier phase.
+func TestEntriesWithTheSameSequenceAreOrdered(t *testing.T) {
+	at := func(epoch uint64, phase Phase) Membership { return Membership{Group: "g", Epoch: epoch, Phase: phase} }
+	for name, c := range map[string]struct{ older, newer Instance }{
+		"ready, leaving":      {Instance{}, Instance{Leaving: true}},
+		"earlier group":       {Instance{Membership: at(1, Open)}, Instance{Membership: at(2, Joining)}},
+		"joining, ready":      {Instance{Membership: at(1, Joining)}, Instance{Membership: at(1, Ready)}},
+		"ready, open":         {Instance{Membership: at(1, Ready)}, Instance{Membership: at(1, Open)}},
+		"closing, ready":      {Instance{Membership: at(1, Closing)}, Instance{Membership: at(1, Ready)}},
+		"open, broken":        {Instance{Membership: at(1, Open)}, Instance{Membership: at(1, Broken)}},
+		"in a group, leaving": {Instance{Membership: at(2, Open)}, Instance{Membership: at(2, Open), Leaving: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for _, in := range []*Instance{&c.older, &c.newer} {
+				in.ID, in.StartedMs, in.Sequence = "a", 5, 4
+			}
+			now := time.Unix(1e9, 0)
+			h := NewHistory()
+			h.Merge(0, []*Instance{&c.older}, now)
+			merged, _ := h.Merge(0, []*Instance{&c.newer}, now)
+			g.Expect(merged).To(ConsistOf(&c.newer))
+			merged, _ = h.Merge(0, []*Instance{&c.older}, now)
+			g.Expect(merged).To(ConsistOf(&c.newer))
+		})
+	}
+}
+
 // Guards against delays of several entries that add up to the time after which one counts.
 func TestEachEntryIsHeldBackAnew(t *testing.T) {
 	g := NewWithT(t)
