Take the coldness of an instance from the entry that counts

Seen: a server that had become cold got requests without its limit if the list showed an older entry of it, in which it wasn't cold.

Cause: the end of its coldness was kept beside the decoded entry in the list, also where the merged list keeps a newer one.

Change: it is a field of the instance, set when its entry is decoded, and so stays with the entry that counts.

Measured: TestOlderEntriesDoNotWarmAServer fails with the earlier source of the value and passes.

--- a/engine/roster.go
+++ b/engine/roster.go
@@ -73,7 +73,10 @@
 	StagedModels []string
 	// ColdRemaining is how long the instance is to remain cold from when it wrote its entry.
 	ColdRemaining time.Duration
-	Membership    Membership
+	// ColdUntil is when the instance ceases to be cold, by the clock of this process; zero if
+	// it wasn't cold when it wrote its entry.
+	ColdUntil  time.Time
+	Membership Membership
 }
 
 // GroupID identifies one member list of a group.
--- a/entry/evacuations.go
+++ b/entry/evacuations.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		for _, in := range r.ByService[s.Name] {
-			until := ps.decoded[in.ID].coldUntil
+			until := in.ColdUntil
 			if at := ps.evacuations.returnedAt(in.FailureDomain); !at.IsZero() && at.Add(s.ColdTime).After(until) {
 				until = at.Add(s.ColdTime)
 			}
--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -71,17 +72,24 @@
 	g.Expect(s.cursor()).To(Equal(object.Version(7)), "others have to learn that it was taken back")
 }
 
+// newColdPlatformState returns a state with a service whose instances may be cold, and the
+// limits for them.
+func newColdPlatformState() (*PlatformState, *throttle.Registry) {
+	logger := log.NewNopLogger()
+	limits := throttle.NewRegistry(throttle.Config{ColdOverage: 1.5, ColdAllowance: 5}, logger, metrics.NewRegistry())
+	ps := &PlatformState{configurations: follow.New(follow.Config{}, nil, logger), instances: follow.New(follow.Config{}, nil, logger), tables: forward.NewTables(),
+		pool: upstream.NewPool(upstream.Config{}), throttle: limits, logger: logger, history: engine.NewHistory(), adopted: make(chan struct{}, 1),
+		limitsCold: true, evacuations: newTestEvacuations(&bytes.Buffer{})}
+	ps.Configuration.Publish((&catalog.Configuration{Services: []catalog.Service{{Name: "desk", ColdTime: 3 * time.Second, ColdRate: 26}}}).Index())
+	return ps, limits
+}
+
 // Guards against a node that takes requests before it knows which domains are evacuated, and
 // against cold servers that are flooded when their domain returns.
 func TestPlatformStateAppliesEvacuations(t *testing.T) {
 	g := NewWithT(t)
-	logger := log.NewNopLogger()
-	tables, limits := forward.NewTables(), throttle.NewRegistry(throttle.Config{ColdOverage: 1.5, ColdAllowance: 5}, logger, metrics.NewRegistry())
-	ps := &PlatformState{configurations: follow.New(follow.Config{}, nil, logger), instances: follow.New(follow.Config{}, nil, logger), tables: tables,
-		pool: upstream.NewPool(upstream.Config{}), throttle: limits, logger: logger, history: engine.NewHistory(), adopted: make(chan struct{}, 1),
-		limitsCold: true, evacuations: newTestEvacuations(&bytes.Buffer{})}
-	configuration := (&catalog.Configuration{Services: []catalog.Service{{Name: "desk", ColdTime: 3 * time.Second, ColdRate: 26}}}).Index()
-	ps.Configuration.Publish(configuration)
+	ps, limits := newColdPlatformState()
+	tables := ps.tables
 	entry := func(name, zone string, coldMs string) object.Object {
 		return object.Object{Key: object.Key{Kind: platform.InstanceKind, Name: name}, Version: 1, Value: []byte(`{"service":"desk","address":"10.0.0.1:1","zone":"` + zone +
 			`","state":"ready","version":"v1","slots":6,"sequence":1,"born":4,"coldRemainingMs":` + coldMs + `}`)}
@@ -113,6 +121,31 @@
 	g.Expect(isCold("in-b")).To(BeFalse())
 }
 
+// Guards against a cold server that gets requests without a limit because an older entry of it,
+// in which it wasn't cold, is listed again.
+func TestOlderEntriesDoNotWarmAServer(t *testing.T) {
+	g := NewWithT(t)
+	ps, limits := newColdPlatformState()
+	ps.evacuations.follower.Replace(follow.Snapshot{Cursor: 1})
+	list := func(version object.Version, sequence, coldMs int) {
+		ps.instances.Replace(follow.Snapshot{Cursor: version, Objects: []object.Object{{Key: object.Key{Kind: platform.InstanceKind, Name: "in"}, Version: version,
+			Value: fmt.Appendf(nil, `{"service":"desk","address":"10.0.0.1:1","zone":"a","state":"ready","version":"v1","slots":6,"sequence":%d,"born":4,"coldRemainingMs":%d}`, sequence, coldMs)}}})
+		ps.update()
+	}
+	isCold := func() bool {
+		_, limited := limits.Rate(throttle.ServerOf("in", 4))
+		return limited
+	}
+	list(1, 5, 0)
+	g.Expect(isCold()).To(BeFalse())
+	list(2, 6, 60_000)
+	g.Expect(isCold()).To(BeTrue())
+	list(3, 5, 0)
+	g.Expect(isCold()).To(BeTrue(), "an older entry")
+	list(4, 7, 0)
+	g.Expect(isCold()).To(BeFalse())
+}
+
 // Guards against a node that never learns an evacuation because the store turns it away, or
 // that its parent died (EVAC), and against one that fetches without end.
 func TestNodeWithoutStoreLearnsEvacuations(t *testing.T) {
--- a/entry/platform_state.go
+++ b/entry/platform_state.go
@@ -71,8 +71,6 @@
 	instance *engine.Instance
 	// loggedAt is when an invalid entry was last logged.
 	loggedAt time.Time
-	// coldUntil is when the instance ceases to be cold.
-	coldUntil time.Time
 }
 
 // Run updates the state whenever a document changes, until ctx is cancelled.
@@ -218,11 +216,10 @@
 	if err != nil {
 		loggedAt = ps.logInvalid(loggedAt, err)
 	}
-	d := decodedInstance{version: o.Version, instance: in, loggedAt: loggedAt}
 	if in != nil && in.ColdRemaining > 0 {
-		d.coldUntil = time.Now().Add(in.ColdRemaining)
+		in.ColdUntil = time.Now().Add(in.ColdRemaining)
 	}
-	return d
+	return decodedInstance{version: o.Version, instance: in, loggedAt: loggedAt}
 }
 
 // logInvalid logs an invalid entry, if it wasn't logged recently, and returns when it was
