formation: keep an instance that may be the head of a group from another one

If the only entry that it has seen of an open head is an older one without a group, which the store wrote late, the head counts as free, and is ordered into another group once 1 s has passed since the takeover; the head's next heartbeat is due after 1.2 s.

Change: as long as the head of a listed group is unknown to this holder (never seen, and not formed by it), instances of the group's domains that are listed without a group aren't free, for adoptionDelay (2.5 s) after the group was first seen. Other instances, and heads that this holder has seen in the group, are as free as before.

Measured: the spec plans a group with the head before the change, 1.2 s after the takeover, and none with it; after 2.5 s it is free.

--- a/formation/free.go
+++ b/formation/free.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanlanding/rattanlanding/engine"
@@ -33,7 +34,10 @@
 // or without one has left this group, and a head that never joined can't open it.
 func (s *Snapshot) isFree(in *engine.Instance) bool {
 	m := in.Membership
-	if m.Group == "" || m.Phase == engine.Broken {
+	if m.Group == "" {
+		return !s.mayBeHead(in)
+	}
+	if m.Phase == engine.Broken {
 		return true
 	}
 	g := s.group(engine.GroupID{Name: m.Group, Epoch: m.Epoch})
@@ -47,6 +51,20 @@
 	return formedHere && s.instance(f.Members[0]) != nil && s.formationFailed(g)
 }
 
+// mayBeHead reports whether an instance that is listed without a group may be the head of one
+// whose head isn't listed. A new lease holder that has never seen the newer entry of the
+// instance can't tell that the one listed is an older one, which the store wrote late, until
+// the instance writes its entry again.
+func (s *Snapshot) mayBeHead(in *engine.Instance) bool {
+	return slices.ContainsFunc(s.Groups, func(g *engine.Group) bool {
+		_, formedHere := s.Formed[g.ID]
+		if formedHere || g.Head() != nil || s.LastHead[g.ID] != nil || s.Now.Sub(s.SeenSince[g.ID]) >= adoptionDelay {
+			return false
+		}
+		return slices.ContainsFunc(g.Members, func(m *engine.Instance) bool { return m.FabricDomain == in.FabricDomain })
+	})
+}
+
 // formationFailed reports whether a group that isn't open will never become complete.
 func (s *Snapshot) formationFailed(g *engine.Group) bool {
 	if s.mayLoseMember(g) {
