--- a/internal/httpdrain/listener_test.go
+++ b/internal/httpdrain/listener_test.go
@@ -55,6 +55,30 @@
 	}
 }
 
+// Guards against callers whose connection is reset because it was still in the queue at the end
+// of the time for which new ones are accepted.
+func TestLateAcceptReturnsQueuedConnections(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := httpdrain.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 3 {
+		caller, err := net.Dial("tcp4", listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer caller.Close()
+	}
+	g.Expect(listener.Close()).To(Succeed())
+	time.Sleep(400 * time.Millisecond)
+	for range 3 {
+		conn, err := listener.Accept()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(conn.Close()).To(Succeed())
+	}
+	_, err = listener.Accept()
+	g.Expect(err).To(MatchError(net.ErrClosed))
+	_, err = net.Dial("tcp4", listener.Addr().String())
+	g.Expect(err).To(HaveOccurred(), "the address is still served")
+}
+
 // Guards against a connection that is closed although a request arrives on it just when the
 // server stops and has been read in part: the server took it for idle until the head was
 // complete.
