forward: count only this node's trials against a target on trial

A node whose links to the backend servers had come back refused seven to nine of ten requests for 20 s more: "all slots are taken: demand of 70.0 slots for 8 available ones".

Cause: a target that was silent or gone gets one request at a time until it shows a sign of life. That one slot was compared with the requests of all nodes at the target, so the trial never began while other nodes used the server. Its own requests from before the hold, which hang until their deadline, counted as well.

Requests that are sent on trial are counted apart, and the target takes one while there is none. The new test fails before (ErrFull at the first request).

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -87,6 +87,10 @@
 	s.throttle.Use(s.targets[best].Server)
 	load := s.targets[best].Load
 	load.running.Add(1)
+	if w.trial = s.candidates[best].Trial; w.trial {
+		load.trials.Add(1)
+		s.candidates[best].Excluded = true
+	}
 	load.unreadPrompts.Add(int64(w.promptTokens))
 	return s.targets[best]
 }
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -40,6 +40,9 @@
 	// Doubtful is true if the target failed so many requests that one that must not be sent
 	// twice goes to another target.
 	Doubtful bool
+	// Trial is true if the target was silent or gone and has shown no sign of life since. It
+	// gets one request of this node at a time, however many other nodes have there.
+	Trial bool
 }
 
 const (
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -113,7 +113,9 @@
 	// Others is the number of other nodes' requests at that time.
 	Others     int
 	acquiredAt time.Time
-	estimate   slotEstimate
+	// trial is true if the target was on trial when the slot was acquired.
+	trial    bool
+	estimate slotEstimate
 	// firstEventAt is when the first event arrived.
 	firstEventAt time.Time
 	// priority is the priority at the engine.
@@ -133,6 +135,9 @@
 func (s *Slot) Release() {
 	s.PromptRead()
 	s.Load.running.Add(-1)
+	if s.trial {
+		s.Load.trials.Add(-1)
+	}
 	d := s.dispatcher
 	d.mu.Lock()
 	d.trafficOf(s.Pool).recordHoldTime(time.Duration(float64(time.Since(s.acquiredAt)) / s.Slowness))
@@ -212,7 +217,7 @@
 
 func (d *Dispatcher) newSlot(t *Target, w *waiter) *Slot {
 	p := &Slot{Target: t, Own: t.Load.Running(), Others: d.peers.Running(t.Instance.ID),
-		acquiredAt: time.Now(), estimate: w.estimate, dispatcher: d,
+		acquiredAt: time.Now(), trial: w.trial, estimate: w.estimate, dispatcher: d,
 		priority: enginePriority(w, time.Now())}
 	p.unreadPrompt.Store(int64(w.promptTokens))
 	return p
--- a/forward/evidence_test.go
+++ b/forward/evidence_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -176,3 +177,32 @@
 		Expect(slots(now.Add(4 * time.Second))).To(BeElementOf(40, 41))
 	})
 })
+
+var _ = Describe("A target on trial", func() {
+	It("gets one request of this node at a time, however many other nodes have there", func() {
+		// Guards against refusals for as long as other nodes use a server that this node lost
+		// (RECOVER).
+		tables, pool := newTables(1, 6)
+		d := NewDispatcher(tables, &fakePeers{nodes: 3, running: map[string]int{"a": 4}}, "", newThrottle())
+		load := tables.Load().Target("a").Load
+		load.record.Failed(suspicion.Silent, time.Now().Add(-time.Hour))
+		acquire := func() (*Slot, error) {
+			return d.Acquire(context.Background(), SlotRequest{Pool: pool, Until: time.Now().Add(50 * time.Millisecond)})
+		}
+		for range 2 {
+			slot, err := acquire()
+			Expect(err).NotTo(HaveOccurred())
+			_, err = acquire()
+			Expect(err).To(MatchError(ErrFull))
+			slot.Release()
+		}
+		slot, err := acquire()
+		Expect(err).NotTo(HaveOccurred())
+		load.record.Began(time.Now())
+		second, err := acquire()
+		Expect(err).NotTo(HaveOccurred())
+		second.Release()
+		slot.Release()
+		Expect(load.trials.Load()).To(BeZero())
+	})
+})
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -22,6 +22,8 @@
 	once bool
 	// eventGap is the longest time between two events of a stream that is on time.
 	eventGap time.Duration
+	// trial is true if the assigned target is on trial.
+	trial bool
 	// estimate is what is expected at the assigned target.
 	estimate slotEstimate
 }
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -133,7 +133,8 @@
 		c.Doubtful = !suspicion.IsSound(a.Trust / best)
 		c.Trust = suspicion.Share(a.Trust/best, utilisation)
 		if a.Untested {
-			c.Slots, c.Trust, c.Doubtful = 1, 1, true
+			c.Requests, c.Ahead, c.Slots, c.Trust, c.Doubtful, c.Trial = 0, 0, 1, 1, true, true
+			c.Excluded = c.Excluded || s.targets[i].Load.trials.Load() > 0
 		}
 	}
 }
--- a/forward/table.go
+++ b/forward/table.go
@@ -23,6 +23,9 @@
 type Load struct {
 	// running is the number of this node's requests at the target.
 	running atomic.Int64
+	// trials is the number of this node's requests that were sent while the target was on
+	// trial.
+	trials atomic.Int64
 	// unreadPrompts is the number of prompt tokens of requests without a first event.
 	unreadPrompts atomic.Int64
 	// progressAt is when the last event was received, in Unix nanoseconds.
