forward: an overdue attempt doesn't hold an engine that answered since

Found by reading, while tracing the refusals after a cut: a stream that can't be given up renews the silence of its engine until its deadline. After the links are back its connection may remain dead for seconds, and each time the engine has sent nothing else to this node for 0.3 s the engine is held again for 3 s.

Cause: the silence of one connection counts as that of the engine, whatever the engine has sent on others since. The attempt now compares: events of other attempts after it became overdue show that only its connection is broken. The test fails before.

--- a/forward/stall.go
+++ b/forward/stall.go
@@ -112,9 +112,14 @@
 }
 
 // recordSilence records the silence of an attempt that goes on, and renews it while the engine
-// sends nothing to this node.
-func (m *stallMonitor) recordSilence() {
-	switch k := m.silenceKind(); {
+// sends nothing to this node. The attempt has been overdue since the given time: if the engine
+// has sent events of other attempts after it, the connection is broken rather than the engine.
+func (m *stallMonitor) recordSilence(overdue time.Time) {
+	k := m.silenceKind()
+	if m.load.progressAt.Load() > overdue.UnixNano() {
+		k = suspicion.Lost
+	}
+	switch {
 	case k == suspicion.Silent && m.silence == suspicion.Silent:
 		m.load.record.Failed(k, time.Now())
 	case k == suspicion.Silent || m.silence == suspicion.None:
@@ -162,7 +167,7 @@
 	}
 	if m.mustFinish() && m.emptyReads < maxEmptyReads && !m.takeOver() {
 		// A silent engine may go on, while the answer would end for good here.
-		m.recordSilence()
+		m.recordSilence(time.Now().Add(limit - sinceProgress))
 		return stallRecheck, nil
 	}
 	return 0, errStalled
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/rattanlanding/rattanlanding/catalog"
+	"github.com/rattanlanding/rattanlanding/suspicion"
 )
 
 // listenPausing starts a server that writes the parts of its response to one request with a
@@ -183,3 +184,28 @@
 		Eventually(served).Should(Receive(Not(BeNil())))
 	})
 })
+
+var _ = Describe("The silence of an attempt", func() {
+	It("doesn't hold an engine that has sent events of later attempts", func() {
+		// Guards against a connection from before a cut that takes its engine out of service again
+		// and again after it (RECOVER).
+		load := &Load{}
+		m := &stallMonitor{load: load, nextTimeout: time.Second, begun: true,
+			peerProgress: func() bool { return false }, mustFinish: func() bool { return true }, takeOver: func() bool { return false },
+			silenceKind: func() suspicion.Kind { return silenceKind(&Slot{Target: &Target{Load: load}}) },
+			failed:      func(k suspicion.Kind) { load.record.Failed(k, time.Now()) }}
+		silentFor := func(d time.Duration) {
+			GinkgoHelper()
+			_, err := m.watch(d)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		silentFor(2 * time.Second)
+		Expect(load.Suspected(time.Now())).To(BeTrue())
+		load.recordProgress(time.Now())
+		Expect(load.Suspected(time.Now())).To(BeFalse())
+		load.progressAt.Store(time.Now().Add(-2 * progressWindow).UnixNano())
+		silentFor(3 * time.Second)
+		Expect(load.Suspected(time.Now())).To(BeFalse())
+		Expect(load.Evidence(time.Now()).Cause).To(Equal(suspicion.None))
+	})
+})
