Send requests through another node while the links to backend servers fail

Cause: a server that doesn't answer this node counted as failed, one by one, whatever the other nodes got from it, and a node had no other way to it.

- reach: a ledger of the direct paths.
Whether a server or this node's link has failed is told by whether another node reaches the server.
A node that reaches few servers itself, while others reach them, is stranded.
- forward: an attempt to an instance whose link has failed goes through another node, which sends it once and streams the response back.
Retries, budgets, stalls and evidence stay with the node of the caller.
A node that is stranded, resting for that server, or can't end the request before it stops says that it sent nothing, so that another one is asked; carried requests are never passed on, so there are no loops.
Without any node in touch, callers are refused at once.
- What rests on "this node gets no answer" is withdrawn or not recorded while the node is stranded: holds of servers, reports to other nodes, crashes for the quarantine (another node must find the server down, too), the lease.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -80,17 +80,19 @@
 	d.cancel = cancel
 	for _, s := range []struct {
 		field, address string
+		headerBytes    int
 		handler        http.Handler
 	}{
-		{"directoryAddress", d.settings.DirectoryAddress, platform.NewDirectoryHandler(d.status)},
-		{"readinessAddress", d.settings.ReadinessAddress, platform.NewReadinessHandler(d.status)},
-		{"peerAddress", d.settings.PeerAddress, d.documents.Handler()},
-		{"metricsAddress", d.settings.MetricsAddress, d.inspector.routes()},
+		{"directoryAddress", d.settings.DirectoryAddress, defaultMaxHeaderBytes, platform.NewDirectoryHandler(d.status)},
+		{"readinessAddress", d.settings.ReadinessAddress, defaultMaxHeaderBytes, platform.NewReadinessHandler(d.status)},
+		// The heads of requests that other nodes pass on are those of callers.
+		{"peerAddress", d.settings.PeerAddress, readHeaderBytes, peerHandler(d.documents.Handler(), d.handler)},
+		{"metricsAddress", d.settings.MetricsAddress, defaultMaxHeaderBytes, d.inspector.routes()},
 	} {
 		if s.address == "" {
 			continue
 		}
-		if err := d.serve(ctx, s.address, s.handler); err != nil {
+		if err := d.serve(ctx, s.address, s.headerBytes, s.handler); err != nil {
 			return fmt.Errorf("%s: %w", s.field, err)
 		}
 	}
@@ -106,6 +108,7 @@
 		"reload":        d.reloader.run,
 		"evenness":      d.evenness.run,
 		"members":       d.publishMembers,
+		"links":         d.handler.ProbeLinks,
 		"limits":        d.followLimits,
 		"callers":       func(context.Context) error { return d.callers.run() },
 	} {
@@ -120,13 +123,13 @@
 }
 
 // serve serves HTTP on an address until ctx is cancelled.
-func (d *daemon) serve(ctx context.Context, address string, handler http.Handler) error {
+func (d *daemon) serve(ctx context.Context, address string, headerBytes int, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: d.limiter.Handler(handler), ConnContext: d.limiter.ConnContext,
-		MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+		MaxHeaderBytes: headerBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	d.running.Go(func() {
 		if err := server.Serve(d.limiter.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			d.fail(address, err)
--- a/entry/module.go
+++ b/entry/module.go
@@ -27,6 +27,7 @@
 	"github.com/rattanlanding/rattanlanding/object"
 	"github.com/rattanlanding/rattanlanding/platform"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/reach"
 	"github.com/rattanlanding/rattanlanding/throttle"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
@@ -81,6 +82,7 @@
 		newStore,
 		newRelay,
 		newFollowers,
+		newLinks,
 		newPool,
 		newGuard,
 		newThrottle,
@@ -129,8 +131,13 @@
 	return f
 }
 
-func newPool(l *connlimit.Limiter) *upstream.Pool {
-	return upstream.NewPool(upstream.Config{MaxConns: l.Max()})
+func newPool(l *connlimit.Limiter, links *reach.Ledger) *upstream.Pool {
+	return upstream.NewPool(upstream.Config{MaxConns: l.Max(), Dialled: links.Dialled})
+}
+
+// newLinks returns the state of the paths to backend servers.
+func newLinks(logger log.Logger, registry metrics.Registry) *reach.Ledger {
+	return reach.NewLedger(nil, logger, registry)
 }
 
 func newGuard(s Settings, logger log.Logger, registry metrics.Registry) *quarantine.Guard {
@@ -152,8 +159,8 @@
 
 // newStatus also creates the components that depend on each other: the mesh sends the
 // state that the status returns, and the status uses the mesh's view of other nodes.
-func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, q *quarantine.Guard, t *throttle.Registry, logger log.Logger, registry metrics.Registry) *status {
-	st := &status{settings: s, platformState: ps, tables: tables, instances: f.instances, quarantine: q}
+func newStatus(s Settings, ps *PlatformState, tables *forward.Tables, f followers, r *relay, q *quarantine.Guard, t *throttle.Registry, links *reach.Ledger, logger log.Logger, registry metrics.Registry) *status {
+	st := &status{settings: s, platformState: ps, tables: tables, instances: f.instances, quarantine: q, links: links}
 	st.mesh = mesh.New(mesh.Config{Node: s.Node, Address: s.PeerAddress, Seeds: s.seedAddresses()}, st.state, t, logger, registry)
 	r.liveNodes = func() []*mesh.Node { return st.mesh.View().Live }
 	st.dispatcher = forward.NewDispatcher(tables, st.mesh, s.FailureDomain, t)
@@ -173,11 +180,21 @@
 		forward.Config{RetryRatio: s.RetryRatio, RetryAllowance: s.RetryAllowance, BodyStallTime: s.BodyStallTime},
 		forward.Dependencies{
 			Memory:        budget,
-			Configuration: &ps.Configuration, Dispatcher: st.dispatcher, Connections: pool, Peers: st.mesh, Quarantine: st.quarantine,
+			Configuration: &ps.Configuration, Dispatcher: st.dispatcher, Connections: pool, Peers: st.mesh, Detours: newDetours(st, logger), Quarantine: st.quarantine,
 			Codec: platform.Codec{}, Logger: log.With(logger, "component", "forward"), Registry: registry,
 		})
 }
 
+// newDetours returns the ways to backend servers through other nodes. The paths to these nodes
+// have a ledger of their own, whose metrics would be mistaken for those of the other one.
+func newDetours(st *status, logger log.Logger) *forward.Detours {
+	peers := reach.NewLedger(nil, log.With(logger, "paths", "peers"), metrics.NewRegistry())
+	return &forward.Detours{Links: st.links, Peers: peers, Connections: upstream.NewPool(upstream.Config{Dialled: peers.Dialled}),
+		Nodes: func() []string {
+			return st.carriers.addresses(st.settings.FailureDomain, func() []*mesh.Node { return st.mesh.View().Live })
+		}}
+}
+
 func newDocuments(s Settings, f followers, ps *PlatformState, st *status, logger log.Logger) *Documents {
 	return &Documents{configurations: f.configurations, instances: f.instances, evacuations: f.evacuations, platformState: ps, view: st.mesh.View, failureDomain: s.FailureDomain,
 		logger: log.With(logger, "component", "documents")}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/internal/readall"
 )
 
@@ -58,3 +59,15 @@
 	}
 	return nil
 }
+
+// peerHandler returns the handler for requests of other nodes: for documents, and those that are
+// to be carried to backend servers.
+func peerHandler(documents http.Handler, carrier *forward.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forward.IsDetour(r) {
+			carrier.ServeDetour(w, r)
+			return
+		}
+		documents.ServeHTTP(w, r)
+	})
+}
--- a/entry/state.go
+++ b/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/rattanlanding/rattanlanding/forward"
 	"github.com/rattanlanding/rattanlanding/mesh"
 	"github.com/rattanlanding/rattanlanding/quarantine"
+	"github.com/rattanlanding/rattanlanding/reach"
 	"github.com/rattanlanding/rattanlanding/suspicion"
 )
 
@@ -24,7 +26,10 @@
 	instances     *follow.Follower
 	mesh          *mesh.Mesh
 	quarantine    *quarantine.Guard
-	leaving       atomic.Bool
+	// links is the state of the paths to backend servers.
+	links    *reach.Ledger
+	carriers carriers
+	leaving  atomic.Bool
 }
 
 // Ready implements platform.Directory. The node is ready if it has a configuration and
@@ -59,21 +64,24 @@
 		node.ListCursor = snapshot.Cursor
 	}
 	node.EvacuationCursor = s.platformState.evacuations.cursor()
+	node.Stranded = s.links.Stranded()
 	return node
 }
 
-// state returns the state to send to other nodes.
+// state returns the state to send to other nodes. What a stranded node sees servers fail is the
+// failure of its own links.
 func (s *status) state() mesh.State {
 	s.quarantine.Absorb(s.mesh.View().Quarantine)
 	state := mesh.State{Node: s.node(), Load: map[uint32]mesh.Load{}, Demand: s.ownDemand(), Waiting: map[string]uint16{},
 		Suspects: map[uint32]suspicion.Report{}, Quarantine: s.quarantine.Report()}
 	now := time.Now()
+	stranded := s.links.Stranded()
 	s.tables.Load().Each(func(t *forward.Target) {
 		key := mesh.Key(t.Instance.ID)
 		if n := t.Load.Running(); n > 0 {
 			state.Load[key] = mesh.NewLoad(n, t.Load.HasRecentProgress(now))
 		}
-		if seen := t.Load.Evidence(now).Report(s.mesh.Evidence(t.Instance.ID)); seen != 0 {
+		if seen := t.Load.Evidence(now).Report(s.mesh.Evidence(t.Instance.ID)); seen != 0 && !stranded {
 			state.Suspects[key] = seen
 		}
 	})
@@ -122,7 +130,7 @@
 // or gone.
 func (s *status) suspecting(instance string) int {
 	n := s.mesh.Evidence(instance).Unresponsive()
-	if t := s.tables.Load().Target(instance); t != nil && t.Load.Suspected(time.Now()) {
+	if t := s.tables.Load().Target(instance); t != nil && t.Load.Suspected(time.Now()) && !s.links.Stranded() {
 		n++
 	}
 	return n
@@ -134,20 +142,31 @@
 	return (t != nil && t.Load.HasRecentProgress(time.Now())) || s.mesh.Progress(instance)
 }
 
+// mayLead reports whether this node and others reach the backend servers well enough to hold the
+// lease, by the node states alone. If all nodes are stranded, each of them does.
+func mayLead(stranded bool, live []*mesh.Node) (own bool, other func(*mesh.Node) bool) {
+	if stranded && !slices.ContainsFunc(live, (*mesh.Node).CanCarry) {
+		return true, func(*mesh.Node) bool { return true }
+	}
+	return !stranded, func(n *mesh.Node) bool { return !n.Stranded }
+}
+
 // members returns the members for the lease manager; the holder of the lease must be a
-// serving node.
+// serving node that reaches the backend servers, if there is one.
 func (s *status) members() *blackboard.Members {
+	live := s.mesh.View().Live
+	ownMay, otherMay := mayLead(s.links.Stranded(), live)
 	own := fleet.NodeServing
-	if s.leaving.Load() {
+	if s.leaving.Load() || !ownMay {
 		own = fleet.NodeLeaving
 	}
 	now := time.Now()
 	m := &blackboard.Members{Self: s.settings.Node, All: []fleet.MemberView{{
 		Member: fleet.Member{Node: s.settings.Node, State: own}, HeartbeatAt: now,
 	}}}
-	for _, other := range s.mesh.View().Live {
+	for _, other := range live {
 		state := fleet.NodeServing
-		if other.Leaving {
+		if other.Leaving || !otherMay(other) {
 			state = fleet.NodeLeaving
 		}
 		m.All = append(m.All, fleet.MemberView{Member: fleet.Member{Node: other.Name, State: state}, HeartbeatAt: now})
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -28,10 +28,6 @@
 		"instance", slot.Instance.ID, "group", slot.Group.Name, "own", slot.Own, "others", slot.Others,
 		"slots", slot.Slots, "expected_ms", slot.estimate.firstEvent.Milliseconds(), "after_ms", time.Since(c.started).Milliseconds(), "last_event", lastEventID)
 	fresh := c.route.Kind == catalog.Unsafe
-	conn, err := h.Connections.Get(ctx, slot.Instance.Address, fresh, h.connectionLimit(c.service))
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonBackendFailed, "no connection to %s", slot.Instance.Address).WithCause(err)
-	}
 	header := upstream.EndToEnd(c.request.Header)
 	h.Codec.EncodeRequest(header, Attempt{
 		Organisation: c.organisationName(),
@@ -41,17 +37,19 @@
 		Priority:     slot.priority,
 	})
 	sentAt := time.Now()
-	response, err := conn.Do(ctx, &upstream.Request{
+	response, failed := h.exchange(ctx, c, slot, &upstream.Request{
 		Method: c.request.Method, Target: c.target, Host: c.request.Host, Header: header, Body: c.body.Parts(), Retain: c.body.Retain,
 		Watch: watch, Memory: h.oversized,
 		IsOwn: func(status int, header http.Header) bool {
 			return h.Codec.DecodeResponse(status, header).RequestID == c.ID
 		},
-	})
-	if err != nil {
-		c.runs++
-		c.mayHaveRun = true
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "no response from %s", slot.Instance.Address).WithCause(err)
+	}, fresh)
+	if failed != nil {
+		if failed.Verdict == verdict.MayHaveRun {
+			c.runs++
+			c.mayHaveRun = true
+		}
+		return nil, failed
 	}
 	meta := h.Codec.DecodeResponse(response.Status, response.Header)
 	if meta.Err != nil {
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -84,27 +84,36 @@
 	if failed.Verdict != verdict.MayHaveRun || failed.Cause == nil || !brokeAt.Before(c.deadline) {
 		return
 	}
-	check, down, kind := "refused ", h.Connections.Refused, suspicion.Gone
+	check, kind := checkRefused, suspicion.Gone
 	if errors.Is(failed, errStalled) {
-		check, down, kind = "silent ", h.Connections.Silent, suspicion.Silent
+		check, kind = checkSilent, suspicion.Silent
 	}
 	instance, subject := slot.Instance, c.subject()
 	subject.EarlierAttempts = c.brokenAttempts
 	c.brokenAttempts++
 	go func() {
-		if h.isDown(check, instance, down) {
+		if h.isDown(check, instance) {
 			h.recordFailure(c, slot, kind)
 			h.Quarantine.Crashed(instance.ID, instance.StartedMs, subject, begun, brokeAt)
 		}
 	}()
 }
 
-// isDown reports whether an engine whose connection ended has crashed. Concurrent checks of
-// one engine by the same name share their result.
-func (h *Handler) isDown(check string, instance *engine.Instance, down func(context.Context, string) bool) bool {
-	crashed, _, _ := h.crashChecks.Do(check+instance.ID, func() (any, error) {
+// The checks whether a backend server is down: connections are refused, or not answered.
+const (
+	checkRefused = "refused"
+	checkSilent  = "silent"
+)
+
+// isDown reports whether an engine whose connection ended has crashed. Another node has to find
+// the same, as the link of this node may have failed. Concurrent checks of one engine by the
+// same name share their result.
+func (h *Handler) isDown(check string, instance *engine.Instance) bool {
+	crashed, _, _ := h.crashChecks.Do(check+" "+instance.ID, func() (any, error) {
 		time.Sleep(crashCheckDelay)
-		return down(context.Background(), instance.Address), nil
+		ctx := context.Background()
+		down, err := h.checkDown(ctx, check, instance.Address)
+		return down && h.confirmDown(ctx, check, instance.ID), err
 	})
 	return crashed == true
 }
@@ -112,7 +121,7 @@
 // brokenOff returns an error if the end of a response that ends with its connection is that
 // of a crashed engine, so that the response may be incomplete.
 func (h *Handler) brokenOff(slot *Slot, response *upstream.Response) *verdict.Error {
-	if !response.EndsWithConnection() || !h.isDown("refused ", slot.Instance, h.Connections.Refused) {
+	if !response.EndsWithConnection() || !h.isDown(checkRefused, slot.Instance) {
 		return nil
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "backend server ended during a response without a length").
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -114,7 +114,9 @@
 	Others     int
 	acquiredAt time.Time
 	// trial is true if the target was on trial when the slot was acquired.
-	trial    bool
+	trial bool
+	// detour is true if the request was sent through another node.
+	detour   bool
 	estimate slotEstimate
 	// firstEventAt is when the first event arrived.
 	firstEventAt time.Time
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -48,6 +48,8 @@
 	Dispatcher    *Dispatcher
 	Connections   *upstream.Pool
 	Peers         Peers
+	// Detours are the ways to backend servers through other nodes; nil means none.
+	Detours *Detours
 	// Quarantine holds the requests and parts of prompts that crash engines; nil means an
 	// empty one.
 	Quarantine *quarantine.Guard
--- a/forward/response.go
+++ b/forward/response.go
@@ -130,6 +130,9 @@
 	retries   metrics.Counter
 	broken    metrics.Counter
 	abandoned metrics.Counter
+	// detours counts the requests sent through another node, detoursRefused those that it
+	// didn't send, and carried those sent for other nodes.
+	detours, detoursRefused, carried metrics.Counter
 	// quarantined counts the requests refused because of a quarantine.
 	quarantined metrics.Counter
 	// evacuated counts the requests refused because all their servers are evacuated.
@@ -151,6 +154,9 @@
 		broken:          metrics.GetOrRegisterCounter("forward.streams_broken_off", r),
 		abandoned:       metrics.GetOrRegisterCounter("forward.callers_left", r),
 		quarantined:     metrics.GetOrRegisterCounter("forward.quarantined", r),
+		detours:         metrics.GetOrRegisterCounter("forward.detours", r),
+		detoursRefused:  metrics.GetOrRegisterCounter("forward.detours_refused", r),
+		carried:         metrics.GetOrRegisterCounter("forward.carried", r),
 		evacuated:       metrics.GetOrRegisterCounter("forward.evacuated", r),
 		firstEventEarly: newDelayHistogram("forward.first_event_early_ms", r),
 		firstEventLate:  newDelayHistogram("forward.first_event_late_ms", r),
--- a/forward/stall.go
+++ b/forward/stall.go
@@ -96,7 +96,7 @@
 	}
 	m.takeOver = func() bool { return h.takeOver(ctx, s) }
 	m.failed = func(k suspicion.Kind) { h.recordFailure(s.call, slot, k) }
-	m.silenceKind = func() suspicion.Kind { return silenceKind(slot) }
+	m.silenceKind = func() suspicion.Kind { return h.silenceOf(slot) }
 	m.firstTimeout, m.nextTimeout = stallTimeouts(s.route, s.service.Engine, slot.TimeFactor, s.PromptTokens)
 	if slot.TargetFull() {
 		m.firstTimeout += crowdedSlack
@@ -116,12 +116,13 @@
 // has sent events of other attempts after it, the connection is broken rather than the engine.
 func (m *stallMonitor) recordSilence(overdue time.Time) {
 	k := m.silenceKind()
-	if m.load.progressAt.Load() > overdue.UnixNano() {
+	if k == suspicion.Silent && m.load.progressAt.Load() > overdue.UnixNano() {
 		k = suspicion.Lost
 	}
 	switch {
 	case k == suspicion.Silent && m.silence == suspicion.Silent:
 		m.load.record.Failed(k, time.Now())
+	case k == suspicion.None:
 	case k == suspicion.Silent || m.silence == suspicion.None:
 		m.silence = k
 		m.failed(k)
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -48,6 +48,8 @@
 	var refused notRunStatus
 	var network net.Error
 	switch {
+	case h.lostLink(slot), errors.Is(failed, errNoDetour), errors.Is(failed, unwanted):
+		return suspicion.None
 	case failed.Reason != verdict.ReasonBackendFailed, errors.Is(failed, errBuffersFull), errors.Is(failed, upstream.ErrNoMemory),
 		errors.Is(failed, upstream.ErrNoConnection), errors.Is(failed, errCallerLeft), errors.Is(failed, errOvertaken):
 		return suspicion.None
@@ -59,7 +61,7 @@
 		}
 		return suspicion.Refused
 	case errors.Is(failed, errStalled), !time.Now().Before(c.deadline), errors.As(failed, &network) && network.Timeout():
-		return silenceKind(slot)
+		return h.silenceOf(slot)
 	case failed.Verdict == verdict.NotRun:
 		return suspicion.Gone
 	case errors.Is(failed, upstream.ErrForeignResponse):
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -123,7 +123,7 @@
 
 // update replaces the information about the node.
 func (m *member) update(n *Node, gone bool, now time.Time) {
-	if m.Gone != gone || m.Node.Boot != n.Boot || m.Node.acceptsRequests() != n.acceptsRequests() {
+	if m.Gone != gone || m.Node.Boot != n.Boot || m.Node.acceptsRequests() != n.acceptsRequests() || m.Node.Stranded != n.Stranded {
 		m.changedAt = now
 	}
 	m.Node, m.Gone = *n, gone
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -16,6 +16,7 @@
 type extendedNode struct {
 	baseNode
 	EvacuationCursor object.Version `msgpack:"e"`
+	Stranded         bool           `msgpack:"u"`
 }
 
 var (
@@ -25,13 +26,13 @@
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (n Node) EncodeMsgpack(e *msgpack.Encoder) error {
-	if n.EvacuationCursor == 0 {
+	if n.EvacuationCursor == 0 && !n.Stranded {
 		return e.Encode((*baseNode)(&n))
 	}
 	// Messages are encoded with this option, see marshal.
 	e.UseArrayEncodedStructs(false)
 	defer e.UseArrayEncodedStructs(true)
-	return e.Encode(&extendedNode{baseNode(n), n.EvacuationCursor})
+	return e.Encode(&extendedNode{baseNode(n), n.EvacuationCursor, n.Stranded})
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -44,9 +45,9 @@
 		var extended extendedNode
 		err := d.Decode(&extended)
 		*n = Node(extended.baseNode)
-		n.EvacuationCursor = extended.EvacuationCursor
+		n.EvacuationCursor, n.Stranded = extended.EvacuationCursor, extended.Stranded
 		return err
 	}
-	n.EvacuationCursor = 0
+	n.EvacuationCursor, n.Stranded = 0, false
 	return d.Decode((*baseNode)(n))
 }
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -42,7 +42,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(without).To(Equal(fromEarlier), "without evacuations nothing changes")
 
-	node.EvacuationCursor = 1<<48 | 12
+	node.EvacuationCursor, node.Stranded = 1<<48|12, true
 	with, err := marshal(Member{Node: node, Gone: true})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(with)).To(BeNumerically("<=", maxMemberBytes))
@@ -53,10 +53,23 @@
 	g.Expect(untrusted.Unmarshal(with, &read)).To(Succeed())
 	g.Expect(read).To(Equal(Member{Node: node, Gone: true}))
 	g.Expect(untrusted.Unmarshal(fromEarlier, &read)).To(Succeed())
-	node.EvacuationCursor = 0
+	node.EvacuationCursor, node.Stranded = 0, false
 	g.Expect(read).To(Equal(Member{Node: node, Gone: true}))
 }
 
+// Guards against requests that are passed on to nodes that can't send them either (RECOVER).
+func TestStrandedNodesAreNamed(t *testing.T) {
+	g := NewWithT(t)
+	for _, stranded := range []bool{true, false} {
+		data, err := marshal(Member{Node: Node{Name: "n", Serving: true, Stranded: stranded}})
+		g.Expect(err).NotTo(HaveOccurred())
+		read := Member{Node: Node{Stranded: !stranded, EvacuationCursor: 3}}
+		g.Expect(untrusted.Unmarshal(data, &read)).To(Succeed())
+		g.Expect(read.Node.Stranded).To(Equal(stranded))
+		g.Expect(read.Node.CanCarry()).To(Equal(!stranded))
+	}
+}
+
 // Guards against a state that is encoded differently after a node with evacuations.
 func TestStatesCarryTheEvacuationCursor(t *testing.T) {
 	g := NewWithT(t)
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -33,6 +33,9 @@
 	// EvacuationCursor is the version of the evacuations that the node holds; 0 if it never
 	// had any. It is encoded by extendedNode.
 	EvacuationCursor object.Version `msgpack:"-"`
+	// Stranded is true if the node has lost its links to most backend servers. It is encoded
+	// by extendedNode.
+	Stranded bool `msgpack:"-"`
 }
 
 // stateID identifies one state of a node.
@@ -47,6 +50,9 @@
 // down.
 func (n *Node) acceptsRequests() bool { return n.Serving && !n.Leaving }
 
+// CanCarry reports whether the node can send requests of other nodes to backend servers.
+func (n *Node) CanCarry() bool { return n.acceptsRequests() && !n.Stranded }
+
 // supersedes reports whether n is newer than old, which has the same address. The
 // clock may have been set back before a restart, so a process with an older start
 // also counts as newer once the last update about the old one has expired.
--- a/suspicion/record.go
+++ b/suspicion/record.go
@@ -100,6 +100,14 @@
 	}
 }
 
+// Withdraw removes all failures: the links of this node had failed, and not the server.
+func (r *Record) Withdraw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.Failed, r.evidence.Streak = 0, 0
+	r.endHold()
+}
+
 // endHold ends a hold. The caller holds the lock.
 func (r *Record) endHold() {
 	r.evidence.Hold, r.evidence.Cause = None, None
--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -234,6 +234,18 @@
 	return s != nil && s.leaving
 }
 
+// Rests reports whether a server has stated that it is shutting down, or that it wants no
+// requests of this node now.
+func (r *Registry) Rests(key Server) bool {
+	if r.count.Load() == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[key]
+	return s != nil && (s.leaving || r.now().Before(s.heldUntil))
+}
+
 // Changed returns a channel that is closed when a server states that it is leaving.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -41,6 +41,9 @@
 	// MaxConns is the number of connections from which idle ones are closed before others are
 	// opened; 0 means no limit.
 	MaxConns int
+	// Dialled is called with the outcome of each connection that was opened or wasn't, unless
+	// its request ended meanwhile; nil for nothing.
+	Dialled func(address string, err error)
 }
 
 // Pool is a pool of connections by address.
@@ -48,6 +51,7 @@
 	dialer      net.Dialer
 	idleTimeout time.Duration
 	maxConns    int
+	dialled     func(address string, err error)
 
 	mu        sync.Mutex
 	idleConns map[string][]*Conn
@@ -63,6 +67,7 @@
 		dialer:      net.Dialer{Timeout: cmp.Or(cfg.DialTimeout, DefaultDialTimeout), KeepAlive: -1},
 		idleTimeout: cmp.Or(cfg.IdleTimeout, DefaultIdleTimeout),
 		maxConns:    cfg.MaxConns,
+		dialled:     cfg.Dialled,
 		idleConns:   map[string][]*Conn{}, openCount: map[string]int{},
 	}
 }
@@ -79,7 +84,23 @@
 	if !p.reserve(address, limit) {
 		return nil, ErrNoConnection
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	return p.open(ctx, address)
+}
+
+// Warm opens a connection for later requests, which also shows whether that is possible.
+func (p *Pool) Warm(ctx context.Context, address string) error {
+	p.reserve(address, 0)
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c)
+	return nil
+}
+
+// open opens a connection that was counted.
+func (p *Pool) open(ctx context.Context, address string) (*Conn, error) {
+	raw, err := p.dial(ctx, address)
 	if err != nil {
 		p.release(address)
 		return nil, err
@@ -89,9 +110,17 @@
 	return c, nil
 }
 
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if p.dialled != nil && (err == nil || ctx.Err() == nil) {
+		p.dialled(address, err)
+	}
+	return raw, err
+}
+
 // Refused reports whether no process accepts connections at an address.
 func (p *Pool) Refused(ctx context.Context, address string) bool {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dial(ctx, address)
 	if err == nil {
 		_ = raw.Close()
 	}
@@ -106,7 +135,7 @@
 // reached. A process that only stands still is not silent, as its kernel answers.
 func (p *Pool) Silent(ctx context.Context, address string) bool {
 	for range silentDials {
-		raw, err := p.dialer.DialContext(ctx, "tcp", address)
+		raw, err := p.dial(ctx, address)
 		if err == nil {
 			_ = raw.Close()
 		}
