forward: learn from another node that a backend server wants a pause

Cause: an engine asks the node that carries the request for the pause. That node then refused to carry to it, 789 times in 11 s, but the nodes that it carried for chose the engine again and again and used up their retry budgets on refusals that no engine had seen.

The refusal now tells how long the pause lasts; the other node holds the engine for as long, and another attempt after such a refusal takes nothing from the budget. The test fails before: six refusals in ten requests, where at most one is allowed.

--- a/forward/carry.go
+++ b/forward/carry.go
@@ -37,7 +37,8 @@
 		h.serveCheck(w, r, target, check)
 		return
 	}
-	if h.Dispatcher.throttle.Rests(target.Server) {
+	if pause := h.Dispatcher.throttle.Pause(target.Server); pause > 0 {
+		w.Header().Set(headerDetourPause, strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
 		h.refuseDetour(w, r, unwanted, errors.New("the instance is leaving, or asked this node for a pause"))
 		return
 	}
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -6,13 +6,17 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/rattanlanding/rattanlanding/internal/wait"
 	"github.com/rattanlanding/rattanlanding/reach"
 	"github.com/rattanlanding/rattanlanding/suspicion"
+	"github.com/rattanlanding/rattanlanding/throttle"
 	"github.com/rattanlanding/rattanlanding/upstream"
 	"github.com/rattanlanding/rattanlanding/verdict"
 )
@@ -28,6 +32,9 @@
 	headerDetourCheck = "Rattanlanding-Detour-Check"
 	// headerDetourRefusal is the reason for which the request wasn't sent to the instance.
 	headerDetourRefusal = "Rattanlanding-Detour-Refusal"
+	// headerDetourPause is for how many seconds the instance wants no requests from the node that
+	// refuses for that reason.
+	headerDetourPause = "Rattanlanding-Detour-Pause"
 	// headerDetourEarly is set if the response arrived before the request had been sent.
 	headerDetourEarly = "Rattanlanding-Detour-Early"
 )
@@ -212,12 +219,26 @@
 			continue
 		case unreachable:
 			h.Detours.Links.Detoured(address, false)
+		case unwanted:
+			h.observePause(slot, response.Header)
 		}
 		return nil, notSent(reason)
 	}
 	return nil, notSent(fmt.Errorf("%w: %d nodes known, %d asked", errNoDetour, known, len(nodes)))
 }
 
+// observePause records that an instance wants no requests from a node that would carry them.
+func (h *Handler) observePause(slot *Slot, header http.Header) {
+	seconds, err := strconv.ParseFloat(header.Get(headerDetourPause), 64)
+	if err != nil || !(seconds >= 0) {
+		_ = level.Warn(h.Logger).Log("msg", "invalid pause in the refusal of another node ignored", "instance", slot.Instance.ID, headerDetourPause, header.Get(headerDetourPause))
+		return
+	}
+	pause := time.Duration(min(seconds, throttle.MaxRetryAfter.Seconds()) * float64(time.Second))
+	// What the instance states about its limit isn't known here.
+	h.Dispatcher.ObserveResponse(slot.Instance, throttle.Statement{RetryAfter: pause, Incomplete: true}, time.Now())
+}
+
 // reachedByDetour records that another node has reached an address. If that shows that this node
 // is stranded, what it has seen of the servers until then was the failure of its own links.
 func (h *Handler) reachedByDetour(address string) {
--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/reach"
 	"github.com/rattanlanding/rattanlanding/suspicion"
+	"github.com/rattanlanding/rattanlanding/throttle"
 	"github.com/rattanlanding/rattanlanding/upstream"
 )
 
@@ -253,18 +255,37 @@
 var _ = Describe("A node that carries requests of others", func() {
 	It("sends none to a server that asked it for a pause, for whomever it carries", func() {
 		// Guards against several nodes that send through one, each unaware of what the others heard.
+		server := &scriptedServer{scripts: []string{sound}}
+		other := &scriptedServer{scripts: slices.Repeat([]string{sound}, 20)}
+		carrierHandler, carrier := newCarrier(server.listen(), other.listen())
+		target := carrierHandler.Dispatcher.tables.Load().Target("d0")
+		carrierHandler.Dispatcher.ObserveResponse(target.Instance, throttle.Statement{RetryAfter: 5 * time.Second}, time.Now())
+		node := newScriptedNode(refuseAll(), refuseAll())
+		handler := addDetours(node, carrier)
+		for i := range 10 {
+			status, _, _ := sendScripted(node, "/unsafe/x", "r"+strconv.Itoa(i))
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		Expect(server.runs).To(BeEmpty())
+		// The node learns of the pause from the first refusal, which no server has seen.
+		Expect(handler.metrics.detoursRefused.Count()).To(BeNumerically("<=", 1))
+		Expect(handler.metrics.retries.Count()).To(BeZero())
+	})
+
+	It("learns the pause from the responses that it carries", func() {
+		// Guards against requests of this node to a server that has asked it for a pause (BUDGET).
 		const pause = "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\nPause: 5\r\nContent-Length: 0\r\n\r\n"
 		server := &scriptedServer{scripts: []string{pause, sound}}
 		carrierHandler, carrier := newCarrier(server.listen())
 		carrierHandler.Codec = pausingCodec{}
-		for _, id := range []string{"r1", "r2"} {
+		for i := range 2 {
 			node := newScriptedNode(refuseAll())
 			addDetours(node, carrier)
-			status, _, _ := sendScripted(node, "/unsafe/x", id)
+			status, _, _ := sendScripted(node, "/unsafe/x", "r"+strconv.Itoa(i))
 			Expect(status).To(Equal(http.StatusServiceUnavailable))
 		}
-		Expect(server.ran("r1")).To(Equal(1))
-		Expect(server.ran("r2")).To(BeZero())
+		Expect(server.ran("r0")).To(Equal(1))
+		Expect(server.ran("r1")).To(BeZero())
 	})
 
 	It("ends the request at the server if the other node leaves", func() {
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"github.com/go-kit/log/level"
@@ -19,11 +20,15 @@
 	verdict.ReasonRequestQuarantined, verdict.ReasonDraining}
 
 // allowRetry reports whether another attempt is allowed after an error. If so, it takes
-// one retry from the budget.
+// one retry from the budget, unless another node had to refuse to send the request: that reached
+// no backend server.
 func (h *Handler) allowRetry(ctx context.Context, c *call, err *verdict.Error) bool {
 	if ctx.Err() != nil || !c.isRetryable(err) {
 		return false
 	}
+	if errors.Is(err, unwanted) {
+		return true
+	}
 	if !h.budget(c.service.Name).Take() {
 		_ = level.Warn(h.Logger).Log("msg", "retry budget exhausted; not retrying the request", "request", c.ID, "service", c.service.Name)
 		return false
--- a/throttle/registry.go
+++ b/throttle/registry.go
@@ -234,16 +234,22 @@
 	return s != nil && s.leaving
 }
 
-// Rests reports whether a server has stated that it is shutting down, or that it wants no
-// requests of this node now.
-func (r *Registry) Rests(key Server) bool {
+// Pause returns for how long a server wants no requests of this node, 0 if it takes them. One
+// that is shutting down wants none for MaxRetryAfter.
+func (r *Registry) Pause(key Server) time.Duration {
 	if r.count.Load() == 0 {
-		return false
+		return 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.servers[key]
-	return s != nil && (s.leaving || r.now().Before(s.heldUntil))
+	switch s := r.servers[key]; {
+	case s == nil:
+		return 0
+	case s.leaving:
+		return MaxRetryAfter
+	default:
+		return max(s.heldUntil.Sub(r.now()), 0)
+	}
 }
 
 // Changed returns a channel that is closed when a server states that it is leaving.
