Tests: a status that is none is no answer, in each mode

Operators of other systems saw an engine's answer with status 000 passed to the client (MIXED). This system doesn't: entry mode (upstream) rejects a status below 100, run mode (backend) one below 200, and both treat the request as one that may have run. The new tests pass without a change; they cover 000, 099, 101, 199, 999 and 1000, in entry mode directly and through another node.

--- a/backend/faulty_server_test.go
+++ b/backend/faulty_server_test.go
@@ -120,3 +120,34 @@
 		Entry("before the body", "HTTP/1.1 200 OK\r\nRattanlanding-Attempt: ID\r\nContent-Length: 2\r\n\r\n"),
 	)
 })
+
+var _ = Describe("Clients with a server that answers with an odd status", func() {
+	answer := func(status string) string {
+		return "HTTP/1.1 " + status + " x\r\nRattanlanding-Attempt: ID\r\nRattanlanding-Verdict: not-run\r\nContent-Length: 2\r\n\r\nok"
+	}
+	DescribeTable("return it only if it is a status, and otherwise don't say that the call was not run",
+		func(script string, status int) {
+			// Guards against a status that is none as the caller's answer (MIXED).
+			call := func(address string) backend.Call {
+				return backend.Call{ID: "a", Address: address, Method: http.MethodPost, Header: http.Header{}, Body: []byte("x")}
+			}
+			plain := backend.NewPlainClient(metrics.NewRegistry())
+			for _, do := range []func(context.Context, backend.Call) (backend.Response, error){plain.Do, plain.DoOnce} {
+				address, _ := scriptedServer(script)
+				response, err := do(context.Background(), call(address))
+				if status != 0 {
+					Expect(err).NotTo(HaveOccurred())
+					Expect(response.Status).To(Equal(status))
+					continue
+				}
+				Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+			}
+		},
+		Entry("000", answer("000"), 0),
+		Entry("099", answer("099"), 0),
+		Entry("101", "HTTP/1.1 101 x\r\nRattanlanding-Attempt: ID\r\nUpgrade: y\r\nConnection: Upgrade\r\n\r\nCLOSE", 0),
+		Entry("199, which is followed by the response", "HTTP/1.1 199 x\r\n\r\n"+soundResponse, http.StatusOK),
+		Entry("1000", answer("1000"), 0),
+		Entry("999", strings.ReplaceAll(answer("999"), "Rattanlanding-Verdict: not-run\r\n", ""), 999),
+	)
+})
--- a/forward/faulty_engine_test.go
+++ b/forward/faulty_engine_test.go
@@ -280,3 +280,35 @@
 		Entry("to a stream", "/stream/x", "007"),
 	)
 })
+
+var _ = Describe("Handler with a backend server that answers with an odd status", func() {
+	answer := func(status string) string {
+		return "HTTP/1.1 " + status + " x\r\nId: ID\r\nContent-Length: 2\r\n\r\nok"
+	}
+	DescribeTable("gives the caller no answer that isn't one, and doesn't say that the request has not run",
+		func(path, script string, status, runs int) {
+			// Guards against a status that is none as the caller's answer (MIXED).
+			for _, detour := range []bool{false, true} {
+				server := &scriptedServer{scripts: []string{script, script, sound}}
+				node := newScriptedNode(server.listen())
+				if detour {
+					_, carrier := newCarrier(server.listen())
+					node = newScriptedNode(refuseAll())
+					addDetours(node, carrier)
+				}
+				got, _, complete := sendScripted(node, path, "r")
+				Expect(got).To(Equal(status))
+				Expect(complete).To(BeTrue())
+				Expect(server.ran("r")).To(Equal(runs))
+			}
+		},
+		Entry("000", "/unsafe/x", answer("000"), http.StatusBadGateway, 1),
+		Entry("000 of a stream", "/stream/x", answer("000"), http.StatusBadGateway, 1),
+		Entry("000 with a refusal", "/unsafe/x", "HTTP/1.1 000 x\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", http.StatusBadGateway, 1),
+		Entry("099", "/unsafe/x", answer("099"), http.StatusBadGateway, 1),
+		Entry("101", "/unsafe/x", "HTTP/1.1 101 x\r\nId: ID\r\nUpgrade: y\r\nConnection: Upgrade\r\n\r\nCLOSE", http.StatusBadGateway, 1),
+		Entry("199, which is followed by the response", "/unsafe/x", "HTTP/1.1 199 x\r\n\r\n"+sound, http.StatusOK, 1),
+		Entry("999", "/unsafe/x", answer("999"), 999, 1),
+		Entry("1000", "/unsafe/x", answer("1000"), http.StatusBadGateway, 1),
+	)
+})
