forward: give the connections of nodes that are cut off to the others

Cause: an engine's connections (198) are divided by the number of nodes (66), which leaves two for each; the 40 nodes that had lost their links needed none. They are left out of the number now. The test fails before (2 instead of 6).

--- a/entry/carriers.go
+++ b/entry/carriers.go
@@ -18,6 +18,8 @@
 	at time.Time
 	// groups hold peer addresses, preferred ones in earlier groups.
 	groups [][]string
+	// strandedNodes is the number of nodes that serve and have lost their links.
+	strandedNodes int
 }
 
 // addresses returns the peer addresses of the carriers, preferred ones first and otherwise in
@@ -25,9 +27,7 @@
 func (c *carriers) addresses(domain string, live func() []*mesh.Node) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now := time.Now(); now.Sub(c.at) > carriersAge {
-		c.at, c.groups = now, groupCarriers(live(), domain)
-	}
+	c.update(domain, live)
 	var all []string
 	for _, g := range c.groups {
 		rand.Shuffle(len(g), func(i, j int) { g[i], g[j] = g[j], g[i] })
@@ -36,6 +36,29 @@
 	return all
 }
 
+// stranded returns the number of nodes that serve and have lost their links.
+func (c *carriers) stranded(domain string, live func() []*mesh.Node) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.update(domain, live)
+	return c.strandedNodes
+}
+
+// update updates what is too old. The caller holds the lock.
+func (c *carriers) update(domain string, live func() []*mesh.Node) {
+	now := time.Now()
+	if now.Sub(c.at) <= carriersAge {
+		return
+	}
+	nodes := live()
+	c.at, c.groups, c.strandedNodes = now, groupCarriers(nodes, domain), 0
+	for _, n := range nodes {
+		if n.Stranded && n.Serving && !n.Leaving {
+			c.strandedNodes++
+		}
+	}
+}
+
 // groupCarriers returns the peer addresses of the nodes that can carry requests: first those to
 // which callers are sent, as these know whether they reach the servers, and last those that stop,
 // which take what they can end in time. Nodes of the own failure domain precede the others.
--- a/entry/carriers_test.go
+++ b/entry/carriers_test.go
@@ -21,6 +21,8 @@
 	few := []*mesh.Node{stranded, leaving, starting, node("far", "b", 40), node("near", "a", 40)}
 	g.Expect((&carriers{}).addresses("a", func() []*mesh.Node { return few })).To(Equal([]string{"near", "far", "leaving"}))
 
+	g.Expect((&carriers{}).stranded("a", func() []*mesh.Node { return few })).To(Equal(1))
+
 	// In a large deployment, the nodes to which no callers are sent don't know their links.
 	many := []*mesh.Node{node("near", "a", 90), node("far", "b", 90)}
 	for i := range maxFullList {
--- a/entry/module.go
+++ b/entry/module.go
@@ -189,10 +189,10 @@
 // have a ledger of their own, whose metrics would be mistaken for those of the other one.
 func newDetours(st *status, logger log.Logger) *forward.Detours {
 	peers := reach.NewLedger(nil, log.With(logger, "paths", "peers"), metrics.NewRegistry())
+	live, domain := func() []*mesh.Node { return st.mesh.View().Live }, st.settings.FailureDomain
 	return &forward.Detours{Links: st.links, Peers: peers, Connections: upstream.NewPool(upstream.Config{Dialled: peers.Dialled}),
-		Nodes: func() []string {
-			return st.carriers.addresses(st.settings.FailureDomain, func() []*mesh.Node { return st.mesh.View().Live })
-		}}
+		Nodes:    func() []string { return st.carriers.addresses(domain, live) },
+		Stranded: func() int { return st.carriers.stranded(domain, live) }}
 }
 
 func newDocuments(s Settings, f followers, ps *PlatformState, st *status, logger log.Logger) *Documents {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -68,12 +68,17 @@
 }
 
 // connectionLimit returns this node's share of the connections that a backend server
-// accepts, or 0 for no limit.
+// accepts, or 0 for no limit. Nodes that have lost their links need no share, and the others
+// carry their requests.
 func (h *Handler) connectionLimit(s *catalog.Service) int {
 	if s.MaxConnections <= 0 {
 		return 0
 	}
-	return max(int(float64(s.MaxConnections)/(connectionHeadroom*float64(max(h.Peers.Nodes(), 1)))), 1)
+	nodes := h.Peers.Nodes()
+	if h.Detours != nil {
+		nodes -= h.Detours.Stranded()
+	}
+	return max(int(float64(s.MaxConnections)/(connectionHeadroom*float64(max(nodes, 1)))), 1)
 }
 
 func (c *call) organisationName() string {
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -90,6 +90,8 @@
 	// Nodes returns the peer addresses of the nodes that can carry requests, preferred ones
 	// first.
 	Nodes func() []string
+	// Stranded returns the number of other nodes that have lost their links.
+	Stranded func() int
 
 	// lastCarrier is the node that last carried a request.
 	lastCarrier atomic.Pointer[string]
--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/rattanlanding/rattanlanding/catalog"
 	"github.com/rattanlanding/rattanlanding/quarantine"
 	"github.com/rattanlanding/rattanlanding/reach"
 	"github.com/rattanlanding/rattanlanding/suspicion"
@@ -30,7 +31,7 @@
 	peers := reach.NewLedger(nil, log.NewNopLogger(), metrics.NewRegistry())
 	handler.Connections = upstream.NewPool(upstream.Config{Dialled: links.Dialled})
 	handler.Detours = &Detours{Links: links, Peers: peers, Connections: upstream.NewPool(upstream.Config{Dialled: peers.Dialled}),
-		Nodes: func() []string { return carriers }}
+		Nodes: func() []string { return carriers }, Stranded: func() int { return 0 }}
 	// A single failure counts as that of the server unless other nodes receive its events.
 	handler.Peers = &fakePeers{progress: true}
 	return handler
@@ -288,6 +289,18 @@
 		Expect(server.ran("r1")).To(BeZero())
 	})
 
+	It("takes the share of connections of the nodes that have lost their links", func() {
+		// Guards against refusals for want of connections that nobody uses (RECOVER).
+		handler := addDetours(newScriptedNode("127.0.0.1:1"))
+		handler.Peers = &fakePeers{nodes: 66}
+		service := &catalog.Service{MaxConnections: 198}
+		Expect(handler.connectionLimit(service)).To(Equal(2))
+		handler.Detours.Stranded = func() int { return 40 }
+		Expect(handler.connectionLimit(service)).To(Equal(6))
+		handler.Detours.Stranded = func() int { return 70 }
+		Expect(handler.connectionLimit(service)).To(Equal(165))
+	})
+
 	It("ends the request at the server if the other node leaves", func() {
 		// Guards against work for callers who have left (GONE).
 		closed := make(chan struct{})
