forward: remove the headers of detours from what callers and servers send

Found by reading: a caller that sends Rattanlanding-Detour-Check to a node that is cut off, or a backend server that answers another node with Rattanlanding-Detour-Refusal, had the request taken for a check, or its response for a refusal (not run, although it had run).

Cause: the headers are carried among those of the caller and the server. They are removed on both ways now. The test fails before. Also resets the mark of a detour when the request is then sent directly.

--- a/forward/carry.go
+++ b/forward/carry.go
@@ -105,9 +105,7 @@
 	}
 	h.metrics.carried.Inc(1)
 	header := upstream.EndToEnd(c.request.Header)
-	for _, name := range []string{headerDetour, headerDetourFresh} {
-		header.Del(name)
-	}
+	stripDetour(header)
 	sentAt := time.Now()
 	response, err := conn.Do(ctx, &upstream.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header,
@@ -136,6 +134,8 @@
 func (h *Handler) writeCarried(c *call, response *upstream.Response) error {
 	to := c.writer.Header()
 	copyHeader(to, response.Header)
+	stripDetour(to)
+	to.Set(headerDetour, c.request.Header.Get(headerDetour))
 	// net/http would add these.
 	for _, name := range []string{"Content-Type", "Date"} {
 		if _, present := to[name]; !present {
--- a/forward/detour.go
+++ b/forward/detour.go
@@ -39,6 +39,14 @@
 	headerDetourEarly = "Rattanlanding-Detour-Early"
 )
 
+// stripDetour removes the headers of carried requests and their responses, which callers and
+// backend servers may have sent.
+func stripDetour(header http.Header) {
+	for _, name := range []string{headerDetour, headerDetourFresh, headerDetourCheck, headerDetourRefusal, headerDetourPause, headerDetourEarly} {
+		header.Del(name)
+	}
+}
+
 // detourRefusal is a reason for which a node doesn't carry a request.
 type detourRefusal string
 
@@ -168,6 +176,7 @@
 		}
 		return response, second
 	}
+	slot.detour = false
 	response, err := conn.Do(ctx, r)
 	if err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBackendFailed, "no response from %s", address).WithCause(err)
@@ -183,6 +192,7 @@
 	}
 	carried := *r
 	carried.Header = r.Header.Clone()
+	stripDetour(carried.Header)
 	carried.Header.Set(headerDetour, slot.Instance.ID)
 	if fresh {
 		carried.Header.Set(headerDetourFresh, "1")
@@ -207,8 +217,7 @@
 			h.Detours.lastCarrier.Store(&node)
 			h.reachedByDetour(address)
 			response.Early = response.Early || response.Header.Get(headerDetourEarly) != ""
-			response.Header.Del(headerDetourEarly)
-			response.Header.Del(headerDetour)
+			stripDetour(response.Header)
 			return response, nil
 		}
 		discard(response)
--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -106,6 +106,7 @@
 			requests <- seen{r.Method, r.RequestURI, r.Host, string(body), r.Header}
 			w.Header().Set("Id", r.Header.Get("Id"))
 			w.Header().Set("Keep-Alive", "timeout=9")
+			w.Header().Set(headerDetourRefusal, string(incapable))
 			w.Header()["Content-Type"] = nil
 			w.WriteHeader(http.StatusTeapot)
 			_, _ = io.WriteString(w, "short")
@@ -118,7 +119,7 @@
 		r, err := http.NewRequest(http.MethodPut, node.URL+"/safe/x%2Fy/?q=%20", strings.NewReader(body))
 		Expect(err).NotTo(HaveOccurred())
 		r.Host = "h"
-		r.Header = http.Header{"Id": {"r"}, "Other": {"a", "b"}, headerDetourFresh: {"1"}}
+		r.Header = http.Header{"Id": {"r"}, "Other": {"a", "b"}, headerDetourFresh: {"1"}, headerDetourCheck: {checkRefused}}
 		response, err := node.Client().Do(r)
 		Expect(err).NotTo(HaveOccurred())
 		defer response.Body.Close()
@@ -126,7 +127,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(got)).To(Equal("short"))
 		Expect(response.StatusCode).To(Equal(http.StatusTeapot))
-		Expect(response.Header).NotTo(HaveKey(headerDetourEarly))
+		for name := range response.Header {
+			Expect(name).NotTo(HavePrefix(headerDetour))
+		}
 		var s seen
 		Expect(requests).To(Receive(&s))
 		Expect(s.method + " " + s.target + " " + s.host).To(Equal("PUT /safe/x%2Fy/?q=%20 h"))
