upstream: progress of a response doesn't count for the next request

Cause: the last bytes of a response may hold several events and its end. The connection then goes back to the pool with the first of them, while the events are still forwarded, and each restarted the time that the watch of the connection's next request gets. Its stall would be noticed late. A response that was read to its end leaves its connection alone now.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -215,8 +215,12 @@
 }
 
 // Progress records that a part of the response has arrived, which restarts the time that
-// the watch gets.
-func (r *Response) Progress() { r.conn.markProgress() }
+// the watch gets. A response that was read to its end has left its connection to other requests.
+func (r *Response) Progress() {
+	if !r.complete {
+		r.conn.markProgress()
+	}
+}
 
 // EndsWithConnection reports whether the body has neither a length nor chunks. Its end can't
 // be told from a connection that a failing server closed, unless the content shows it.
