forward: ask several nodes at once whether an engine has crashed

Cause: since the detours, another node must find an engine down before its crash counts. The nodes were asked one after the other, with 0.75 s for all. One of them was paused, so a crash counted 0.75 s late, and the request crashed another engine meanwhile. They are asked at once now, the first that can tell decides, and a refused connection is checked within 0.25 s. The test fails before (0.75 s).

--- a/forward/detour.go
+++ b/forward/detour.go
@@ -316,40 +316,56 @@
 	response.Abort()
 }
 
-// checkTimeout limits the check of an instance by another node, which may try two connections.
-const checkTimeout = 3 * upstream.DefaultDialTimeout
+// checkTimeouts limit the check of an instance by other nodes. A silent one takes two connections
+// that aren't answered.
+var checkTimeouts = map[string]time.Duration{
+	checkRefused: upstream.DefaultDialTimeout,
+	checkSilent:  3 * upstream.DefaultDialTimeout,
+}
 
 // confirmDown reports whether an instance that this node found to be down is down for another
-// node, too. Without an answer, a node that isn't stranded trusts itself.
+// node, too: for the first one that can tell. Without any, a node that isn't stranded trusts
+// itself.
 func (h *Handler) confirmDown(ctx context.Context, check, instance string) bool {
 	if h.Detours == nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	ctx, cancel := context.WithTimeout(ctx, checkTimeouts[check])
 	defer cancel()
 	nodes, _ := h.Detours.nodes()
+	answers := make(chan detourRefusal, len(nodes))
 	for _, node := range nodes {
-		conn, err := h.Detours.Connections.Get(ctx, node, false, 0)
-		if err != nil {
-			continue
-		}
-		response, err := conn.Do(ctx, &upstream.Request{Method: http.MethodGet, Target: "/", Host: node,
-			Header: http.Header{headerDetour: {instance}, headerDetourCheck: {check}},
-			IsOwn:  func(int, http.Header) bool { return true }})
-		if err != nil {
-			continue
-		}
-		discard(response)
-		switch refusalOf(response.Header) {
-		case "":
-			return false
-		case unreachable:
-			return true
+		go func() { answers <- h.askDown(ctx, node, check, instance) }()
+	}
+	for range nodes {
+		select {
+		case answer := <-answers:
+			if answer == "" || answer == unreachable {
+				return answer == unreachable
+			}
+		case <-ctx.Done():
+			return !h.Detours.stranded()
 		}
 	}
 	return !h.Detours.stranded()
 }
 
+// askDown asks another node whether an instance is down: unreachable if it is, empty if it isn't.
+func (h *Handler) askDown(ctx context.Context, node, check, instance string) detourRefusal {
+	conn, err := h.Detours.Connections.Get(ctx, node, false, 0)
+	if err != nil {
+		return incapable
+	}
+	response, err := conn.Do(ctx, &upstream.Request{Method: http.MethodGet, Target: "/", Host: node,
+		Header: http.Header{headerDetour: {instance}, headerDetourCheck: {check}},
+		IsOwn:  func(int, http.Header) bool { return true }})
+	if err != nil {
+		return incapable
+	}
+	defer discard(response)
+	return refusalOf(response.Header)
+}
+
 // checkDown runs one of the checks whether an instance is down.
 func (h *Handler) checkDown(ctx context.Context, check, address string) (bool, error) {
 	switch check {
--- a/forward/detour_test.go
+++ b/forward/detour_test.go
@@ -221,6 +221,29 @@
 		Fail("the engine whose link fails was never chosen")
 	})
 
+	It("waits for no node that stands still to learn whether an engine has crashed", func() {
+		// Guards against a deadly request that crashes further engines meanwhile (BUDGET).
+		still := listenServing(func(conn net.Conn) {
+			defer conn.Close()
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		for _, inTouch := range []bool{true, false} {
+			carrierHandler, carrier := newCarrier(refuseAll())
+			if inTouch {
+				carrierHandler.Detours.Links.Dialled("in touch", nil)
+				carrierHandler.Detours.Links.Dialled("in touch, too", nil)
+			}
+			handler := addDetours(newScriptedNode("127.0.0.1:1"), still, carrier)
+			started := time.Now()
+			Expect(handler.confirmDown(context.Background(), checkRefused, "e0")).To(BeTrue())
+			limit := 2 * upstream.DefaultDialTimeout
+			if inTouch {
+				limit = upstream.DefaultDialTimeout / 2
+			}
+			Expect(time.Since(started)).To(BeNumerically("<", limit))
+		}
+	})
+
 	It("withdraws what it has seen of the servers once it knows", func() {
 		// Guards against refusals for the seconds for which servers are held.
 		node := newScriptedNode("127.0.0.1:1")
